--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+modules := client entry local shared standin tanagerctl tanagerload
+packages := $(addsuffix /...,$(addprefix ./,$(modules)))
+bin := $(CURDIR)/.bin
+
+.PHONY: run test check format lint build tools
+
+# Starts the whole system in one process, publishes a sample plan and runs a job.
+run:
+	go run ./local demo
+
+# Runs all tests with the race detector.
+test:
+	go test -race -count=1 $(packages)
+
+# Everything that CI checks before the tests.
+check: tools format lint build
+
+tools:
+	@mkdir -p $(bin)
+	cd tools && GOWORK=off go build -o $(bin)/ tool
+
+format:
+	@files=$$($(bin)/gofumpt -l $(modules)); \
+	if [ -n "$$files" ]; then echo "not formatted by gofumpt:"; echo "$$files"; exit 1; fi
+
+lint:
+	go vet $(packages)
+	$(bin)/staticcheck $(packages)
+	$(bin)/errcheck -ignoretests -exclude .errcheck-exclude $(packages)
+
+build:
+	go build $(packages)
--- /dev/null
+++ b/client/doc.go
@@ -0,0 +1,2 @@
+// Package client is the Go client for callers of tanagerfall.
+package client
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command entry is part of tanagerfall.
+package main
+
+func main() {}
--- /dev/null
+++ b/local/main.go
@@ -0,0 +1,4 @@
+// Command local is part of tanagerfall.
+package main
+
+func main() {}
--- /dev/null
+++ b/shared/request/submission/id.go
@@ -0,0 +1,145 @@
+package submission
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	macBytes = 16
+	// MaxTextBytes bounds the text form of an ID.
+	MaxTextBytes = 512
+)
+
+// The errors of parsing an ID.
+var (
+	ErrMalformed = eris.New("malformed submission ID")
+	ErrForged    = eris.New("submission ID has a wrong MAC")
+)
+
+// Key identifies a submission: the incarnation that issued the ID and its
+// counter there.
+type Key struct {
+	Incarnation uint64 `cbor:"1,keyasint" json:"incarnation"`
+	Counter     uint64 `cbor:"2,keyasint" json:"counter"`
+}
+
+// String returns the key in the form used in task IDs.
+func (key Key) String() string {
+	return fmt.Sprintf("%016x-%d", key.Incarnation, key.Counter)
+}
+
+// ID is a submission ID.
+type ID struct {
+	Key Key
+	// Domain is the failure domain of the issuing VM.
+	Domain string
+	// Address is the peer address (IP:port) of the issuing VM.
+	Address string
+	// Team is the team the ID was issued to.
+	Team string
+	// Expiry is the time from which the ID can't be spent, in whole seconds.
+	Expiry time.Time
+}
+
+type idBody struct {
+	_           struct{} `cbor:",toarray"`
+	KeyID       uint8
+	Incarnation uint64
+	Counter     uint64
+	Domain      string
+	Address     string
+	Team        string
+	Expiry      int64
+}
+
+// MacKey is one secret of the keyring, shared by all entry VMs of a deployment.
+type MacKey struct {
+	ID     uint8
+	Secret []byte
+}
+
+// Keyring signs with its first key and verifies with all of them, so that a
+// replaced key stays valid until the IDs signed with it have expired.
+type Keyring struct {
+	keys []MacKey
+}
+
+// NewKeyring returns a keyring. It panics if keys is empty.
+func NewKeyring(keys ...MacKey) *Keyring {
+	if len(keys) == 0 {
+		panic("submission: keyring without a key")
+	}
+	return &Keyring{keys: keys}
+}
+
+// Encode returns the text form of id.
+func (keyring *Keyring) Encode(id ID) string {
+	body := idBody{
+		KeyID:       keyring.keys[0].ID,
+		Incarnation: id.Key.Incarnation,
+		Counter:     id.Key.Counter,
+		Domain:      id.Domain,
+		Address:     id.Address,
+		Team:        id.Team,
+		Expiry:      id.Expiry.Unix(),
+	}
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		panic("submission: encoding an ID: " + err.Error())
+	}
+	mac := sign(keyring.keys[0].Secret, data)
+	return base64.RawURLEncoding.EncodeToString(append(data, mac...))
+}
+
+// Decode parses and verifies the text form of an ID. The error wraps
+// ErrMalformed or ErrForged.
+func (keyring *Keyring) Decode(text string) (ID, error) {
+	if len(text) > MaxTextBytes {
+		return ID{}, eris.Wrapf(ErrMalformed, "%d bytes, at most %d are allowed", len(text), MaxTextBytes)
+	}
+	data, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(data) <= macBytes {
+		return ID{}, eris.Wrap(ErrMalformed, "not base64url or too short")
+	}
+	data, mac := data[:len(data)-macBytes], data[len(data)-macBytes:]
+	var body idBody
+	if err := cbor.Unmarshal(data, &body); err != nil {
+		return ID{}, eris.Wrap(ErrMalformed, "body does not decode")
+	}
+	if !keyring.verify(body.KeyID, data, mac) {
+		return ID{}, eris.Wrapf(ErrForged, "key %d", body.KeyID)
+	}
+	return ID{
+		Key: Key{
+			Incarnation: body.Incarnation,
+			Counter:     body.Counter,
+		},
+		Domain:  body.Domain,
+		Address: body.Address,
+		Team:    body.Team,
+		Expiry:  time.Unix(body.Expiry, 0),
+	}, nil
+}
+
+func (keyring *Keyring) verify(keyID uint8, data, mac []byte) bool {
+	for _, key := range keyring.keys {
+		if key.ID == keyID && subtle.ConstantTimeCompare(sign(key.Secret, data), mac) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+func sign(secret, data []byte) []byte {
+	hash := hmac.New(sha256.New, secret)
+	hash.Write(data)
+	return hash.Sum(nil)[:macBytes]
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is part of tanagerfall.
+package main
+
+func main() {}
--- /dev/null
+++ b/tanagerctl/main.go
@@ -0,0 +1,4 @@
+// Command tanagerctl is part of tanagerfall.
+package main
+
+func main() {}
--- /dev/null
+++ b/tanagerload/main.go
@@ -0,0 +1,4 @@
+// Command tanagerload is part of tanagerfall.
+package main
+
+func main() {}
