Define the messages of workers, platform and the dispatch core

Cause: the parts are written in parallel and need fixed interfaces. Change: wire messages of the worker and platform protocols, the plan's data types, and the sealed events and decisions of the dispatch core. Conclusion: the parts can be written against these types.

--- /dev/null
+++ b/shared/request/dispatch/messages.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"time"
+
+	"tanagerfall/shared/connection/upstream"
+	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/placement"
+	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/plan"
+)
+
+// Event is something that happened, told to the Core.
+type Event interface{ event() }
+
+// Proof says why it is certain that a task did not start.
+type Proof string
+
+// The proofs.
+const (
+	ProofDialRefused  Proof = "dial-refused"
+	ProofNeverSent    Proof = "never-sent"
+	ProofRefused      Proof = "upstream-refused"
+	ProofNeverStarted Proof = "never-started"
+)
+
+// The events.
+type (
+	// JobAccepted tells that the ledger spent an ID on a job. The job is
+	// valid and its team is set.
+	JobAccepted struct {
+		Key submission.Key
+		Job job.Job
+	}
+	// JobCancelled tells that the caller gave the job up.
+	JobCancelled struct {
+		Key submission.Key
+	}
+	// TaskEnded tells that a task started and ended. OK is false where it
+	// ended without a result.
+	TaskEnded struct {
+		Task     upstream.Task
+		Upstream string
+		OK       bool
+		RunMs    int64
+		Output   json.RawMessage
+		Reason   string
+	}
+	// TaskNotStarted tells, with proof, that an attempt did not start and
+	// never will.
+	TaskNotStarted struct {
+		Task     upstream.Task
+		Upstream string
+		Proof    Proof
+	}
+	// TaskLost tells that the connection that carried a task broke, so that
+	// it is open whether the task started.
+	TaskLost struct {
+		Task     upstream.Task
+		Upstream string
+	}
+	// LeaseAnswered carries an upstream's answer to an AskUpstream.
+	LeaseAnswered struct {
+		Upstream string
+		Ask      AskUpstream
+		Response upstream.LeaseResponse
+	}
+	// LeaseFailed tells that an AskUpstream got no answer.
+	LeaseFailed struct {
+		Upstream string
+		Ask      AskUpstream
+	}
+	// FleetChanged carries all upstreams that this VM may place tasks on.
+	// Upstreams that are missing or listed in Leaving get nothing new.
+	FleetChanged struct {
+		Upstreams []placement.Upstream
+		Leaving   []string
+	}
+	// UpstreamDraining tells that an upstream gave its own drain signal.
+	UpstreamDraining struct {
+		Upstream string
+	}
+	// PlanChanged carries the plan in force.
+	PlanChanged struct {
+		Plan *plan.Plan
+	}
+	// Tick lets the Core act on the passage of time.
+	Tick struct{}
+)
+
+func (JobAccepted) event()      {}
+func (JobCancelled) event()     {}
+func (TaskEnded) event()        {}
+func (TaskNotStarted) event()   {}
+func (TaskLost) event()         {}
+func (LeaseAnswered) event()    {}
+func (LeaseFailed) event()      {}
+func (FleetChanged) event()     {}
+func (UpstreamDraining) event() {}
+func (PlanChanged) event()      {}
+func (Tick) event()             {}
+
+// Decision is something the Core wants done.
+type Decision interface{ decision() }
+
+// The decisions.
+type (
+	// StartTask asks for one attempt to run a task. Exactly one of TaskEnded,
+	// TaskNotStarted and TaskLost must follow.
+	StartTask struct {
+		Task     upstream.Task
+		Upstream string
+		Kind     string
+		Spec     job.Task
+		Lease    time.Duration
+		Deadline time.Time
+	}
+	// AskUpstream asks an upstream, on a new connection, about tasks. Exactly
+	// one of LeaseAnswered and LeaseFailed must follow.
+	AskUpstream struct {
+		Upstream string
+		Renew    []upstream.Task
+		Cancel   []upstream.Task
+		Lease    time.Duration
+		// List asks for the upstream's running tasks.
+		List bool
+	}
+	// DropConnection gives up the connection that carries a task whose fate
+	// was settled otherwise. No event follows for the task.
+	DropConnection struct {
+		Task upstream.Task
+	}
+	// FinishJob carries the answer of a job. It comes once for each
+	// JobAccepted.
+	FinishJob struct {
+		Key    submission.Key
+		Answer job.Answer
+	}
+)
+
+func (StartTask) decision()      {}
+func (AskUpstream) decision()    {}
+func (DropConnection) decision() {}
+func (FinishJob) decision()      {}
