--- /dev/null
+++ b/shared/process/settings/entry.go
@@ -0,0 +1,252 @@
+package settings
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+
+	"github.com/charmbracelet/log"
+
+	"tanagerfall/shared/request/placement"
+	"tanagerfall/shared/request/submission"
+)
+
+// EntryFormat is the version of the format of Entry.
+const EntryFormat = 1
+
+const (
+	minSecretBytes   = 16
+	defaultAnswersMb = 64
+	maxAnswersMb     = 128
+	defaultTheta     = 1.2
+)
+
+// Entry is the settings of an entry VM's process.
+type Entry struct {
+	Format int    `yaml:"format"`
+	Domain string `yaml:"failure-domain"`
+	// Size is the VM's relative size: its weight in the division of slots.
+	Size float64 `yaml:"size"`
+	// The addresses are IP:port.
+	CallerAddress   string `yaml:"caller-address"`
+	PeerAddress     string `yaml:"peer-address"`
+	OperatorAddress string `yaml:"operator-address"`
+	PlatformURL     string `yaml:"platform-url"`
+	PlanStream      string `yaml:"plan-stream"`
+	KeyStream       string `yaml:"key-stream"`
+	// Peers lists peer addresses to ask for the plan and the fleet while the
+	// platform can't be reached.
+	Peers   []string `yaml:"peers"`
+	MacKeys []MacKey `yaml:"mac-keys"`
+	// AnswerMemoryMb bounds the answers kept for repeated submissions.
+	AnswerMemoryMb int       `yaml:"answer-memory-mb"`
+	LogLevel       string    `yaml:"log-level"`
+	Placement      Placement `yaml:"placement"`
+}
+
+// MacKey is a secret for submission IDs, base64 in the file. The first key
+// signs, all verify.
+type MacKey struct {
+	ID     int    `yaml:"id"`
+	Secret string `yaml:"secret"`
+}
+
+// Placement chooses the placement rule.
+type Placement struct {
+	// Policy is target, greedy, random, round-robin, least-loaded or
+	// two-choices.
+	Policy string `yaml:"policy"`
+	// Theta is the finish target of the target policy, as a multiple of the
+	// ideal.
+	Theta float64 `yaml:"theta"`
+}
+
+// DefaultEntry returns the values of keys that a file may leave out.
+func DefaultEntry() Entry {
+	return Entry{
+		Size:           1,
+		PlanStream:     "plan",
+		KeyStream:      "idempotency-keys",
+		AnswerMemoryMb: defaultAnswersMb,
+		LogLevel:       "info",
+		Placement: Placement{
+			Policy: "target",
+			Theta:  defaultTheta,
+		},
+	}
+}
+
+// Validate returns the first fault, or nil.
+func (entry *Entry) Validate() *Fault {
+	checks := []func() *Fault{
+		entry.checkFormat,
+		entry.checkDomain,
+		entry.checkAddresses,
+		entry.checkPlatform,
+		entry.checkKeys,
+		entry.checkRest,
+	}
+	for _, check := range checks {
+		if fault := check(); fault != nil {
+			return fault
+		}
+	}
+	return nil
+}
+
+func (entry *Entry) checkFormat() *Fault {
+	if entry.Format != EntryFormat {
+		return fault("format", "is %d, this program reads %d", entry.Format, EntryFormat)
+	}
+	return nil
+}
+
+func (entry *Entry) checkDomain() *Fault {
+	if entry.Domain == "" {
+		return fault("failure-domain", "is missing")
+	}
+	if entry.Size <= 0 {
+		return fault("size", "is %g, must be above 0", entry.Size)
+	}
+	return nil
+}
+
+func (entry *Entry) checkAddresses() *Fault {
+	seen := make(map[string]string)
+	named := []struct{ key, address string }{
+		{key: "caller-address", address: entry.CallerAddress},
+		{key: "peer-address", address: entry.PeerAddress},
+		{key: "operator-address", address: entry.OperatorAddress},
+	}
+	for _, row := range named {
+		if fault := checkAddress(row.key, row.address); fault != nil {
+			return fault
+		}
+		if other, taken := seen[row.address]; taken {
+			return fault(row.key, "%s is also the %s", row.address, other)
+		}
+		seen[row.address] = row.key
+	}
+	for i, peer := range entry.Peers {
+		if fault := checkAddress(fmt.Sprintf("peers[%d]", i), peer); fault != nil {
+			return fault
+		}
+	}
+	return nil
+}
+
+func checkAddress(key, address string) *Fault {
+	if address == "" {
+		return fault(key, "is missing")
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return fault(key, "%q is not IP:port", address)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil || number < 1 || number > 65535 {
+		return fault(key, "%q has no port from 1 to 65535", address)
+	}
+	return nil
+}
+
+func (entry *Entry) checkPlatform() *Fault {
+	parsed, err := url.Parse(entry.PlatformURL)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		return fault("platform-url", "%q is not an http or https URL", entry.PlatformURL)
+	}
+	if entry.PlanStream == "" {
+		return fault("plan-stream", "is empty")
+	}
+	if entry.KeyStream == "" {
+		return fault("key-stream", "is empty")
+	}
+	return nil
+}
+
+func (entry *Entry) checkKeys() *Fault {
+	if len(entry.MacKeys) == 0 {
+		return fault("mac-keys", "is missing; at least one key is needed")
+	}
+	for i, key := range entry.MacKeys {
+		name := fmt.Sprintf("mac-keys[%d]", i)
+		if key.ID < 0 || key.ID > 255 {
+			return fault(name+".id", "is %d, allowed are 0 to 255", key.ID)
+		}
+		secret, err := base64.StdEncoding.DecodeString(key.Secret)
+		if err != nil {
+			return fault(name+".secret", "is not base64")
+		}
+		if len(secret) < minSecretBytes {
+			return fault(name+".secret", "has %d bytes, at least %d are needed", len(secret), minSecretBytes)
+		}
+	}
+	return nil
+}
+
+func (entry *Entry) checkRest() *Fault {
+	if entry.AnswerMemoryMb < 1 || entry.AnswerMemoryMb > maxAnswersMb {
+		return fault("answer-memory-mb", "is %d, allowed are 1 to %d", entry.AnswerMemoryMb, maxAnswersMb)
+	}
+	if _, err := log.ParseLevel(entry.LogLevel); err != nil {
+		return fault("log-level", "%q is not debug, info, warn or error", entry.LogLevel)
+	}
+	if _, known := entry.Placement.policy(); !known {
+		return fault("placement.policy", "%q is unknown", entry.Placement.Policy)
+	}
+	if entry.Placement.Theta < 1 {
+		return fault("placement.theta", "is %g, must be at least 1", entry.Placement.Theta)
+	}
+	return nil
+}
+
+// Keyring returns the keyring of validated settings.
+func (entry *Entry) Keyring() *submission.Keyring {
+	keys := make([]submission.MacKey, 0, len(entry.MacKeys))
+	for _, key := range entry.MacKeys {
+		secret, _ := base64.StdEncoding.DecodeString(key.Secret)
+		keys = append(keys, submission.MacKey{
+			ID:     uint8(key.ID),
+			Secret: secret,
+		})
+	}
+	return submission.NewKeyring(keys...)
+}
+
+// PlacementPolicy returns the policy of validated settings.
+func (entry *Entry) PlacementPolicy() placement.Policy {
+	policy, _ := entry.Placement.policy()
+	return policy
+}
+
+func (chosen Placement) policy() (placement.Policy, bool) {
+	const viewAgeMs = 100
+	switch chosen.Policy {
+	case "target":
+		return placement.Target{
+			Theta: chosen.Theta,
+		}, true
+	case "greedy":
+		return placement.Greedy{}, true
+	case "random":
+		return placement.Random{}, true
+	case "round-robin":
+		return placement.RoundRobin{}, true
+	case "least-loaded":
+		return placement.LeastLoaded{
+			ViewAgeMs: viewAgeMs,
+		}, true
+	case "two-choices":
+		return placement.TwoChoices{}, true
+	}
+	return nil, false
+}
+
+func fault(key, format string, values ...any) *Fault {
+	return &Fault{
+		Key:  key,
+		Text: fmt.Sprintf(format, values...),
+	}
+}
--- /dev/null
+++ b/shared/process/settings/entry_test.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const valid = `format: 1
+failure-domain: ege-izmir
+caller-address: 127.0.0.1:7001
+peer-address: 127.0.0.1:7002
+operator-address: 127.0.0.1:7003
+platform-url: http://127.0.0.1:7000
+mac-keys:
+  - id: 1
+    secret: MDEyMzQ1Njc4OWFiY2RlZg==
+`
+
+func TestValidEntryKeepsDefaults(t *testing.T) {
+	entry, err := Decode("entry.yaml", []byte(valid), DefaultEntry())
+	assert.NilError(t, err)
+	assert.Equal(t, entry.Placement.Policy, "target")
+	assert.Equal(t, entry.Size, 1.0)
+}
+
+// Guards against a process that starts with settings it misread.
+func TestFaultsNameFileLineAndKey(t *testing.T) {
+	cases := []struct {
+		name, old, new, want string
+	}{
+		{name: "unknown key", old: "format: 1\n", new: "format: 1\nzone: a\n", want: "entry.yaml:2: zone: "},
+		{name: "missing domain", old: "failure-domain: ege-izmir\n", new: "", want: "entry.yaml:1: failure-domain: is missing"},
+		{name: "host name", old: "127.0.0.1:7002", new: "localhost:7002", want: `entry.yaml:4: peer-address: "localhost:7002" is not IP:port`},
+		{name: "same address twice", old: "127.0.0.1:7003", new: "127.0.0.1:7001", want: "entry.yaml:5: operator-address: 127.0.0.1:7001 is also the caller-address"},
+		{name: "short secret", old: "MDEyMzQ1Njc4OWFiY2RlZg==", new: "MDEy", want: "entry.yaml:9: mac-keys[0].secret: has 3 bytes, at least 16 are needed"},
+		{name: "no secret", old: "    secret: MDEyMzQ1Njc4OWFiY2RlZg==\n", new: "", want: "entry.yaml:8: mac-keys[0].secret: has 0 bytes"},
+		{name: "wrong type", old: "format: 1", new: "format: one", want: "entry.yaml:1: "},
+		{name: "bad policy", old: "format: 1\n", new: "format: 1\nplacement:\n  policy: best\n", want: `entry.yaml:3: placement.policy: "best" is unknown`},
+	}
+	for _, row := range cases {
+		t.Run(row.name, func(t *testing.T) {
+			text := strings.Replace(valid, row.old, row.new, 1)
+			_, err := Decode("entry.yaml", []byte(text), DefaultEntry())
+			assert.ErrorContains(t, err, row.want)
+		})
+	}
+}
