--- /dev/null
+++ b/entry/callerapi/doc.go
@@ -0,0 +1,3 @@
+// Package callerapi serves callers over HTTP: submission IDs, jobs and single
+// requests. docs/caller-api.md describes it.
+package callerapi
--- /dev/null
+++ b/entry/control/events.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"time"
+
+	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/request/dispatch"
+	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/submission"
+)
+
+// event is what other goroutines send to the Loop.
+type event interface{ event() }
+
+type (
+	issue struct {
+		team  string
+		count int
+		reply chan<- []submission.ID
+	}
+	submit struct {
+		id  submission.ID
+		job job.Job
+		// refusal is set where the body was invalid: the ID is spent on it, so
+		// that the refusal stays true for later copies of the submission.
+		refusal *job.Answer
+		reply   chan<- Reply
+	}
+	look struct {
+		id    submission.ID
+		reply chan<- Reply
+	}
+	cancel struct {
+		id    submission.ID
+		reply chan<- Reply
+	}
+	forgetWaiter struct {
+		key   submission.Key
+		reply chan<- Reply
+	}
+	// traffic carries an event for the dispatch core.
+	traffic struct {
+		event dispatch.Event
+	}
+	vmsRead struct {
+		response platform.VmsResponse
+	}
+	recordRead struct {
+		record platform.Record
+	}
+	recordsTrimmed struct {
+		first int64
+	}
+	dump struct {
+		reply chan<- Dump
+	}
+	// barrier runs a function on the control goroutine.
+	barrier struct {
+		run  func(now time.Time)
+		done chan<- struct{}
+	}
+)
+
+func (issue) event()          {}
+func (submit) event()         {}
+func (look) event()           {}
+func (cancel) event()         {}
+func (forgetWaiter) event()   {}
+func (traffic) event()        {}
+func (vmsRead) event()        {}
+func (recordRead) event()     {}
+func (recordsTrimmed) event() {}
+func (dump) event()           {}
+func (barrier) event()        {}
+
+// Reply is what the Loop says of a submission.
+type Reply struct {
+	// Running is set where the job has not ended; Answer is empty then.
+	Running bool
+	// Unspent is set where the ID was not spent; Answer is empty then.
+	Unspent bool
+	// Foreign is set where another incarnation owns the ID.
+	Foreign bool
+	Answer  job.Answer
+	// Fresh holds new IDs for the caller.
+	Fresh []submission.ID
+}
--- /dev/null
+++ b/entry/control/requests.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/request/dispatch"
+	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/submission"
+)
+
+// Issue returns count fresh IDs for a team. The error is ErrStopped or the
+// context's.
+func (loop *Loop) Issue(ctx context.Context, team string, count int) ([]submission.ID, error) {
+	reply := make(chan []submission.ID, 1)
+	err := loop.send(ctx, issue{
+		team:  team,
+		count: count,
+		reply: reply,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return receive(ctx, loop, reply)
+}
+
+// Submit runs a job under id, or attaches to the run that is under way, and
+// returns when the job has ended.
+func (loop *Loop) Submit(ctx context.Context, id submission.ID, job job.Job) (Reply, error) {
+	return loop.await(ctx, id, func(reply chan<- Reply) event {
+		return submit{
+			id:    id,
+			job:   job,
+			reply: reply,
+		}
+	})
+}
+
+// Refuse spends id on a refusal, unless it was spent before; the earlier
+// answer is returned then.
+func (loop *Loop) Refuse(ctx context.Context, id submission.ID, refusal job.Answer) (Reply, error) {
+	return loop.await(ctx, id, func(reply chan<- Reply) event {
+		return submit{
+			id:      id,
+			refusal: &refusal,
+			reply:   reply,
+		}
+	})
+}
+
+// Look returns what became of id.
+func (loop *Loop) Look(ctx context.Context, id submission.ID) (Reply, error) {
+	return loop.await(ctx, id, func(reply chan<- Reply) event {
+		return look{
+			id:    id,
+			reply: reply,
+		}
+	})
+}
+
+// Cancel gives the job of id up and returns its answer.
+func (loop *Loop) Cancel(ctx context.Context, id submission.ID) (Reply, error) {
+	return loop.await(ctx, id, func(reply chan<- Reply) event {
+		return cancel{
+			id:    id,
+			reply: reply,
+		}
+	})
+}
+
+// Tell passes an event to the dispatch core.
+func (loop *Loop) Tell(event dispatch.Event) {
+	_ = loop.send(context.Background(), traffic{
+		event: event,
+	})
+}
+
+// TellVms passes a new VM list on.
+func (loop *Loop) TellVms(response platform.VmsResponse) {
+	_ = loop.send(context.Background(), vmsRead{
+		response: response,
+	})
+}
+
+// TellRecord passes a record of the plan stream on.
+func (loop *Loop) TellRecord(record platform.Record) {
+	_ = loop.send(context.Background(), recordRead{
+		record: record,
+	})
+}
+
+// TellTrimmed tells that the plan stream now begins at first.
+func (loop *Loop) TellTrimmed(first int64) {
+	_ = loop.send(context.Background(), recordsTrimmed{
+		first: first,
+	})
+}
+
+// Dump returns a copy of the control state.
+func (loop *Loop) Dump(ctx context.Context) (Dump, error) {
+	reply := make(chan Dump, 1)
+	if err := loop.send(ctx, dump{reply: reply}); err != nil {
+		return Dump{}, err
+	}
+	return receive(ctx, loop, reply)
+}
+
+// Do runs a function on the control goroutine and waits for its end.
+func (loop *Loop) Do(ctx context.Context, run func(now time.Time)) error {
+	done := make(chan struct{})
+	err := loop.send(ctx, barrier{
+		run:  run,
+		done: done,
+	})
+	if err != nil {
+		return err
+	}
+	_, err = receive(ctx, loop, done)
+	return err
+}
+
+func (loop *Loop) await(ctx context.Context, id submission.ID, build func(chan<- Reply) event) (Reply, error) {
+	reply := make(chan Reply, 1)
+	if err := loop.send(ctx, build(reply)); err != nil {
+		return Reply{}, err
+	}
+	answered, err := receive(ctx, loop, reply)
+	if err != nil {
+		_ = loop.send(context.Background(), forgetWaiter{
+			key:   id.Key,
+			reply: reply,
+		})
+	}
+	return answered, err
+}
+
+func (loop *Loop) send(ctx context.Context, event event) error {
+	select {
+	case loop.events <- event:
+		return nil
+	case <-loop.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func receive[Value any](ctx context.Context, loop *Loop, reply <-chan Value) (Value, error) {
+	var zero Value
+	select {
+	case value := <-reply:
+		return value, nil
+	case <-loop.stopped:
+		return zero, ErrStopped
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
--- /dev/null
+++ b/entry/operatorapi/doc.go
@@ -0,0 +1,3 @@
+// Package operatorapi serves operators over HTTP: health, readiness, metrics,
+// state dump and drain.
+package operatorapi
--- /dev/null
+++ b/entry/process/process.go
@@ -0,0 +1,226 @@
+package process
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	cryptorand "crypto/rand"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/entry/callerapi"
+	"tanagerfall/entry/control"
+	"tanagerfall/entry/operatorapi"
+	"tanagerfall/entry/traffic"
+	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/connection/upstream"
+	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/process/rungroup"
+	"tanagerfall/shared/process/settings"
+	"tanagerfall/shared/request/dispatch"
+	"tanagerfall/shared/request/estimate"
+	"tanagerfall/shared/request/placement"
+	"tanagerfall/shared/request/submission"
+)
+
+const (
+	bytesPerMb        = 1 << 20
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 16 << 10
+	// shutdownTimeout bounds the wait for open requests after the drain.
+	shutdownTimeout = 5 * time.Second
+	// pollWait is how long the platform holds a long poll.
+	pollWait = 20 * time.Second
+)
+
+// ErrListen is wrapped by the errors of New.
+var ErrListen = eris.New("address can't be listened on")
+
+// The reasons why a VM is not ready.
+var (
+	ErrNoPlan   = eris.New("no plan is known")
+	ErrDraining = eris.New("draining")
+)
+
+// Process is one entry VM's process.
+type Process struct {
+	settings    settings.Entry
+	identity    submission.Identity
+	keyring     atomic.Pointer[submission.Keyring]
+	logger      *logevent.Logger
+	set         *metrics.Set
+	group       *rungroup.Group
+	loop        *control.Loop
+	plans       *control.Plans
+	carrier     *traffic.Carrier
+	upstreams   *upstream.Client
+	platform    *platform.Client
+	caller      net.Listener
+	operator    net.Listener
+	draining    atomic.Bool
+	drain       chan struct{}
+	drainOnce   sync.Once
+	platformWeb *http.Client
+}
+
+// New opens the listeners of an entry VM. The error wraps ErrListen.
+func New(entry settings.Entry, logger *logevent.Logger) (*Process, error) {
+	caller, err := net.Listen("tcp", entry.CallerAddress)
+	if err != nil {
+		return nil, eris.Wrap(ErrListen, err.Error())
+	}
+	operator, err := net.Listen("tcp", entry.OperatorAddress)
+	if err != nil {
+		_ = caller.Close()
+		return nil, eris.Wrap(ErrListen, err.Error())
+	}
+	process := &Process{
+		settings: entry,
+		identity: submission.Identity{
+			Domain:      entry.Domain,
+			Address:     entry.PeerAddress,
+			Incarnation: newIncarnation(),
+		},
+		logger:    logger,
+		set:       metrics.NewSet(),
+		upstreams: upstream.NewClient(),
+		caller:    caller,
+		operator:  operator,
+		drain:     make(chan struct{}),
+		platformWeb: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 4,
+			},
+		},
+	}
+	process.platform = platform.NewClient(entry.PlatformURL, process.platformWeb)
+	process.keyring.Store(entry.Keyring())
+	process.plans = control.NewPlans(logger)
+	process.loop = process.newLoop()
+	process.carrier = traffic.New(entry.PeerAddress, process.upstreams, process.loop, logger, process.set, time.Now)
+	return process, nil
+}
+
+func newIncarnation() uint64 {
+	var bytes [8]byte
+	_, _ = cryptorand.Read(bytes[:])
+	return binary.LittleEndian.Uint64(bytes[:])
+}
+
+func (process *Process) newLoop() *control.Loop {
+	random := rand.New(rand.NewPCG(process.identity.Incarnation, 0))
+	estimator := estimate.New()
+	scheduler := placement.New(process.settings.PlacementPolicy(), estimator, random)
+	return control.New(control.Config{
+		Ledger: submission.NewLedger(process.identity, process.settings.AnswerMemoryMb*bytesPerMb),
+		Core: dispatch.New(dispatch.Config{
+			Domain:    process.settings.Domain,
+			Scheduler: scheduler,
+			Estimator: estimator,
+			Random:    random,
+		}),
+		Fleet:   control.NewFleet(process.identity),
+		Plans:   process.plans,
+		Logger:  process.logger,
+		Metrics: control.NewMetrics(process.set),
+		Now:     time.Now,
+	})
+}
+
+// Run serves until ctx ends or a drain has finished.
+func (process *Process) Run(ctx context.Context) error {
+	process.logger.Log(logevent.ProcessStarted, "caller", process.settings.CallerAddress,
+		"peer", process.settings.PeerAddress, "operator", process.settings.OperatorAddress)
+	process.group = rungroup.New(ctx)
+	process.group.Go(func(ctx context.Context) error { return process.loop.Run(ctx, process.carrier) })
+	process.group.Go(process.followVms)
+	process.group.Go(process.followPlan)
+	process.group.Go(process.awaitDrain)
+	process.group.ServeHTTP(process.caller, process.callerServer(), shutdownTimeout)
+	process.group.ServeHTTP(process.operator, process.operatorServer(), time.Second)
+	err := process.group.Wait()
+	process.carrier.Abort()
+	process.carrier.Wait()
+	process.upstreams.Close()
+	process.platformWeb.CloseIdleConnections()
+	process.logger.Log(logevent.ProcessStopped)
+	return err
+}
+
+func (process *Process) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           callerapi.New(process.loop, process.keyring.Load).Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (process *Process) operatorServer() *http.Server {
+	return &http.Server{
+		Handler:           operatorapi.New(process, process.set).Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Ready returns nil, ErrNoPlan or ErrDraining.
+func (process *Process) Ready() error {
+	if process.draining.Load() {
+		return ErrDraining
+	}
+	if !process.plans.Ready() {
+		return ErrNoPlan
+	}
+	return nil
+}
+
+// Dump returns the state dump.
+func (process *Process) Dump(ctx context.Context) (control.Dump, error) {
+	return process.loop.Dump(ctx)
+}
+
+// Drain starts the graceful shutdown and returns at once.
+func (process *Process) Drain() {
+	process.drainOnce.Do(func() {
+		process.draining.Store(true)
+		close(process.drain)
+	})
+}
+
+func (process *Process) awaitDrain(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-process.drain:
+	}
+	process.logger.Log(logevent.ProcessStopping)
+	process.group.Stop()
+	return nil
+}
+
+// LogDump writes the state dump to the log.
+func (process *Process) LogDump() {
+	dump, err := process.loop.Dump(context.Background())
+	if err != nil {
+		return
+	}
+	data, err := json.Marshal(dump)
+	if err != nil {
+		return
+	}
+	process.logger.Log(logevent.StateDumped, "state", string(data))
+}
--- /dev/null
+++ b/shared/process/logevent/event_test.go
@@ -0,0 +1,45 @@
+package logevent
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a catalogue that operators can't trust: each event has one
+// row with its number, name, level and text, and no row is left over.
+func TestCatalogueMatchesEvents(t *testing.T) {
+	data, err := os.ReadFile("../../../docs/log-events.md")
+	assert.NilError(t, err)
+	var want, got []string
+	for _, event := range Events() {
+		want = append(want, fmt.Sprintf("| E%03d | %s | %s | %s |", event.Number, event.Name, event.Level, event.Text))
+	}
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "| E") {
+			got = append(got, catalogueRow(line))
+		}
+	}
+	assert.DeepEqual(t, got, want)
+}
+
+// catalogueRow keeps the columns that the code defines.
+func catalogueRow(line string) string {
+	const columns = 5
+	cells := strings.SplitN(strings.TrimSpace(line), "|", columns+1)
+	return strings.Join(cells[:columns], "|") + "|"
+}
+
+// Guards against two events with one number.
+func TestNumbersAndNamesAreUnique(t *testing.T) {
+	seen := make(map[string]bool)
+	for _, event := range Events() {
+		for _, key := range []string{fmt.Sprint(event.Number), event.Name} {
+			assert.Assert(t, !seen[key], "%s is used twice", key)
+			seen[key] = true
+		}
+	}
+}
