Add the messages between entry VMs over drpc

Cause: the daemon forwards submissions, exchanges heartbeats and lends slots between entry VMs, and must know whether an undelivered forward may be told as not run.

Serve answers a Handlers value; a Pool calls it. Each error of a call wraps exactly one of ErrNotDelivered (no byte of the request was handed to the socket), ErrLost and ErrRemote. The pool dials a peer at most once at a time, backs off after a failure, and bounds the connections of each lane, because a drpc connection carries one call at a time and a forward is held until its job ends. Control messages have their own lane.

--- /dev/null
+++ b/shared/connection/peer/peer_test.go
@@ -0,0 +1,184 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"tanagerfall/shared/connection/peer"
+	"tanagerfall/shared/request/job"
+)
+
+// stub answers forwards by a function and heartbeats by an echo. Other
+// messages panic.
+type stub struct {
+	peer.Handlers
+	forward func(ctx context.Context, request *peer.ForwardRequest) (*peer.ForwardResponse, error)
+}
+
+func (stub *stub) Forward(ctx context.Context, request *peer.ForwardRequest) (*peer.ForwardResponse, error) {
+	return stub.forward(ctx, request)
+}
+
+func (stub *stub) Heartbeat(_ context.Context, request *peer.HeartbeatMessage) (*peer.HeartbeatMessage, error) {
+	return request, nil
+}
+
+// serve starts a server for stub and returns its address.
+func serve(t *testing.T, stub *stub) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- peer.Serve(ctx, listener, stub, peer.ServerOptions{}) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return listener.Addr().String()
+}
+
+func newPool(t *testing.T, options peer.PoolOptions) *peer.Pool {
+	t.Helper()
+	pool := peer.NewPool(options)
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+// Guards against an answer that loses fields on the way.
+func TestForwardCarriesJobAndAnswer(t *testing.T) {
+	answer := job.Answer{
+		SubmissionID: "id",
+		Outcome:      job.Complete,
+		Results: []job.Result{{
+			Index:    0,
+			Upstream: "10.0.0.1:80",
+			RunMs:    7,
+			Output:   []byte(`{"a":1}`),
+		}},
+	}
+	var got peer.ForwardRequest
+	address := serve(t, &stub{forward: func(_ context.Context, request *peer.ForwardRequest) (*peer.ForwardResponse, error) {
+		got = *request
+		return &peer.ForwardResponse{Answer: answer}, nil
+	}})
+	request := &peer.ForwardRequest{
+		SubmissionID: "id",
+		Job:          []byte(`{"kind":"order"}`),
+		FirstAttempt: true,
+	}
+	response, err := peer.Forward.Call(context.Background(), newPool(t, peer.PoolOptions{}), address, request)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, response.Answer, answer)
+	assert.DeepEqual(t, got, *request)
+}
+
+// Guards against a call that is told as lost, or as not delivered, where the
+// opposite holds: the caller's right to take a fresh ID depends on it.
+func TestErrorsTellDelivery(t *testing.T) {
+	address := serve(t, &stub{forward: func(ctx context.Context, request *peer.ForwardRequest) (*peer.ForwardResponse, error) {
+		if request.SubmissionID == "refuse" {
+			return nil, errors.New("no")
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}})
+	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, unused.Close())
+	pool := newPool(t, peer.PoolOptions{})
+	cases := []struct {
+		name    string
+		address string
+		id      string
+		timeout time.Duration
+		want    error
+	}{
+		{name: "dial refused", address: unused.Addr().String(), timeout: time.Minute, want: peer.ErrNotDelivered},
+		{name: "backing off", address: unused.Addr().String(), timeout: time.Minute, want: peer.ErrNotDelivered},
+		{name: "context over before the call", address: address, timeout: -1, want: peer.ErrNotDelivered},
+		{name: "given up while the peer works", address: address, id: "hold", timeout: 50 * time.Millisecond, want: peer.ErrLost},
+		{name: "handler error", address: address, id: "refuse", timeout: time.Minute, want: peer.ErrRemote},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), test.timeout)
+			defer cancel()
+			_, err := peer.Forward.Call(ctx, pool, test.address, &peer.ForwardRequest{SubmissionID: test.id})
+			for _, sentinel := range []error{peer.ErrNotDelivered, peer.ErrLost, peer.ErrRemote} {
+				assert.Equal(t, errors.Is(err, sentinel), sentinel == test.want, "%v", err)
+			}
+		})
+	}
+}
+
+// Guards against a peer that breaks the connection after it took the request
+// and is told as not having got it.
+func TestBrokenConnectionIsLost(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		_ = conn.Close()
+	}()
+	pool := newPool(t, peer.PoolOptions{})
+	_, err = peer.Forward.Call(context.Background(), pool, listener.Addr().String(), &peer.ForwardRequest{})
+	assert.Assert(t, cmp.ErrorIs(err, peer.ErrLost))
+}
+
+// Guards against heartbeats that wait behind forwards, against more
+// connections than the bound, and against simultaneous connection attempts.
+func TestLanesAndBounds(t *testing.T) {
+	const limit = 3
+	const calls = 2 * limit
+	release := make(chan struct{})
+	var running, most, dialing, dials atomic.Int64
+	address := serve(t, &stub{forward: func(context.Context, *peer.ForwardRequest) (*peer.ForwardResponse, error) {
+		if now := running.Add(1); now > most.Load() {
+			most.Store(now)
+		}
+		defer running.Add(-1)
+		<-release
+		return &peer.ForwardResponse{}, nil
+	}})
+	pool := newPool(t, peer.PoolOptions{
+		WorkConnections: limit,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			assert.Check(t, dialing.Add(1) == 1, "two connection attempts at a time")
+			defer dialing.Add(-1)
+			dials.Add(1)
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+	})
+	var group sync.WaitGroup
+	for range calls {
+		group.Go(func() {
+			_, err := peer.Forward.Call(context.Background(), pool, address, &peer.ForwardRequest{})
+			assert.Check(t, err)
+		})
+	}
+	for running.Load() < limit {
+		time.Sleep(time.Millisecond)
+	}
+	beat, err := peer.Heartbeat.Call(context.Background(), pool, address, &peer.HeartbeatMessage{Sequence: 9})
+	assert.NilError(t, err)
+	assert.Equal(t, beat.Sequence, uint64(9))
+	close(release)
+	group.Wait()
+	assert.Equal(t, most.Load(), int64(limit))
+	assert.Equal(t, dials.Load(), int64(limit+1))
+}
