--- a/entry/callerapi/server.go
+++ b/entry/callerapi/server.go
@@ -12,10 +12,12 @@
 	"strconv"
 	"strings"
 
+	"github.com/rotisserie/eris"
 	"goji.io"
 	"goji.io/pat"
 
 	"tanagerfall/entry/control"
+	"tanagerfall/entry/route"
 	"tanagerfall/shared/request/job"
 	"tanagerfall/shared/request/submission"
 )
@@ -36,14 +38,15 @@
 // MaxBodyBytes bounds the body of a job.
 const MaxBodyBytes = 12 << 20
 
-// Submissions is what the server needs of the control side. Requests for IDs
-// that other VMs own are forwarded behind it.
+// errDigest: the body was changed on its way.
+var errDigest = eris.New("body does not match its digest")
+
+// Submissions is what the server needs: a route.Router.
 type Submissions interface {
 	Issue(ctx context.Context, team string, count int) ([]submission.ID, error)
-	Submit(ctx context.Context, id submission.ID, job job.Job) (control.Reply, error)
-	Refuse(ctx context.Context, id submission.ID, refusal job.Answer) (control.Reply, error)
-	Look(ctx context.Context, id submission.ID) (control.Reply, error)
-	Cancel(ctx context.Context, id submission.ID) (control.Reply, error)
+	Submit(ctx context.Context, id submission.ID, body route.Body, hops int) (control.Reply, error)
+	Look(ctx context.Context, id submission.ID, hops int) (control.Reply, error)
+	Cancel(ctx context.Context, id submission.ID, hops int) (control.Reply, error)
 }
 
 // Server is the callers' HTTP interface.
@@ -104,18 +107,15 @@
 		server.answer(writer, problem.status, problem.answer)
 		return
 	}
-	body, err := readBody(request)
+	data, err := readBody(request)
 	if err != nil {
 		// The body was cut, so nothing says that no other copy of it arrives.
 		server.answer(writer, http.StatusBadRequest, job.Failure(job.StartedUnknown, job.ReasonInvalid, err.Error()))
 		return
 	}
-	submitted, err := parseJob(body, request.Header.Get(HeaderDigest), id.Team)
-	if err != nil {
-		server.reply(writer, id)(server.submissions.Refuse(request.Context(), id, job.Refusal(job.ReasonInvalid, err.Error())))
-		return
-	}
-	server.reply(writer, id)(server.submissions.Submit(request.Context(), id, submitted))
+	body := parseBody(data, request.Header.Get(HeaderDigest), id.Team)
+	body.Retry = request.Header.Get(HeaderRetry) == "true"
+	server.reply(writer, id)(server.submissions.Submit(request.Context(), id, body, 0))
 }
 
 func (server *Server) look(writer http.ResponseWriter, request *http.Request) {
@@ -124,7 +124,7 @@
 		server.answer(writer, problem.status, problem.answer)
 		return
 	}
-	server.reply(writer, id)(server.submissions.Look(request.Context(), id))
+	server.reply(writer, id)(server.submissions.Look(request.Context(), id, 0))
 }
 
 func (server *Server) cancel(writer http.ResponseWriter, request *http.Request) {
@@ -133,7 +133,7 @@
 		server.answer(writer, problem.status, problem.answer)
 		return
 	}
-	server.reply(writer, id)(server.submissions.Cancel(request.Context(), id))
+	server.reply(writer, id)(server.submissions.Cancel(request.Context(), id, 0))
 }
 
 // request runs a single task under an ID that this VM issues for it.
@@ -163,7 +163,9 @@
 		server.answer(writer, http.StatusServiceUnavailable, job.Refusal(job.ReasonStopping, "the VM is stopping"))
 		return
 	}
-	server.reply(writer, ids[0])(server.submissions.Submit(request.Context(), ids[0], single))
+	server.reply(writer, ids[0])(server.submissions.Submit(request.Context(), ids[0], route.Body{
+		Job: single,
+	}, 0))
 }
 
 type problem struct {
@@ -207,18 +209,18 @@
 	return body, nil
 }
 
-func parseJob(body []byte, digest, team string) (job.Job, error) {
-	var submitted job.Job
-	if digest != "" && digest != Digest(body) {
-		return submitted, errors.New("body does not match its digest")
+func parseBody(data []byte, digest, team string) route.Body {
+	if digest != "" && digest != Digest(data) {
+		return route.Body{
+			Invalid: errDigest,
+		}
 	}
-	decoder := json.NewDecoder(strings.NewReader(string(body)))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&submitted); err != nil {
-		return submitted, fmt.Errorf("body is not a job: %w", err)
+	parsed, err := job.Parse(data, team)
+	return route.Body{
+		Raw:     data,
+		Job:     parsed,
+		Invalid: err,
 	}
-	submitted.Team = team
-	return submitted, submitted.Validate()
 }
 
 // Digest returns the value of HeaderDigest for a body.
--- a/entry/control/events.go
+++ b/entry/control/events.go
@@ -40,7 +40,7 @@
 	}
 	// traffic carries an event for the dispatch core.
 	traffic struct {
-		event dispatch.Event
+		occurred dispatch.Event
 	}
 	vmsRead struct {
 		response platform.VmsResponse
@@ -81,7 +81,10 @@
 	Unspent bool
 	// Foreign is set where another incarnation owns the ID.
 	Foreign bool
-	Answer  job.Answer
+	// Owner is the peer address to ask about a foreign ID, or "" where its
+	// incarnation is known to be gone.
+	Owner  string
+	Answer job.Answer
 	// Fresh holds new IDs for the caller.
 	Fresh []submission.ID
 }
--- a/entry/control/fleet.go
+++ b/entry/control/fleet.go
@@ -75,3 +75,12 @@
 		Speed:        vm.Speed,
 	}
 }
+
+// Owner returns the peer address of the VM that may hold a foreign ID, or ""
+// where its incarnation is gone.
+func (fleet *Fleet) Owner(id submission.ID) string {
+	if id.Address == fleet.self.Address {
+		return ""
+	}
+	return id.Address
+}
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -120,7 +120,7 @@
 	case forgetWaiter:
 		loop.forgetWaiter(received)
 	case traffic:
-		loop.dispatch(now, received.event)
+		loop.dispatch(now, received.occurred)
 	case vmsRead:
 		loop.readVms(now, received.response)
 	case recordRead:
@@ -142,11 +142,7 @@
 		loop.start(now, received)
 	case submission.ClaimRunning:
 		loop.wait(received.id, received.reply)
-	case submission.ClaimForeign:
-		received.reply <- Reply{
-			Foreign: true,
-		}
-	case submission.ClaimAnswered, submission.ClaimGone, submission.ClaimExpired, submission.ClaimFrozen:
+	case submission.ClaimForeign, submission.ClaimAnswered, submission.ClaimGone, submission.ClaimExpired, submission.ClaimFrozen:
 		received.reply <- loop.replyTo(now, received.id, claim)
 	}
 }
@@ -225,6 +221,7 @@
 	case submission.ClaimForeign:
 		return Reply{
 			Foreign: true,
+			Owner:   loop.config.Fleet.Owner(id),
 		}
 	case submission.ClaimRunning, submission.ClaimNew:
 		return Reply{
--- a/entry/control/requests.go
+++ b/entry/control/requests.go
@@ -72,7 +72,7 @@
 // Tell passes an event to the dispatch core.
 func (loop *Loop) Tell(event dispatch.Event) {
 	_ = loop.send(context.Background(), traffic{
-		event: event,
+		occurred: event,
 	})
 }
 
--- /dev/null
+++ b/entry/peerapi/doc.go
@@ -0,0 +1,2 @@
+// Package peerapi answers the messages of other entry VMs.
+package peerapi
--- /dev/null
+++ b/shared/request/job/parse.go
@@ -0,0 +1,24 @@
+package job
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// Parse decodes and validates a job in JSON and sets its team. The error
+// wraps ErrInvalid.
+func Parse(body []byte, team string) (Job, error) {
+	var job Job
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&job); err != nil {
+		return job, eris.Wrap(ErrInvalid, "body is not a job: "+err.Error())
+	}
+	if decoder.More() {
+		return job, eris.Wrap(ErrInvalid, "body has data after the job")
+	}
+	job.Team = team
+	return job, job.Validate()
+}
