--- /dev/null
+++ b/shared/connection/platform/client.go
@@ -0,0 +1,196 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// AppendTimeout bounds an append. A synced write takes several ms.
+	AppendTimeout = 2 * time.Second
+	// ReadGrace is added to the wait of a long poll. A connection that went
+	// silent is given up after wait plus ReadGrace, so that a plan is still in
+	// force within 3 s when the first poll is lost on such a connection.
+	ReadGrace = 500 * time.Millisecond
+	// maxReplyBytes bounds the memory that one reply can take.
+	maxReplyBytes = 64 << 20
+	// maxErrorBytes bounds how much of an error reply is quoted.
+	maxErrorBytes = 256
+)
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the platform at baseURL, such as
+// http://10.0.0.1:7000.
+func NewClient(baseURL string, httpClient *http.Client) *Client {
+	return &Client{
+		base: strings.TrimRight(baseURL, "/"),
+		http: httpClient,
+	}
+}
+
+// Append appends data to a stream and returns the record's offset. It makes
+// one attempt. The error wraps ErrUnavailable or ErrRefused where the append
+// had no effect, and ErrAppendUnknown where it may have had one.
+func (client *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, AppendTimeout)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, client.base+PathRecords(stream), bytes.NewReader(data))
+	if err != nil {
+		return 0, eris.Wrapf(ErrRefused, "append to stream %s: %v", stream, err)
+	}
+	request.Header.Set("Content-Type", "application/octet-stream")
+	response, err := client.http.Do(request)
+	if err != nil {
+		return 0, eris.Wrapf(appendFailure(sent.Load()), "append to stream %s: %v", stream, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return 0, eris.Wrapf(appendStatus(response.StatusCode), "append to stream %s: %s", stream, describe(response))
+	}
+	var reply struct {
+		Offset *int64 `json:"offset"`
+	}
+	err = decode(response.Body, &reply)
+	if err != nil {
+		return 0, eris.Wrapf(ErrAppendUnknown, "append to stream %s: reply: %v", stream, err)
+	}
+	if reply.Offset == nil {
+		return 0, eris.Wrapf(ErrAppendUnknown, "append to stream %s: reply without an offset", stream)
+	}
+	return *reply.Offset, nil
+}
+
+// appendFailure classifies an append without a reply. Once a connection was
+// assigned, bytes may have reached the platform.
+func appendFailure(sent bool) error {
+	if sent {
+		return ErrAppendUnknown
+	}
+	return ErrUnavailable
+}
+
+// appendStatus classifies the status of a failed append. By the protocol 503
+// means that nothing was appended; any other 5xx may come from an
+// intermediary that lost the reply.
+func appendStatus(status int) error {
+	switch {
+	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
+		return ErrUnavailable
+	case status >= http.StatusInternalServerError:
+		return ErrAppendUnknown
+	default:
+		return ErrRefused
+	}
+}
+
+// Read returns up to limit records of a stream with offsets of at least from.
+// Where there is none yet, the platform holds the request for up to wait, and
+// the records may then be empty. The error is a *TrimmedError where the record
+// at from is no longer retained, and wraps ErrUnavailable or ErrRefused
+// otherwise.
+func (client *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (ReadResponse, error) {
+	parameters := url.Values{}
+	parameters.Set("from", strconv.FormatInt(from, 10))
+	parameters.Set("max", strconv.Itoa(limit))
+	parameters.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var reply ReadResponse
+	err := client.get(ctx, PathRecords(stream), parameters, wait, &reply)
+	var trimmed *TrimmedError
+	if errors.As(err, &trimmed) {
+		trimmed.Stream = stream
+		trimmed.From = from
+		return ReadResponse{}, trimmed
+	}
+	if err != nil {
+		return ReadResponse{}, eris.Wrapf(err, "read stream %s from %d", stream, from)
+	}
+	return reply, nil
+}
+
+// Vms returns the VM list once its version is above after, or the present
+// list when wait passes. The error wraps ErrUnavailable or ErrRefused.
+func (client *Client) Vms(ctx context.Context, after int64, wait time.Duration) (VmsResponse, error) {
+	parameters := url.Values{}
+	parameters.Set("after", strconv.FormatInt(after, 10))
+	parameters.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var reply VmsResponse
+	err := client.get(ctx, PathVms, parameters, wait, &reply)
+	if err != nil {
+		return VmsResponse{}, eris.Wrapf(err, "read the VM list after version %d", after)
+	}
+	return reply, nil
+}
+
+func (client *Client) get(ctx context.Context, path string, parameters url.Values, wait time.Duration, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+ReadGrace)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.base+path+"?"+parameters.Encode(), nil)
+	if err != nil {
+		return eris.Wrapf(ErrRefused, "%v", err)
+	}
+	response, err := client.http.Do(request)
+	if err != nil {
+		return eris.Wrapf(ErrUnavailable, "%v", err)
+	}
+	defer response.Body.Close()
+	switch {
+	case response.StatusCode == http.StatusGone:
+		return trimmedFrom(response.Body)
+	case response.StatusCode == http.StatusTooManyRequests,
+		response.StatusCode >= http.StatusInternalServerError:
+		return eris.Wrapf(ErrUnavailable, "%s", describe(response))
+	case response.StatusCode >= http.StatusMultipleChoices:
+		return eris.Wrapf(ErrRefused, "%s", describe(response))
+	}
+	err = decode(response.Body, reply)
+	if err != nil {
+		return eris.Wrapf(ErrUnavailable, "reply: %v", err)
+	}
+	return nil
+}
+
+func trimmedFrom(body io.Reader) error {
+	var reply TrimmedResponse
+	err := decode(body, &reply)
+	if err != nil {
+		return eris.Wrapf(ErrUnavailable, "reply: %v", err)
+	}
+	return &TrimmedError{
+		FirstOffset: reply.FirstOffset,
+		NextOffset:  reply.NextOffset,
+	}
+}
+
+// decode reads one JSON value. A body cut short is an error.
+func decode(body io.Reader, into any) error {
+	return json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(into)
+}
+
+func describe(response *http.Response) string {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err != nil || len(text) == 0 {
+		return response.Status
+	}
+	return response.Status + ": " + strings.TrimSpace(string(text))
+}
