Extend the scheduler's interface by teams, prediction and counts

The dispatch core needs admission support and the state dump needs counts while the placement rules are still being written.

Adds Job.Priority, SetTeam, Predict and Stats. Weights, caps and priorities are stored but not yet applied; placement is still first come, first served on the fastest idle slot.

--- a/shared/request/placement/scheduler.go
+++ b/shared/request/placement/scheduler.go
@@ -36,6 +36,8 @@
 	Arrival time.Time
 	// Deadline is the time by which the whole job must have ended.
 	Deadline time.Time
+	// Priority orders the jobs of one team; the highest goes first.
+	Priority int
 	Tasks    []Task
 }
 
@@ -65,6 +67,25 @@
 	slots     map[string]*slots
 	order     []string
 	jobs      map[submission.Key]*waiting
+	teams     map[string]team
+}
+
+type team struct {
+	weight float64
+	cap    int
+}
+
+// Stats is a summary of the scheduler for the state dump.
+type Stats struct {
+	WaitingJobs   int     `json:"waiting-jobs"`
+	WaitingTasks  int     `json:"waiting-tasks"`
+	WaitingWorkMs float64 `json:"waiting-work-ms"`
+	Upstreams     int     `json:"upstreams"`
+	OpenUpstreams int     `json:"open-upstreams"`
+	Slots         int     `json:"slots"`
+	IdleSlots     int     `json:"idle-slots"`
+	RunningTasks  int     `json:"running-tasks"`
+	TotalSpeed    float64 `json:"total-speed"`
 }
 
 type slots struct {
@@ -90,7 +111,70 @@
 		random:    random,
 		slots:     make(map[string]*slots),
 		jobs:      make(map[submission.Key]*waiting),
+		teams:     make(map[string]team),
+	}
+}
+
+// SetTeam sets the weight of a team in the fair queue and the largest number
+// of slots that it may hold at a time. A slotCap of 0 sets no limit. A team
+// that was never set has weight 1 and no limit.
+func (scheduler *Scheduler) SetTeam(name string, weight float64, slotCap int) {
+	scheduler.teams[name] = team{
+		weight: weight,
+		cap:    slotCap,
+	}
+}
+
+// Predict returns the time at which a job that is enqueued now should end,
+// given the waiting work and the slots.
+func (scheduler *Scheduler) Predict(now time.Time, job Job) time.Time {
+	stats := scheduler.Stats()
+	work, longest := 0.0, 0.0
+	for _, task := range job.Tasks {
+		taskMs := scheduler.estimator.WorkMs(job.Kind, task.DeclaredMs)
+		work += taskMs
+		longest = max(longest, taskMs)
+	}
+	fastest := 0.0
+	for id, held := range scheduler.slots {
+		if held.open {
+			fastest = max(fastest, scheduler.estimator.Speed(id))
+		}
+	}
+	if fastest == 0 {
+		return now.Add(unreachable)
+	}
+	waitMs := stats.WaitingWorkMs / stats.TotalSpeed
+	runMs := max(longest/fastest, work/stats.TotalSpeed)
+	return now.Add(time.Duration((waitMs + runMs) * float64(time.Millisecond)))
+}
+
+// unreachable is the predicted wait while no upstream is open.
+const unreachable = 24 * time.Hour
+
+// Stats returns the counts for the state dump.
+func (scheduler *Scheduler) Stats() Stats {
+	stats := Stats{
+		WaitingJobs:  len(scheduler.jobs),
+		WaitingTasks: scheduler.Waiting(),
+		Upstreams:    len(scheduler.slots),
+	}
+	for id, held := range scheduler.slots {
+		stats.RunningTasks += held.used
+		if !held.open {
+			continue
+		}
+		stats.OpenUpstreams++
+		stats.Slots += held.upstream.Slots
+		stats.IdleSlots += max(0, held.upstream.Slots-held.used)
+		stats.TotalSpeed += float64(held.upstream.Slots) * scheduler.estimator.Speed(id)
+	}
+	for _, held := range scheduler.jobs {
+		for _, task := range held.tasks {
+			stats.WaitingWorkMs += scheduler.estimator.WorkMs(held.job.Kind, task.DeclaredMs)
+		}
 	}
+	return stats
 }
 
 // SetUpstream adds or changes an upstream and opens it for placement.
