--- /dev/null
+++ b/shared/version/plan/change.go
@@ -0,0 +1,160 @@
+package plan
+
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// Change turns one plan into another.
+type Change struct {
+	// Set lists rules that are added or that replace the rule with their key.
+	Set []Rule `cbor:"1,keyasint,omitempty" json:"set,omitempty"`
+	// Remove lists the keys of rules to be removed.
+	Remove []Key `cbor:"2,keyasint,omitempty" json:"remove,omitempty"`
+	// Domains and Guards replace those of the plan unless nil.
+	Domains *Domains `cbor:"3,keyasint,omitempty" json:"domains,omitempty"`
+	Guards  *Guards  `cbor:"4,keyasint,omitempty" json:"guards,omitempty"`
+}
+
+// Empty returns the plan that version 0 stands for: no rules at all.
+func Empty() *Plan {
+	return &Plan{
+		Format: Format,
+	}
+}
+
+// IsEmpty says whether the change changes nothing.
+func (change *Change) IsEmpty() bool {
+	return len(change.Set) == 0 && len(change.Remove) == 0 && change.Domains == nil && change.Guards == nil
+}
+
+// Diff returns the change from one canonical plan to another.
+func Diff(from, to *Plan) Change {
+	var change Change
+	if !slices.Equal(from.Domains, to.Domains) {
+		domains := slices.Clone(to.Domains)
+		change.Domains = &domains
+	}
+	if from.Guards != to.Guards {
+		guards := to.Guards
+		change.Guards = &guards
+	}
+	old, changed := from.Rules, to.Rules
+	for len(old) > 0 || len(changed) > 0 {
+		order := 0
+		switch {
+		case len(old) == 0:
+			order = 1
+		case len(changed) == 0:
+			order = -1
+		default:
+			order = compareRules(old[0], changed[0])
+		}
+		switch {
+		case order < 0:
+			change.Remove = append(change.Remove, old[0].Key())
+			old = old[1:]
+		case order > 0:
+			change.Set = append(change.Set, changed[0])
+			changed = changed[1:]
+		default:
+			if old[0] != changed[0] {
+				change.Set = append(change.Set, changed[0])
+			}
+			old, changed = old[1:], changed[1:]
+		}
+	}
+	return change
+}
+
+// Apply returns the plan after the change and its digest, given the plan
+// before and its digest. It checks what the change touches; plan itself must
+// be valid. Set and Remove must be in canonical order. The error wraps
+// ErrInvalid.
+func (change *Change) Apply(plan *Plan, digest Digest) (*Plan, Digest, error) {
+	changed := *plan
+	if change.Guards != nil {
+		digest += hashOf(*change.Guards) - hashOf(plan.Guards)
+		changed.Guards = *change.Guards
+	}
+	if change.Domains != nil {
+		err := validateDomains(*change.Domains)
+		if err != nil {
+			return nil, 0, err
+		}
+		digest += hashOf(*change.Domains) - hashOf(plan.Domains)
+		changed.Domains = *change.Domains
+	}
+	err := change.check(changed.Domains)
+	if err != nil {
+		return nil, 0, err
+	}
+	changed.Rules, digest, err = change.merge(plan.Rules, digest)
+	if err != nil {
+		return nil, 0, err
+	}
+	if len(changed.Rules) > MaxRules {
+		return nil, 0, eris.Wrapf(ErrInvalid, "%d rules, allowed are %d", len(changed.Rules), MaxRules)
+	}
+	if change.Domains != nil {
+		err = Validate(&changed)
+		if err != nil {
+			return nil, 0, err
+		}
+	}
+	return &changed, digest, nil
+}
+
+func (change *Change) check(domains Domains) error {
+	for i, rule := range change.Set {
+		err := validateRule(rule, domains)
+		if err != nil {
+			return err
+		}
+		if i > 0 && compareRules(change.Set[i-1], rule) >= 0 {
+			return eris.Wrapf(ErrInvalid, "changed rule %s is out of order or repeated", rule.Key())
+		}
+	}
+	for i, key := range change.Remove {
+		if i > 0 && change.Remove[i-1].Compare(key) >= 0 {
+			return eris.Wrapf(ErrInvalid, "removed rule %.200q is out of order or repeated", key)
+		}
+	}
+	return nil
+}
+
+// merge merges three sorted lists in one pass.
+func (change *Change) merge(rules []Rule, digest Digest) ([]Rule, Digest, error) {
+	merged := make([]Rule, 0, len(rules)+len(change.Set))
+	set, remove := change.Set, change.Remove
+	for _, rule := range rules {
+		for len(set) > 0 && compareRules(set[0], rule) < 0 {
+			merged = append(merged, set[0])
+			digest += hashOf(set[0])
+			set = set[1:]
+		}
+		removed := len(remove) > 0 && remove[0] == rule.Key()
+		replaced := len(set) > 0 && set[0].Key() == rule.Key()
+		switch {
+		case removed && replaced:
+			return nil, 0, eris.Wrapf(ErrInvalid, "rule %s is both changed and removed", rule.Key())
+		case removed:
+			digest -= hashOf(rule)
+			remove = remove[1:]
+		case replaced:
+			merged = append(merged, set[0])
+			digest += hashOf(set[0]) - hashOf(rule)
+			set = set[1:]
+		default:
+			merged = append(merged, rule)
+		}
+	}
+	if len(remove) > 0 {
+		return nil, 0, eris.Wrapf(ErrInvalid, "removed rule %.200q is not in the plan", remove[0])
+	}
+	for _, rule := range set {
+		digest += hashOf(rule)
+	}
+	return append(merged, set...), digest, nil
+}
--- /dev/null
+++ b/shared/version/plan/follower.go
@@ -0,0 +1,474 @@
+package plan
+
+import (
+	"time"
+
+	"tanagerfall/shared/connection/platform"
+)
+
+// FirstOffset is the lowest offset that can be a version. Version 0 means
+// that there is no plan, so a record at offset 0 is passed over by every
+// reader.
+const FirstOffset = 1
+
+// maxHistory bounds the winners that a Follower remembers.
+const maxHistory = 32
+
+// Verdict says what a record did.
+type Verdict interface{ verdict() }
+
+// The verdicts.
+type (
+	// Adopted means that the plan changed: by a winning publication, or by a
+	// snapshot or recovery of a higher version.
+	Adopted struct {
+		Version   int64
+		Digest    Digest
+		PublishID string
+		Author    string
+		Plan      *Plan
+		// Source says which kind of record or message brought the plan.
+		Source Source
+	}
+	// Conflict means that a publication's base is not the current version.
+	Conflict struct {
+		Offset    int64
+		PublishID string
+		Author    string
+		Base      int64
+		// Current is the version that the publication met, with the publish
+		// ID and the author of its winner.
+		Current       int64
+		CurrentID     string
+		CurrentAuthor string
+	}
+	// Invalid means that the record can't be a plan for any reader.
+	Invalid struct {
+		Offset int64
+		Err    error
+	}
+	// SnapshotRead means that a snapshot left the version as it was.
+	SnapshotRead struct {
+		Offset  int64
+		Version int64
+		// Synced tells that the reader knows the log again up to ReadUpTo.
+		Synced   bool
+		ReadUpTo int64
+	}
+	// Ignored means that the record says nothing new.
+	Ignored struct {
+		Offset int64
+		Reason Reason
+	}
+)
+
+func (Adopted) verdict()      {}
+func (Conflict) verdict()     {}
+func (Invalid) verdict()      {}
+func (SnapshotRead) verdict() {}
+func (Ignored) verdict()      {}
+
+// Source is where an adopted plan came from.
+type Source string
+
+// The sources.
+const (
+	FromPublication Source = "publication"
+	FromSnapshot    Source = "snapshot"
+	FromRecovery    Source = "recovery"
+	FromPeer        Source = "peer"
+)
+
+// Reason is why a record was ignored.
+type Reason string
+
+// The reasons.
+const (
+	// Seen: the record was read before, or it is a repeated append of the
+	// publication that is current.
+	Seen Reason = "seen"
+	// Gap: the offset is above the next one to be read.
+	Gap Reason = "gap"
+	// Unsynced: records before this publication are missing, so that nobody
+	// here can tell whether its base is current.
+	Unsynced Reason = "unsynced"
+	// Stale: a peer's or the log's snapshot says no more than is known.
+	Stale Reason = "stale"
+)
+
+// Winner is a version that a Follower saw.
+type Winner struct {
+	Version   int64  `json:"version"`
+	PublishID string `json:"publish-id"`
+	Author    string `json:"author,omitempty"`
+	Digest    Digest `json:"digest"`
+	// AtMs is the time of the append by the log's clock, 0 where it is not
+	// known.
+	AtMs   int64  `json:"at-ms,omitempty"`
+	Source Source `json:"source"`
+}
+
+// Follower applies the records of the plan stream, in the order of their
+// offsets. It holds the highest version seen and never goes below it. It is
+// not safe for concurrent use: the control goroutine owns it.
+//
+// The version after all records below an offset is the same for every reader.
+// known is the offset up to which the Follower knows that version, and next is
+// the offset to be read. They differ while records in between are missing
+// because the log trimmed them; then a publication can't be judged, and a
+// snapshot of a later offset, a peer's plan or a recovery has to close the gap.
+type Follower struct {
+	current Winner
+	plan    *Plan
+	known   int64
+	next    int64
+	// first is the lowest offset that may still be retained.
+	first int64
+	// anchorMs is the time of the last record from which a new reader can
+	// start: the last snapshot or recovery, or the first winner.
+	anchorMs int64
+	// retention and logNext are what the log said last.
+	retention time.Duration
+	logNext   int64
+	history   []Winner
+	counters  Counters
+}
+
+// Counters counts the verdicts.
+type Counters struct {
+	Adopted   int64 `json:"adopted"`
+	Conflicts int64 `json:"conflicts"`
+	Invalid   int64 `json:"invalid"`
+	Snapshots int64 `json:"snapshots"`
+	Ignored   int64 `json:"ignored"`
+}
+
+// New returns a Follower without a plan that reads from the first record.
+func New() *Follower {
+	return &Follower{
+		plan:  Empty(),
+		known: FirstOffset,
+		next:  FirstOffset,
+		first: FirstOffset,
+		current: Winner{
+			Digest: DigestOf(Empty()),
+		},
+	}
+}
+
+// Next returns the offset to be read next. It can go back to the offset up to
+// which the writer of a snapshot had read.
+func (follower *Follower) Next() int64 {
+	return follower.next
+}
+
+// Synced says whether the Follower knows every record before Next, in effect.
+func (follower *Follower) Synced() bool {
+	return follower.known == follower.next
+}
+
+// Current returns the version, its digest and its plan. Version 0 comes with
+// an empty plan. The plan must not be changed.
+func (follower *Follower) Current() (version int64, digest Digest, plan *Plan) {
+	return follower.current.Version, follower.current.Digest, follower.plan
+}
+
+// Trimmed tells that the records below first are gone.
+func (follower *Follower) Trimmed(first int64) {
+	follower.first = max(follower.first, first)
+	follower.next = max(follower.next, follower.first)
+}
+
+// Read applies what a read of the stream brought at the time now: one verdict
+// for each record. The reader goes on at Next.
+func (follower *Follower) Read(now time.Time, response platform.ReadResponse) []Verdict {
+	verdicts := make([]Verdict, 0, len(response.Records))
+	for _, record := range response.Records {
+		verdicts = append(verdicts, follower.Apply(now, record))
+	}
+	follower.retention = time.Duration(response.RetentionMs) * time.Millisecond
+	follower.logNext = response.NextOffset
+	follower.Trimmed(response.FirstOffset)
+	return verdicts
+}
+
+// Apply applies one record at the time now. The record's offset must be Next;
+// it is ignored otherwise.
+func (follower *Follower) Apply(now time.Time, record platform.Record) Verdict {
+	if record.Offset < follower.next {
+		return follower.ignored(record.Offset, Seen)
+	}
+	if record.Offset > follower.next {
+		return follower.ignored(record.Offset, Gap)
+	}
+	decoded, err := Decode(record.Data)
+	return follower.ApplyDecoded(now, record, decoded, err)
+}
+
+// ApplyDecoded is Apply for a record that another goroutine has decoded
+// already. decoded and err are the results of Decode.
+func (follower *Follower) ApplyDecoded(now time.Time, record platform.Record, decoded Record, err error) Verdict {
+	if record.Offset < follower.next {
+		return follower.ignored(record.Offset, Seen)
+	}
+	if record.Offset > follower.next {
+		return follower.ignored(record.Offset, Gap)
+	}
+	synced := follower.Synced()
+	follower.next++
+	if synced {
+		follower.known = follower.next
+	}
+	if err != nil {
+		return follower.invalid(record.Offset, err)
+	}
+	switch decoded := decoded.(type) {
+	case *Publication:
+		if !synced {
+			return follower.ignored(record.Offset, Unsynced)
+		}
+		return follower.publication(record, decoded)
+	case *Snapshot:
+		return follower.snapshot(record, decoded)
+	case *Recovery:
+		return follower.recovery(record, decoded)
+	}
+	return follower.ignored(record.Offset, Seen)
+}
+
+func (follower *Follower) publication(record platform.Record, publication *Publication) Verdict {
+	if publication.Base != follower.current.Version {
+		return follower.conflict(record, publication)
+	}
+	plan, digest, err := publication.Change.Apply(follower.plan, follower.current.Digest)
+	if err != nil {
+		return follower.invalid(record.Offset, err)
+	}
+	if digest != publication.Digest {
+		return follower.invalid(record.Offset, digestFault(digest, publication.Digest))
+	}
+	if follower.anchorMs == 0 {
+		follower.anchorMs = record.AtMs
+	}
+	return follower.adopt(plan, Winner{
+		Version:   record.Offset,
+		PublishID: publication.PublishID,
+		Author:    publication.Author,
+		Digest:    digest,
+		AtMs:      record.AtMs,
+		Source:    FromPublication,
+	})
+}
+
+func (follower *Follower) conflict(record platform.Record, publication *Publication) Verdict {
+	for _, winner := range follower.history {
+		if winner.PublishID == publication.PublishID {
+			return follower.ignored(record.Offset, Seen)
+		}
+	}
+	follower.counters.Conflicts++
+	return Conflict{
+		Offset:        record.Offset,
+		PublishID:     publication.PublishID,
+		Author:        publication.Author,
+		Base:          publication.Base,
+		Current:       follower.current.Version,
+		CurrentID:     follower.current.PublishID,
+		CurrentAuthor: follower.current.Author,
+	}
+}
+
+// snapshot takes a snapshot from the log. Its writer cannot have read beyond
+// the snapshot itself.
+func (follower *Follower) snapshot(record platform.Record, snapshot *Snapshot) Verdict {
+	if snapshot.ReadUpTo > record.Offset {
+		return follower.invalid(record.Offset, readAheadFault(snapshot.ReadUpTo, record.Offset))
+	}
+	if snapshot.ReadUpTo >= follower.first {
+		follower.anchorMs = max(follower.anchorMs, record.AtMs)
+	}
+	verdict := follower.absorb(snapshot, FromSnapshot)
+	_, stale := verdict.(Ignored)
+	if !stale {
+		return verdict
+	}
+	follower.counters.Snapshots++
+	return SnapshotRead{
+		Offset:   record.Offset,
+		Version:  snapshot.Version,
+		ReadUpTo: snapshot.ReadUpTo,
+		Synced:   follower.Synced(),
+	}
+}
+
+// Adopt takes the snapshot of a peer. It is Ignored where it says no more
+// than is known. Decode has checked the snapshot.
+func (follower *Follower) Adopt(now time.Time, snapshot *Snapshot) Verdict {
+	if follower.anchorMs == 0 {
+		follower.anchorMs = now.UnixMilli()
+	}
+	verdict := follower.absorb(snapshot, FromPeer)
+	if ignored, stale := verdict.(Ignored); stale {
+		return follower.ignored(ignored.Offset, Stale)
+	}
+	return verdict
+}
+
+// absorb takes what a snapshot knows beyond the Follower: a higher version,
+// or the same version at a later offset. Reading goes on from the snapshot's
+// offset where that is still retained. All readers take a higher version, even
+// those that have read every record, so that they agree also after a snapshot
+// that contradicts the log.
+func (follower *Follower) absorb(snapshot *Snapshot, source Source) Verdict {
+	higher := snapshot.Version > follower.current.Version
+	later := snapshot.Version == follower.current.Version && snapshot.ReadUpTo > follower.known
+	if !higher && !later {
+		return Ignored{
+			Offset: snapshot.ReadUpTo,
+			Reason: Stale,
+		}
+	}
+	follower.known = snapshot.ReadUpTo
+	if follower.known >= follower.first {
+		follower.next = follower.known
+	}
+	if !higher {
+		follower.counters.Snapshots++
+		return SnapshotRead{
+			Version:  snapshot.Version,
+			ReadUpTo: snapshot.ReadUpTo,
+			Synced:   follower.Synced(),
+		}
+	}
+	return follower.adopt(snapshot.Plan, Winner{
+		Version:   snapshot.Version,
+		PublishID: snapshot.PublishID,
+		Author:    snapshot.Author,
+		Digest:    snapshot.Digest,
+		Source:    source,
+	})
+}
+
+func (follower *Follower) recovery(record platform.Record, recovery *Recovery) Verdict {
+	if recovery.PublishID == follower.current.PublishID {
+		return follower.ignored(record.Offset, Seen)
+	}
+	follower.known = follower.next
+	follower.anchorMs = max(follower.anchorMs, record.AtMs)
+	return follower.adopt(recovery.Plan, Winner{
+		Version:   record.Offset,
+		PublishID: recovery.PublishID,
+		Author:    recovery.Author,
+		Digest:    recovery.Digest,
+		AtMs:      record.AtMs,
+		Source:    FromRecovery,
+	})
+}
+
+func (follower *Follower) adopt(plan *Plan, winner Winner) Verdict {
+	follower.plan = plan
+	follower.current = winner
+	follower.counters.Adopted++
+	if len(follower.history) == maxHistory {
+		follower.history = follower.history[1:]
+	}
+	follower.history = append(follower.history, winner)
+	return Adopted{
+		Version:   winner.Version,
+		Digest:    winner.Digest,
+		PublishID: winner.PublishID,
+		Author:    winner.Author,
+		Plan:      plan,
+		Source:    winner.Source,
+	}
+}
+
+func (follower *Follower) ignored(offset int64, reason Reason) Verdict {
+	follower.counters.Ignored++
+	return Ignored{
+		Offset: offset,
+		Reason: reason,
+	}
+}
+
+func (follower *Follower) invalid(offset int64, err error) Verdict {
+	follower.counters.Invalid++
+	return Invalid{
+		Offset: offset,
+		Err:    err,
+	}
+}
+
+// Snapshot returns what the Follower knows, for a peer or for the log. The
+// second result is false while there is no plan.
+func (follower *Follower) Snapshot(writer string) (*Snapshot, bool) {
+	if follower.current.Version == 0 {
+		return nil, false
+	}
+	return &Snapshot{
+		Version:   follower.current.Version,
+		ReadUpTo:  follower.known,
+		PublishID: follower.current.PublishID,
+		Author:    follower.current.Author,
+		Writer:    writer,
+		Digest:    follower.current.Digest,
+		Plan:      follower.plan,
+	}, true
+}
+
+// PullAfter returns the version above which a peer's snapshot is of use. A
+// Follower that lacks records can use the same version from a peer that has
+// read further.
+func (follower *Follower) PullAfter() int64 {
+	if follower.Synced() {
+		return follower.current.Version
+	}
+	return follower.current.Version - 1
+}
+
+// History returns the versions seen, oldest first, at most 32.
+func (follower *Follower) History() []Winner {
+	return append([]Winner(nil), follower.history...)
+}
+
+// Dump is the state of a Follower for the operators.
+type Dump struct {
+	Version   int64  `json:"version"`
+	Digest    Digest `json:"digest"`
+	PublishID string `json:"publish-id,omitempty"`
+	Author    string `json:"author,omitempty"`
+	Source    Source `json:"source,omitempty"`
+	Rules     int    `json:"rules"`
+	Guards    Guards `json:"guards"`
+	Next      int64  `json:"next-offset"`
+	Known     int64  `json:"known-up-to-offset"`
+	First     int64  `json:"first-offset"`
+	Synced    bool   `json:"synced"`
+	// LogNext is the end of the log at the last read. A value below Next means
+	// that the log lost records that were read; the plan stays in force.
+	LogNext  int64    `json:"log-next-offset"`
+	AnchorMs int64    `json:"last-snapshot-at-ms"`
+	Counters Counters `json:"records"`
+	History  []Winner `json:"history"`
+}
+
+// DumpState returns the state dump.
+func (follower *Follower) DumpState() Dump {
+	return Dump{
+		Version:   follower.current.Version,
+		Digest:    follower.current.Digest,
+		PublishID: follower.current.PublishID,
+		Author:    follower.current.Author,
+		Source:    follower.current.Source,
+		Rules:     len(follower.plan.Rules),
+		Guards:    follower.plan.Guards,
+		Next:      follower.next,
+		Known:     follower.known,
+		First:     follower.first,
+		Synced:    follower.Synced(),
+		LogNext:   follower.logNext,
+		AnchorMs:  follower.anchorMs,
+		Counters:  follower.counters,
+		History:   follower.History(),
+	}
+}
--- /dev/null
+++ b/shared/version/plan/record.go
@@ -0,0 +1,281 @@
+package plan
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"regexp"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// RecordFormat is the version of the format of records. Every reader must
+// judge every record alike, so that records with a new version may be written
+// only when no reader of the old one is left.
+const RecordFormat = 1
+
+const (
+	recordName = "tanagerfall-plan-record"
+	// MaxRecordBytes bounds an encoded record.
+	MaxRecordBytes = 8 << 20
+	// maxBodyBytes bounds a decompressed body, against records that
+	// decompress to many times their size.
+	maxBodyBytes = 64 << 20
+	// MaxAuthorBytes bounds the name of the operator.
+	MaxAuthorBytes = 128
+)
+
+// ErrRecord is wrapped by the errors of Decode.
+var ErrRecord = eris.New("malformed plan record")
+
+// Record is the content of one record of the plan stream.
+type Record interface{ record() }
+
+// The records.
+type (
+	// Publication proposes a plan, as the change from the plan of version
+	// Base. It wins if Base is the current version when a reader comes to it,
+	// and if the changed plan is valid and has the digest named.
+	Publication struct {
+		// PublishID names the attempt; a repeated append has the same.
+		PublishID string `cbor:"1,keyasint"`
+		Base      int64  `cbor:"2,keyasint"`
+		Author    string `cbor:"3,keyasint,omitempty"`
+		Change    Change `cbor:"4,keyasint"`
+		Digest    Digest `cbor:"5,keyasint"`
+	}
+	// Snapshot repeats the plan that is current after all records below
+	// ReadUpTo.
+	Snapshot struct {
+		Version   int64  `cbor:"1,keyasint"`
+		ReadUpTo  int64  `cbor:"2,keyasint"`
+		PublishID string `cbor:"3,keyasint"`
+		Author    string `cbor:"4,keyasint,omitempty"`
+		// Writer is the peer address of the VM that wrote the snapshot.
+		Writer string `cbor:"5,keyasint,omitempty"`
+		Digest Digest `cbor:"6,keyasint"`
+		Plan   *Plan  `cbor:"7,keyasint"`
+	}
+	// Recovery sets the plan whatever the current version is. It is for the
+	// loss of every VM's plan together with the records that led to it, when
+	// no base is left to publish on.
+	Recovery struct {
+		PublishID string `cbor:"1,keyasint"`
+		Author    string `cbor:"2,keyasint,omitempty"`
+		Digest    Digest `cbor:"3,keyasint"`
+		Plan      *Plan  `cbor:"4,keyasint"`
+	}
+)
+
+func (*Publication) record() {}
+func (*Snapshot) record()    {}
+func (*Recovery) record()    {}
+
+// envelope is the outer form of a record. Body is the deflated CBOR of
+// exactly one of the other fields of body.
+type envelope struct {
+	Name   string `cbor:"1,keyasint"`
+	Format int    `cbor:"2,keyasint"`
+	Body   []byte `cbor:"3,keyasint"`
+}
+
+type body struct {
+	Publication *Publication `cbor:"1,keyasint,omitempty"`
+	Snapshot    *Snapshot    `cbor:"2,keyasint,omitempty"`
+	Recovery    *Recovery    `cbor:"3,keyasint,omitempty"`
+}
+
+var encoding = func() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.NilContainers = cbor.NilContainerAsEmpty
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxArrayElements:  MaxRules,
+		MaxMapPairs:       32,
+		MaxNestedLevels:   8,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Encode returns the bytes of a record. The error wraps ErrRecord where the
+// record is too large.
+func Encode(record Record) ([]byte, error) {
+	var content body
+	switch record := record.(type) {
+	case *Publication:
+		content.Publication = record
+	case *Snapshot:
+		content.Snapshot = record
+	case *Recovery:
+		content.Recovery = record
+	}
+	plain, err := encoding.Marshal(content)
+	if err != nil {
+		return nil, eris.Wrapf(ErrRecord, "encode: %v", err)
+	}
+	if len(plain) > maxBodyBytes {
+		return nil, eris.Wrapf(ErrRecord, "the body has %d bytes, allowed are %d", len(plain), maxBodyBytes)
+	}
+	deflated, err := deflate(plain)
+	if err != nil {
+		return nil, eris.Wrapf(ErrRecord, "compress: %v", err)
+	}
+	data, err := encoding.Marshal(envelope{
+		Name:   recordName,
+		Format: RecordFormat,
+		Body:   deflated,
+	})
+	if err != nil {
+		return nil, eris.Wrapf(ErrRecord, "encode: %v", err)
+	}
+	if len(data) > MaxRecordBytes {
+		return nil, eris.Wrapf(ErrRecord, "%d bytes, allowed are %d", len(data), MaxRecordBytes)
+	}
+	return data, nil
+}
+
+// Decode parses and checks a record. Every plan in it is valid and has the
+// digest named. The error wraps ErrRecord or ErrInvalid.
+func Decode(data []byte) (Record, error) {
+	if len(data) > MaxRecordBytes {
+		return nil, eris.Wrapf(ErrRecord, "%d bytes, allowed are %d", len(data), MaxRecordBytes)
+	}
+	var outer envelope
+	err := decoding.Unmarshal(data, &outer)
+	if err != nil {
+		return nil, eris.Wrapf(ErrRecord, "envelope: %v", err)
+	}
+	if outer.Name != recordName || outer.Format != RecordFormat {
+		return nil, eris.Wrapf(ErrRecord, "%.40q format %d, expected %q format %d",
+			outer.Name, outer.Format, recordName, RecordFormat)
+	}
+	plain, err := inflate(outer.Body)
+	if err != nil {
+		return nil, err
+	}
+	var content body
+	err = decoding.Unmarshal(plain, &content)
+	if err != nil {
+		return nil, eris.Wrapf(ErrRecord, "body: %v", err)
+	}
+	return content.checked()
+}
+
+// checked returns the one record of a body.
+func (content *body) checked() (Record, error) {
+	switch {
+	case content.Publication != nil && content.Snapshot == nil && content.Recovery == nil:
+		return content.Publication, content.Publication.check()
+	case content.Snapshot != nil && content.Publication == nil && content.Recovery == nil:
+		return content.Snapshot, content.Snapshot.check()
+	case content.Recovery != nil && content.Publication == nil && content.Snapshot == nil:
+		return content.Recovery, content.Recovery.check()
+	default:
+		return nil, eris.Wrap(ErrRecord, "the body is not one record")
+	}
+}
+
+func (publication *Publication) check() error {
+	if publication.Base < 0 {
+		return eris.Wrapf(ErrRecord, "base %d", publication.Base)
+	}
+	return checkNames(publication.PublishID, publication.Author)
+}
+
+func (snapshot *Snapshot) check() error {
+	if snapshot.Version < 1 || snapshot.ReadUpTo <= snapshot.Version {
+		return eris.Wrapf(ErrRecord, "snapshot of version %d, read up to %d", snapshot.Version, snapshot.ReadUpTo)
+	}
+	err := checkNames(snapshot.PublishID, snapshot.Author)
+	if err != nil {
+		return err
+	}
+	if len(snapshot.Writer) > MaxAuthorBytes {
+		return eris.Wrap(ErrRecord, "the writer's address is too long")
+	}
+	return checkPlan(snapshot.Plan, snapshot.Digest)
+}
+
+func (recovery *Recovery) check() error {
+	err := checkNames(recovery.PublishID, recovery.Author)
+	if err != nil {
+		return err
+	}
+	return checkPlan(recovery.Plan, recovery.Digest)
+}
+
+var publishIDPattern = regexp.MustCompile(`^[0-9A-Za-z._-]{8,64}$`)
+
+// ValidPublishID says whether text can be a publish ID: 8 to 64 letters,
+// digits, ".", "_" or "-".
+func ValidPublishID(text string) bool {
+	return publishIDPattern.MatchString(text)
+}
+
+func checkNames(publishID, author string) error {
+	if !ValidPublishID(publishID) {
+		return eris.Wrapf(ErrRecord, "publish ID %.80q", publishID)
+	}
+	if len(author) > MaxAuthorBytes {
+		return eris.Wrap(ErrRecord, "the author's name is too long")
+	}
+	return nil
+}
+
+func checkPlan(plan *Plan, digest Digest) error {
+	if plan == nil {
+		return eris.Wrap(ErrRecord, "no plan")
+	}
+	err := Validate(plan)
+	if err != nil {
+		return err
+	}
+	if actual := DigestOf(plan); actual != digest {
+		return eris.Wrapf(ErrRecord, "the plan's digest is %s, the record names %s", actual, digest)
+	}
+	return nil
+}
+
+func deflate(plain []byte) ([]byte, error) {
+	var buffer bytes.Buffer
+	writer, err := flate.NewWriter(&buffer, flate.DefaultCompression)
+	if err != nil {
+		return nil, err
+	}
+	_, err = writer.Write(plain)
+	if err != nil {
+		return nil, err
+	}
+	err = writer.Close()
+	if err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+func inflate(deflated []byte) ([]byte, error) {
+	reader := flate.NewReader(bytes.NewReader(deflated))
+	plain, err := io.ReadAll(io.LimitReader(reader, maxBodyBytes+1))
+	if err != nil {
+		return nil, eris.Wrapf(ErrRecord, "decompress: %v", err)
+	}
+	if len(plain) > maxBodyBytes {
+		return nil, eris.Wrapf(ErrRecord, "the body is larger than %d bytes", maxBodyBytes)
+	}
+	return plain, nil
+}
--- /dev/null
+++ b/shared/version/plan/snapshot.go
@@ -0,0 +1,66 @@
+package plan
+
+import (
+	"cmp"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// snapshotDivisor: the first VM in the order writes a snapshot when the
+	// last one is a third of the retention old, so that a dozen others can
+	// step in before half of it has passed.
+	snapshotDivisor = 3
+	// rankDivisor is the part of the retention that each VM leaves the one
+	// before it in the order.
+	rankDivisor = 72
+)
+
+// SnapshotRank returns the place of the VM self in the order in which live
+// VMs write the next snapshot, by rendezvous hashing; 0 goes first. The order
+// changes with each snapshot, so that the work moves round the VMs. VMs with
+// different views may write the same snapshot, which is harmless.
+func SnapshotRank(self string, live []string, lastMs int64) int {
+	mine := snapshotWeight(self, lastMs)
+	rank := 0
+	for _, other := range live {
+		if other == self {
+			continue
+		}
+		weight := snapshotWeight(other, lastMs)
+		if cmp.Or(cmp.Compare(weight, mine), cmp.Compare(other, self)) > 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+func snapshotWeight(address string, lastMs int64) uint64 {
+	return xxhash.Sum64String(address + " " + strconv.FormatInt(lastMs, 10))
+}
+
+// SnapshotAt returns when the VM self has to append a snapshot unless another
+// one appears before. live lists the peer addresses of the live entry VMs.
+// The result is zero while the Follower has no plan or lacks records: a
+// snapshot of an old offset would help nobody. The retention is that of the
+// last read. The clocks of VMs and log may differ by a hundredth of it.
+func (follower *Follower) SnapshotAt(self string, live []string) time.Time {
+	retention := follower.retention
+	if follower.current.Version == 0 || !follower.Synced() || retention <= 0 {
+		return time.Time{}
+	}
+	rank := SnapshotRank(self, live, follower.anchorMs)
+	delay := retention/snapshotDivisor + time.Duration(rank)*retention/rankDivisor
+	return time.UnixMilli(follower.anchorMs).Add(delay)
+}
+
+func digestFault(actual, named Digest) error {
+	return eris.Wrapf(ErrInvalid, "the changed plan's digest is %s, the record names %s", actual, named)
+}
+
+func readAheadFault(readUpTo, offset int64) error {
+	return eris.Wrapf(ErrRecord, "snapshot at offset %d claims to be read up to %d", offset, readUpTo)
+}
