Add the stand-ins for workers and the platform

Cause: the local program and every experiment need workers and a platform to run against.

Change: standin/worker and standin/platform speak the protocols of shared/connection with faults on command, by Go methods and by POST /v1/faults; standin/network makes connections silent, refused or closed; standin/fault holds the commands.

A worker keeps a tombstone for every never-started answer, refusals included, and after a restart it answers failed (restarted) for unknown tasks for 60 s: it cannot prove that they never started.

Conclusion: the worker's tests pass under the race detector; the platform has no tests yet.

--- /dev/null
+++ b/standin/network/server.go
@@ -0,0 +1,209 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/standin/fault"
+)
+
+// reopenPause is the pause between two attempts to listen again on an address
+// that is still in use.
+const reopenPause = 10 * time.Millisecond
+
+// readHeaderTimeout bounds how long a client may take to send its headers.
+const readHeaderTimeout = 30 * time.Second
+
+// Server serves one handler on one address. It is safe for concurrent use.
+type Server struct {
+	handler http.Handler
+	gate    *fault.Gate
+
+	mutex       sync.Mutex
+	address     string
+	listener    net.Listener
+	httpServer  *http.Server
+	connections map[*connection]struct{}
+	closed      bool
+}
+
+// New returns a server of handler that does not listen yet. While gate is
+// shut no byte is read, written or accepted.
+func New(handler http.Handler, gate *fault.Gate) *Server {
+	return &Server{
+		handler:     handler,
+		gate:        gate,
+		connections: map[*connection]struct{}{},
+	}
+}
+
+// Listen starts to serve on address and returns the address in use, which
+// differs if the port was 0.
+func (server *Server) Listen(address string) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", eris.Wrapf(err, "listening on %s", address)
+	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.closed = false
+	server.address = listener.Addr().String()
+	server.httpServer = &http.Server{
+		Handler:           server.handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+	server.serve(listener)
+	return server.address, nil
+}
+
+// serve accepts connections of listener; the mutex is held.
+func (server *Server) serve(listener net.Listener) {
+	server.listener = listener
+	httpServer := server.httpServer
+	go func() {
+		// The error only tells that the listener was closed.
+		_ = httpServer.Serve(&acceptor{
+			Listener: listener,
+			server:   server,
+		})
+	}()
+}
+
+// Address returns the address in use, or "" before Listen.
+func (server *Server) Address() string {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.address
+}
+
+// Silence makes the open connections silent for good. It returns their
+// number.
+func (server *Server) Silence() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for connection := range server.connections {
+		connection.silent.Store(true)
+	}
+	return len(server.connections)
+}
+
+// Refuse closes the listener and opens it again after duration; 0 means not
+// before Resume. Open connections keep working.
+func (server *Server) Refuse(duration time.Duration) error {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.httpServer == nil || server.closed {
+		return eris.Wrap(fault.ErrNotListening, "refuse")
+	}
+	if server.listener != nil {
+		server.listener.Close()
+		server.listener = nil
+	}
+	if duration > 0 {
+		time.AfterFunc(duration, server.Resume)
+	}
+	return nil
+}
+
+// Resume opens a listener that Refuse closed. It retries while the address is
+// in use.
+func (server *Server) Resume() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.closed || server.httpServer == nil || server.listener != nil {
+		return
+	}
+	listener, err := net.Listen("tcp", server.address)
+	if err != nil {
+		time.AfterFunc(reopenPause, server.Resume)
+		return
+	}
+	server.serve(listener)
+}
+
+// Close closes the listener and every connection at once, without a graceful
+// shutdown.
+func (server *Server) Close() {
+	server.mutex.Lock()
+	server.closed = true
+	httpServer := server.httpServer
+	if server.listener != nil {
+		server.listener.Close()
+		server.listener = nil
+	}
+	open := make([]*connection, 0, len(server.connections))
+	for connection := range server.connections {
+		open = append(open, connection)
+	}
+	server.mutex.Unlock()
+	if httpServer != nil {
+		_ = httpServer.Close()
+	}
+	for _, connection := range open {
+		_ = connection.Close()
+	}
+}
+
+// Shutdown closes the listener and waits for the requests in progress.
+func (server *Server) Shutdown(ctx context.Context) error {
+	server.mutex.Lock()
+	httpServer := server.httpServer
+	server.closed = true
+	server.mutex.Unlock()
+	if httpServer == nil {
+		return nil
+	}
+	if err := httpServer.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
+		return eris.Wrap(err, "shutting down")
+	}
+	return nil
+}
+
+// add registers a new connection; it returns false if the server was closed
+// meanwhile.
+func (server *Server) add(connection *connection) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.closed {
+		return false
+	}
+	server.connections[connection] = struct{}{}
+	return true
+}
+
+func (server *Server) remove(connection *connection) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	delete(server.connections, connection)
+}
+
+// acceptor wraps the accepted connections.
+type acceptor struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (acceptor *acceptor) Accept() (net.Conn, error) {
+	for {
+		accepted, err := acceptor.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		acceptor.server.gate.Wait()
+		wrapped := &connection{
+			Conn:   accepted,
+			server: acceptor.server,
+		}
+		if acceptor.server.add(wrapped) {
+			return wrapped, nil
+		}
+		accepted.Close()
+	}
+}
--- /dev/null
+++ b/standin/platform/faults.go
@@ -0,0 +1,190 @@
+package platform
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/standin/fault"
+)
+
+// restartPause is the pause between two attempts to listen after a restart.
+const restartPause = 20 * time.Millisecond
+
+// stopDelay is the time left to answer the command that stops the platform.
+const stopDelay = 10 * time.Millisecond
+
+// unbounded stands for no bound on the number of lost replies.
+const unbounded = -1
+
+// LogDown lets the log answer 503, or nothing with noAnswer, for duration; 0
+// means until Clear.
+func (platform *Platform) LogDown(noAnswer bool, duration time.Duration) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.logDown = outage{
+		span:     fault.NewSpan(time.Now(), duration),
+		noAnswer: noAnswer,
+	}
+}
+
+// VmsDown lets the VM list answer 503, or nothing with noAnswer, for
+// duration; 0 means until Clear.
+func (platform *Platform) VmsDown(noAnswer bool, duration time.Duration) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.vmsDown = outage{
+		span:     fault.NewSpan(time.Now(), duration),
+		noAnswer: noAnswer,
+	}
+}
+
+// LogSlow delays the log's answers by delay for duration; 0 means until
+// Clear.
+func (platform *Platform) LogSlow(delay, duration time.Duration) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.logSlow = fault.NewSpan(time.Now(), duration)
+	platform.logDelay = delay
+}
+
+// LoseAppendReplies cuts the connection in place of the reply to the next
+// count appends within duration; the appends take effect. A count of 0 means
+// no bound.
+func (platform *Platform) LoseAppendReplies(count int, duration time.Duration) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.losing = fault.NewSpan(time.Now(), duration)
+	platform.loseLeft = count
+	if count == 0 {
+		platform.loseLeft = unbounded
+	}
+}
+
+// takeLoss tells whether the reply at hand is to be lost.
+func (platform *Platform) takeLoss() bool {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	if !platform.losing.In(time.Now()) || platform.loseLeft == 0 {
+		return false
+	}
+	if platform.loseLeft > 0 {
+		platform.loseLeft--
+	}
+	return true
+}
+
+// FreezeVms keeps the VM list as it is for duration; 0 means until Clear.
+func (platform *Platform) FreezeVms(duration time.Duration) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.vmsFrozen = fault.NewSpan(time.Now(), duration)
+	if duration > 0 {
+		time.AfterFunc(duration, platform.showActual)
+	}
+}
+
+// Freeze stops all processing for duration, as if the process were paused.
+func (platform *Platform) Freeze(duration time.Duration) {
+	platform.path.Gate.Shut(duration)
+}
+
+// Silence makes the open connections silent for good. It returns their
+// number. It needs Listen.
+func (platform *Platform) Silence() int {
+	return platform.server.Silence()
+}
+
+// Refuse closes the listener for duration; 0 means until Clear. The error
+// wraps fault.ErrNotListening without Listen.
+func (platform *Platform) Refuse(duration time.Duration) error {
+	return platform.server.Refuse(duration)
+}
+
+// Stop closes the listener and all connections. With a positive duration the
+// platform listens again after it. Records and VMs stay.
+func (platform *Platform) Stop(duration time.Duration) {
+	platform.server.Close()
+	if duration > 0 {
+		time.AfterFunc(duration, platform.restart)
+	}
+}
+
+func (platform *Platform) restart() {
+	address := platform.server.Address()
+	if address == "" {
+		return
+	}
+	if _, err := platform.server.Listen(address); err != nil {
+		time.AfterFunc(restartPause, platform.restart)
+	}
+}
+
+// Slow delays every answer by delay for duration; 0 means until Clear.
+func (platform *Platform) Slow(delay, duration time.Duration) {
+	platform.path.Slow(delay, duration)
+}
+
+// CutDomains leaves requests from domains without an answer for duration; 0
+// means until Clear.
+func (platform *Platform) CutDomains(domains []string, duration time.Duration) {
+	platform.path.CutDomains(domains, duration)
+}
+
+// Clear ends every fault but a stop, a freeze, a trim and the silence of
+// connections.
+func (platform *Platform) Clear() {
+	platform.path.Clear()
+	platform.server.Resume()
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.logDown = outage{}
+	platform.vmsDown = outage{}
+	platform.logSlow = fault.Span{}
+	platform.losing = fault.Span{}
+	platform.vmsFrozen = fault.Span{}
+	platform.show(platform.vms.sequence, platform.vms.actual)
+}
+
+// Inject implements fault.Injector.
+func (platform *Platform) Inject(command fault.Command) error {
+	switch command.Fault {
+	case fault.LogDown:
+		platform.LogDown(command.NoAnswer, command.For())
+	case fault.LogSlow:
+		platform.LogSlow(command.Delay(), command.For())
+	case fault.LoseAppendReplies:
+		platform.LoseAppendReplies(command.Count, command.For())
+	case fault.Trim:
+		if command.Stream == "" {
+			return eris.Wrap(fault.ErrParameter, "trim: stream is missing")
+		}
+		platform.Trim(command.Stream, command.Before)
+	case fault.VmsFrozen:
+		platform.FreezeVms(command.For())
+	case fault.VmsDown:
+		platform.VmsDown(command.NoAnswer, command.For())
+	case fault.Freeze:
+		if command.ForMs <= 0 {
+			return eris.Wrap(fault.ErrParameter, "freeze: for-ms must be positive")
+		}
+		platform.Freeze(command.For())
+	case fault.Silence:
+		platform.Silence()
+	case fault.Refuse:
+		return platform.Refuse(command.For())
+	case fault.Stop:
+		// Apart from this goroutine, so that the command can be answered on
+		// one of the connections that end.
+		time.AfterFunc(stopDelay, func() { platform.Stop(command.For()) })
+	case fault.Slow:
+		platform.Slow(command.Delay(), command.For())
+	case fault.CutDomains:
+		platform.CutDomains(command.Domains, command.For())
+	case fault.Clear:
+		platform.Clear()
+	default:
+		return eris.Wrapf(fault.ErrUnknown, "%.64q", string(command.Fault))
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/worker/faults.go
@@ -0,0 +1,225 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/standin/fault"
+)
+
+// FailTasks lets every task that starts within duration fail at once; 0 means
+// until Clear.
+func (worker *Worker) FailTasks(duration time.Duration) {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	worker.failing = fault.NewSpan(time.Now(), duration)
+}
+
+// Straggle divides the speed by factor for duration; 0 means until Clear.
+// Running tasks slow down too. It panics if factor is not positive.
+func (worker *Worker) Straggle(factor float64, duration time.Duration) {
+	if factor <= 0 {
+		panic("worker: straggle factor must be positive")
+	}
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	worker.straggling = fault.NewSpan(time.Now(), duration)
+	worker.divideSpeed(factor)
+	if duration > 0 {
+		time.AfterFunc(duration, worker.endStraggling)
+	}
+}
+
+// endStraggling restores the speed unless a later fault prolonged the
+// straggling.
+func (worker *Worker) endStraggling() {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	if !worker.straggling.In(time.Now()) {
+		worker.divideSpeed(1)
+	}
+}
+
+// divideSpeed sets the divisor of the speed and moves the ends of running
+// tasks accordingly.
+func (worker *Worker) divideSpeed(divisor float64) {
+	now := time.Now()
+	change := divisor / worker.speedDivisor
+	worker.speedDivisor = divisor
+	for _, record := range worker.running {
+		left := max(0, record.ends.Sub(now))
+		record.ends = now.Add(time.Duration(float64(left) * change))
+		record.timer.Reset(record.next().Sub(now))
+	}
+}
+
+// Freeze stops all processing for duration, as if the process were paused.
+// Tasks make no progress; leases run on, and those that lapsed meanwhile stop
+// their tasks on resuming.
+func (worker *Worker) Freeze(duration time.Duration) {
+	added := worker.path.Gate.Shut(duration)
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	for _, record := range worker.running {
+		record.ends = record.ends.Add(added)
+	}
+}
+
+// Silence makes the open connections silent for good. It returns their
+// number. It needs Listen.
+func (worker *Worker) Silence() int {
+	return worker.server.Silence()
+}
+
+// Refuse closes the listener for duration; 0 means until Clear. The error
+// wraps fault.ErrNotListening without Listen.
+func (worker *Worker) Refuse(duration time.Duration) error {
+	return worker.server.Refuse(duration)
+}
+
+// Drain gives the worker's own drain signal: it starts no new task and says
+// so in every answer. It is final.
+func (worker *Worker) Drain() {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	worker.draining = true
+}
+
+// Stop closes the listener and all connections, and drops all tasks and
+// results, but not the journal. With a positive duration the worker listens
+// again after it.
+func (worker *Worker) Stop(duration time.Duration) {
+	worker.server.Close()
+	worker.forget()
+	if duration > 0 {
+		time.AfterFunc(duration, worker.restart)
+	}
+}
+
+// forget drops all tasks as the end of a process does.
+func (worker *Worker) forget() {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	for _, record := range worker.running {
+		if record.timer != nil {
+			record.timer.Stop()
+		}
+		record.dropped = true
+		close(record.done)
+	}
+	worker.running = map[place]*record{}
+	worker.tasks = newMemory(&worker.config)
+	worker.used = resources{}
+	worker.draining = false
+}
+
+func (worker *Worker) restart() {
+	worker.mutex.Lock()
+	worker.restartedAt = time.Now()
+	address := worker.config.Address
+	worker.mutex.Unlock()
+	if worker.server.Address() == "" {
+		return
+	}
+	if _, err := worker.server.Listen(address); err != nil {
+		time.AfterFunc(restartPause, worker.restart)
+	}
+}
+
+// restartPause is the pause between two attempts to listen after a restart.
+const restartPause = 20 * time.Millisecond
+
+// LoseReplies cuts the connection in place of the reply of the next count
+// tasks that end within duration; 0 means no bound.
+func (worker *Worker) LoseReplies(count int, duration time.Duration) {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	worker.losing = fault.NewSpan(time.Now(), duration)
+	worker.loseLeft = count
+	if count == 0 {
+		worker.loseLeft = unbounded
+	}
+}
+
+// unbounded stands for no bound on the number of lost replies.
+const unbounded = -1
+
+// takeLoss tells whether the reply at hand is to be lost.
+func (worker *Worker) takeLoss() bool {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	if !worker.losing.In(time.Now()) || worker.loseLeft == 0 {
+		return false
+	}
+	if worker.loseLeft > 0 {
+		worker.loseLeft--
+	}
+	return true
+}
+
+// Slow delays every answer by delay for duration; 0 means until Clear.
+func (worker *Worker) Slow(delay, duration time.Duration) {
+	worker.path.Slow(delay, duration)
+}
+
+// CutDomains leaves requests from domains without an answer for duration; 0
+// means until Clear.
+func (worker *Worker) CutDomains(domains []string, duration time.Duration) {
+	worker.path.CutDomains(domains, duration)
+}
+
+// Clear ends every fault but a drain, a stop, a freeze and the silence of
+// connections.
+func (worker *Worker) Clear() {
+	worker.path.Clear()
+	worker.server.Resume()
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	worker.failing = fault.Span{}
+	worker.losing = fault.Span{}
+	worker.straggling = fault.Span{}
+	worker.divideSpeed(1)
+}
+
+// Inject implements fault.Injector.
+func (worker *Worker) Inject(command fault.Command) error {
+	switch command.Fault {
+	case fault.FailTasks:
+		worker.FailTasks(command.For())
+	case fault.Straggle:
+		if command.Factor <= 0 {
+			return eris.Wrap(fault.ErrParameter, "straggle: factor must be positive")
+		}
+		worker.Straggle(command.Factor, command.For())
+	case fault.Freeze:
+		if command.ForMs <= 0 {
+			return eris.Wrap(fault.ErrParameter, "freeze: for-ms must be positive")
+		}
+		worker.Freeze(command.For())
+	case fault.Silence:
+		worker.Silence()
+	case fault.Refuse:
+		return worker.Refuse(command.For())
+	case fault.Drain:
+		worker.Drain()
+	case fault.Stop:
+		// Apart from this goroutine, so that the command can be answered on
+		// one of the connections that end.
+		time.AfterFunc(stopDelay, func() { worker.Stop(command.For()) })
+	case fault.LoseReplies:
+		worker.LoseReplies(command.Count, command.For())
+	case fault.Slow:
+		worker.Slow(command.Delay(), command.For())
+	case fault.CutDomains:
+		worker.CutDomains(command.Domains, command.For())
+	case fault.Clear:
+		worker.Clear()
+	default:
+		return eris.Wrapf(fault.ErrUnknown, "%.64q", string(command.Fault))
+	}
+	return nil
+}
+
+// stopDelay is the time left to answer the command that stops the worker.
+const stopDelay = 10 * time.Millisecond
--- /dev/null
+++ b/standin/worker/faults_test.go
@@ -0,0 +1,180 @@
+package worker_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/connection/upstream"
+	"tanagerfall/standin/fault"
+	"tanagerfall/standin/worker"
+)
+
+// listen returns a worker that serves on a free port and its base URL.
+func listen(t *testing.T) (*worker.Worker, string) {
+	t.Helper()
+	stand := worker.New(worker.Config{
+		Address: "127.0.0.1:0",
+	})
+	address, err := stand.Listen()
+	assert.NilError(t, err)
+	t.Cleanup(stand.Close)
+	return stand, "http://" + address
+}
+
+// post sends body as JSON on a connection of client.
+func post[Body any](client *http.Client, url string, body Body) (int, []byte, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, nil, err
+	}
+	response, err := client.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, answer, err
+}
+
+func newClient(t *testing.T) *http.Client {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{
+		Transport: transport,
+	}
+}
+
+// Guards against a task that still runs, or is not in the journal, when all
+// tasks are to fail.
+func TestFailTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stand := worker.New(worker.Config{})
+		assert.NilError(t, stand.Inject(fault.Command{
+			Fault: fault.FailTasks,
+			ForMs: 1000,
+		}))
+		status, report := run(t, stand, start(1, 0, 500))
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, report.State, upstream.TaskFailed)
+		assert.Equal(t, len(stand.Journal()), 1)
+		time.Sleep(time.Second)
+		_, report = run(t, stand, start(2, 0, 500))
+		assert.Equal(t, report.State, upstream.Finished)
+	})
+}
+
+// Guards against a reply that arrives although it is to be lost, and against
+// a task that does not run because its reply is lost.
+func TestLoseReplies(t *testing.T) {
+	stand, url := listen(t)
+	stand.LoseReplies(1, 0)
+	client := newClient(t)
+	_, _, err := post(client, url+upstream.PathTasks, start(1, 0, 1))
+	assert.ErrorContains(t, err, "EOF")
+	report, ok := stand.Result(id(1, 0))
+	assert.Assert(t, ok)
+	assert.Equal(t, report.State, upstream.Finished)
+	status, _, err := post(client, url+upstream.PathTasks, start(2, 0, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// Guards against a silent connection that answers, or that takes requests,
+// and against new connections that are silent too.
+func TestSilence(t *testing.T) {
+	stand, url := listen(t)
+	connection, err := net.Dial("tcp", url[len("http://"):])
+	assert.NilError(t, err)
+	defer connection.Close()
+	request := "GET /v1/journal HTTP/1.1\r\nHost: w\r\n\r\n"
+	_, err = io.WriteString(connection, request)
+	assert.NilError(t, err)
+	_, err = connection.Read(make([]byte, 16<<10))
+	assert.NilError(t, err)
+
+	assert.Equal(t, stand.Silence(), 1)
+	_, err = io.WriteString(connection, request)
+	assert.NilError(t, err)
+	// A new connection answers; the silent one has had as much time by then.
+	status, _, err := post(newClient(t), url+upstream.PathTasks, start(1, 0, 20))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.NilError(t, connection.SetReadDeadline(time.Now()))
+	_, err = connection.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "timeout")
+}
+
+// Guards against a listener that accepts while it is to refuse, and against
+// open connections that break with it.
+func TestRefuse(t *testing.T) {
+	stand, url := listen(t)
+	client := newClient(t)
+	_, _, err := post(client, url+upstream.PathTasks, start(1, 0, 1))
+	assert.NilError(t, err)
+	assert.NilError(t, stand.Refuse(0))
+	_, _, err = post(newClient(t), url+upstream.PathTasks, start(2, 0, 1))
+	assert.ErrorContains(t, err, "refused")
+	_, _, err = post(client, url+upstream.PathTasks, start(3, 0, 1))
+	assert.NilError(t, err)
+	stand.Clear()
+	_, _, err = post(newClient(t), url+upstream.PathTasks, start(4, 0, 1))
+	assert.NilError(t, err)
+}
+
+// Guards against a worker that claims after a restart that a task never
+// started which did start before it, and against a journal lost with it.
+func TestStopAndRestart(t *testing.T) {
+	stand, url := listen(t)
+	client := newClient(t)
+	_, _, err := post(client, url+upstream.PathTasks, start(1, 0, 1))
+	assert.NilError(t, err)
+	stand.Stop(time.Millisecond)
+	var body []byte
+	for range 500 {
+		_, body, err = post(client, url+upstream.PathLeases, upstream.LeaseRequest{
+			Renew: []string{id(1, 0)},
+		})
+		if err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.NilError(t, err)
+	var response upstream.LeaseResponse
+	assert.NilError(t, json.Unmarshal(body, &response))
+	assert.Equal(t, response.Tasks[0].State, upstream.TaskFailed)
+	assert.Equal(t, response.Tasks[0].Reason, worker.ReasonRestarted)
+	assert.Equal(t, len(stand.Journal()), 1)
+}
+
+// Guards against fault commands that are accepted although they are unknown
+// or lack a parameter.
+func TestFaultCommands(t *testing.T) {
+	_, url := listen(t)
+	for _, test := range []struct {
+		body   string
+		status int
+	}{
+		{body: `{"fault": "drain"}`, status: http.StatusNoContent},
+		{body: `{"fault": "melt"}`, status: http.StatusBadRequest},
+		{body: `{"fault": "straggle"}`, status: http.StatusBadRequest},
+		{body: `{"fault": "freeze"}`, status: http.StatusBadRequest},
+		{body: `{"fault": "drain", "for-ms": -1}`, status: http.StatusBadRequest},
+		{body: `{"fault": "drain", "forms": 1}`, status: http.StatusBadRequest},
+	} {
+		status, _, err := post(newClient(t), url+fault.PathFaults, json.RawMessage(test.body))
+		assert.NilError(t, err)
+		assert.Equal(t, status, test.status, test.body)
+	}
+	stand := worker.New(worker.Config{})
+	assert.Assert(t, eris.Is(stand.Refuse(0), fault.ErrNotListening))
+}
