Handle faults, leases, retries, health and admission in the dispatch core

Cause: the first core ran whole jobs only; a lost connection, a failed task or a deadline left a job without a true answer. Change: job life with exactly one answer, leases and batched asks, retries on proof within a budget, deadlines and cancellation, ejection with probing and slow start, occupancy check, admission of whole jobs, pause guard, plan rules. Package limit holds admission, budget and backoff. LeaseResponse gains uptime-ms: a restarted worker has forgotten what it ran, so its "never started" is taken as a proof only for attempts sent after its start. Conclusion: workers (and the stand-in) must fill uptime-ms, otherwise an ambiguous loss before the start ends as failed, started unknown.

--- a/shared/connection/upstream/messages.go
+++ b/shared/connection/upstream/messages.go
@@ -139,6 +139,10 @@
 	Draining bool         `json:"draining,omitempty"`
 	Slots    int          `json:"slots"`
 	Used     int          `json:"used"`
+	// UptimeMs is the time since the worker's process started. A restarted
+	// worker has forgotten its tasks, so NeverStarted is a proof only for
+	// attempts that were sent within it; without it there is no proof.
+	UptimeMs int64 `json:"uptime-ms"`
 	// Occupancy lists the running tasks, if asked for.
 	Occupancy []Occupant `json:"occupancy,omitempty"`
 }
--- a/shared/request/dispatch/core.go
+++ b/shared/request/dispatch/core.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"tanagerfall/shared/request/limit"
 	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/plan"
 )
 
 // Core is the state of one entry VM's jobs. It is not safe for concurrent
@@ -12,23 +14,53 @@
 	config    Config
 	now       time.Time
 	jobs      map[submission.Key]*run
+	upstreams map[string]*upstreamState
+	// order holds the upstreams in order of their listing, so that equal
+	// events give equal decisions.
+	order []*upstreamState
+	rules map[ruleKey][]plan.Rule
+	// planned is false until the first plan came.
+	planned   bool
+	guards    plan.Guards
+	admission limit.Admission
+	budgets   map[string]*limit.Budget
+	overdue   *limit.Budget
+	timers    timers
+	capacity  capacity
+	health    fleetHealth
+	load      load
+	counters  Counters
+	// placeable is set when a change may allow the scheduler to place a task.
+	placeable bool
 	decisions []Decision
 }
 
 // New returns a Core without jobs, upstreams or plan.
 func New(config Config) *Core {
+	config = config.withDefaults()
+	limits := config.Limits
 	return &Core{
-		config: config.withDefaults(),
-		jobs:   make(map[submission.Key]*run),
+		config:    config,
+		jobs:      make(map[submission.Key]*run),
+		upstreams: make(map[string]*upstreamState),
+		budgets:   make(map[string]*limit.Budget),
+		overdue:   limit.NewBudget(limits.OverdueShare, limits.OverdueBurst),
+		admission: limit.Admission{
+			MaxTasks:      limits.QueueTasks,
+			MinRetryAfter: limits.MinRetryAfter,
+			MaxRetryAfter: limits.MaxRetryAfter,
+		},
 	}
 }
 
 // Handle applies one event and returns what is to be done, in order. The
-// slice is the caller's.
+// slice is the caller's. An event about a task that was settled otherwise
+// changes nothing. Times before an earlier call's are taken as that call's.
 func (core *Core) Handle(now time.Time, event Event) []Decision {
-	core.now = now
 	core.decisions = nil
+	core.advance(now)
 	core.apply(event)
+	core.expireTimers()
 	core.place()
 	return core.decisions
 }
@@ -36,19 +68,36 @@
 // Wake returns the time at which a Tick is to be handled if no event comes
 // before. It reports false when no Tick is needed.
 func (core *Core) Wake() (time.Time, bool) {
-	return core.config.Scheduler.Wake()
+	wake, needed := core.config.Scheduler.Wake()
+	if len(core.timers) > 0 && (!needed || core.timers[0].at.Before(wake)) {
+		return core.timers[0].at, true
+	}
+	return wake, needed
 }
 
 func (core *Core) apply(event Event) {
 	switch event := event.(type) {
 	case JobAccepted:
 		core.acceptJob(event)
+	case JobCancelled:
+		core.cancelJob(event)
 	case TaskEnded:
 		core.endTask(event)
+	case TaskNotStarted:
+		core.returnTask(event)
+	case TaskLost:
+		core.missTask(event)
+	case LeaseAnswered:
+		core.applyLeases(event)
+	case LeaseFailed:
+		core.retryLeases(event)
 	case FleetChanged:
 		core.changeFleet(event)
 	case UpstreamDraining:
-		core.config.Scheduler.CloseUpstream(event.Upstream)
+		core.drainUpstream(event.Upstream)
+	case PlanChanged:
+		core.changePlan(event.Plan)
+	case Tick:
 	}
 }
 
@@ -56,11 +105,18 @@
 	core.decisions = append(core.decisions, decision)
 }
 
-func (core *Core) changeFleet(event FleetChanged) {
-	for _, upstream := range event.Upstreams {
-		core.config.Scheduler.SetUpstream(upstream)
+// place starts tasks while the scheduler finds slots for them.
+func (core *Core) place() {
+	wake, timed := core.config.Scheduler.Wake()
+	if !core.placeable && (!timed || wake.After(core.now)) {
+		return
 	}
-	for _, id := range event.Leaving {
-		core.config.Scheduler.CloseUpstream(id)
+	core.placeable = false
+	for {
+		assignment, placed := core.config.Scheduler.Next(core.now)
+		if !placed {
+			return
+		}
+		core.startTask(assignment)
 	}
 }
--- /dev/null
+++ b/shared/request/dispatch/health.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shareWeight is the weight of a new observation in an upstream's share of
+	// failures.
+	shareWeight = 0.1
+	// fleetWeight is the same for the share over all upstreams.
+	fleetWeight = 0.005
+	// minSamples is the number of results after which a share of failures is
+	// taken as evidence.
+	minSamples = 10
+	// badShare is the share of failures from which an upstream is ejected.
+	badShare = 0.5
+	// falseAlarm is the accepted probability that the failures of jobs alone,
+	// spread evenly over the fleet, eject an upstream.
+	falseAlarm = 1e-4
+	// minFleetShare and maxFleetShare bound the fleet's share of failures
+	// where it is used as a probability.
+	minFleetShare = 0.02
+	maxFleetShare = 0.9
+	// forgiveAfter is the number of consecutive successes after which earlier
+	// ejections no longer lengthen the next one.
+	forgiveAfter = 100
+	// firstProbe is the number of slots of an upstream that returns.
+	firstProbe = 1
+)
+
+// fleetHealth is the health of all upstreams together.
+type fleetHealth struct {
+	failureShare float64
+	ejected      int
+}
+
+// health is the health of one upstream.
+type health struct {
+	// until is the end of an ejection; zero means not ejected.
+	until time.Time
+	// probeSlots bounds the slots during slow start; 0 means no bound.
+	probeSlots int
+	// consecutive counts failures without a success in between, successes the
+	// reverse.
+	consecutive int
+	successes   int
+	samples     int
+	share       float64
+	// ejections counts those that lengthen the next one.
+	ejections int
+}
+
+func (health *health) ejected() bool {
+	return !health.until.IsZero()
+}
+
+func (health *health) allowed(slots int) int {
+	if health.probeSlots > 0 {
+		return min(slots, health.probeSlots)
+	}
+	return slots
+}
+
+func (health *health) observe(failure float64) {
+	health.samples++
+	health.share += shareWeight * (failure - health.share)
+}
+
+// recordSuccess notes that an upstream ran a task to its end. The slots of an
+// upstream in slow start double after as many successes as it has slots.
+func (core *Core) recordSuccess(at *upstreamState) {
+	core.health.failureShare -= fleetWeight * core.health.failureShare
+	state := &at.health
+	state.observe(0)
+	state.consecutive = 0
+	state.successes++
+	if state.successes >= forgiveAfter {
+		state.ejections = 0
+	}
+	if state.probeSlots == 0 || state.successes < state.probeSlots {
+		return
+	}
+	state.successes = 0
+	state.probeSlots *= 2
+	if state.probeSlots >= at.declared.Slots {
+		state.probeSlots = 0
+	}
+	core.sync(at)
+}
+
+// recordFailure notes that an upstream failed a task, refused a connection or
+// left an ask without an answer.
+func (core *Core) recordFailure(at *upstreamState) {
+	core.health.failureShare += fleetWeight * (1 - core.health.failureShare)
+	state := &at.health
+	state.observe(1)
+	state.consecutive++
+	state.successes = 0
+	if core.failing(state) {
+		core.eject(at)
+	}
+}
+
+// failing compares an upstream with the fleet, so that jobs that fail
+// everywhere eject nobody.
+func (core *Core) failing(state *health) bool {
+	fleetShare := min(max(core.health.failureShare, minFleetShare), maxFleetShare)
+	if state.probeSlots == firstProbe && core.health.failureShare < badShare {
+		return true
+	}
+	needed := math.Ceil(math.Log(falseAlarm) / math.Log(fleetShare))
+	if state.consecutive >= max(core.config.Limits.EjectAfter, int(needed)) {
+		return true
+	}
+	return state.samples >= minSamples && state.share > badShare && state.share > 3*fleetShare
+}
+
+// eject takes an upstream out of use for a while, unless the share of ejected
+// upstreams is at its cap.
+func (core *Core) eject(at *upstreamState) {
+	if core.guards.NoEjection || at.health.ejected() || !at.usable() {
+		return
+	}
+	limits := &core.config.Limits
+	if float64(core.health.ejected+1) > limits.MaxEjectedShare*float64(core.listed()) {
+		return
+	}
+	length := min(limits.EjectFor<<min(at.health.ejections, 10), limits.EjectForMax)
+	jitter := time.Duration(core.config.Random.Int64N(int64(length)/5 + 1))
+	at.health.until = core.now.Add(length + jitter)
+	at.health.ejections++
+	at.health.consecutive = 0
+	at.health.samples = 0
+	at.health.share = 0
+	core.health.ejected++
+	core.counters.Ejections++
+	core.sync(at)
+	core.rearm(at)
+}
+
+// listed returns the number of upstreams that are listed and not leaving.
+func (core *Core) listed() int {
+	count := 0
+	for _, at := range core.order {
+		if at.usable() {
+			count++
+		}
+	}
+	return count
+}
+
+// probe lets an ejected upstream back with few slots.
+func (core *Core) probe(at *upstreamState) {
+	core.health.ejected--
+	at.health.probeSlots = firstProbe
+	at.health.consecutive = 0
+	at.health.successes = 0
+	core.sync(at)
+}
+
+// restore ends an ejection without a probe.
+func (core *Core) restore(at *upstreamState) {
+	if at.health.ejected() {
+		core.health.ejected--
+	}
+	at.health = health{}
+}
--- a/shared/request/dispatch/jobs.go
+++ b/shared/request/dispatch/jobs.go
@@ -3,52 +3,87 @@
 import (
 	"time"
 
-	"tanagerfall/shared/connection/upstream"
 	"tanagerfall/shared/request/job"
 	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
 )
 
-const firstLease = 3 * time.Second
-
-// run is one accepted job that has no answer yet.
+// run is one accepted job, kept until it is answered and the end of all its
+// tasks is known.
 type run struct {
 	key      submission.Key
 	spec     job.Job
 	arrival  time.Time
 	deadline time.Time
+	idealMs  int64
+	tasks    []task
 	results  []job.Result
-	// open counts the tasks without a result.
-	open     int
-	messages int64
+	// missing counts the tasks without a result.
+	missing int
+	// unsettled counts the attempts that may be running.
+	unsettled int
+	// lingering counts the settled attempts whose connection is still open.
+	lingering int
+	messages  int64
+	// started is true once it is certain that a task started.
+	started bool
+	// ambiguous is true once it will never be known whether a task started.
+	ambiguous bool
+	// closing is true once the job can no longer become complete; reason and
+	// detail say why.
+	closing  bool
+	reason   job.Reason
+	detail   string
+	answered bool
+	timer    timer
 }
 
+// acceptJob admits or refuses a job. A second event for a key changes nothing:
+// its tasks must not start twice.
 func (core *Core) acceptJob(event JobAccepted) {
-	deadlineMs := event.Job.DeadlineMs
-	if deadlineMs <= 0 {
-		deadlineMs = core.config.Team.DeadlineMs
+	if _, known := core.jobs[event.Key]; known {
+		return
+	}
+	core.counters.Jobs++
+	accepted := core.newRun(event)
+	if answer, refused := core.refusal(accepted); refused {
+		core.answer(accepted, answer)
+		return
 	}
+	core.jobs[event.Key] = accepted
+	core.load.add(accepted)
+	core.arm(&accepted.timer, accepted.deadline)
+	core.config.Scheduler.Enqueue(accepted.placed())
+	core.placeable = true
+}
+
+func (core *Core) newRun(event JobAccepted) *run {
 	accepted := &run{
 		key:      event.Key,
 		spec:     event.Job,
 		arrival:  core.now,
-		deadline: core.now.Add(time.Duration(deadlineMs) * time.Millisecond),
-		results:  make([]job.Result, len(event.Job.Tasks)),
-		open:     len(event.Job.Tasks),
+		deadline: core.now.Add(core.deadlineOf(event.Job)),
+		tasks:    make([]task, len(event.Job.Tasks)),
+		missing:  len(event.Job.Tasks),
 	}
-	core.jobs[event.Key] = accepted
-	core.config.Scheduler.Enqueue(accepted.placed())
+	accepted.timer.owner = accepted
+	for i := range accepted.tasks {
+		declaredMs := float64(event.Job.Tasks[i].RunMs)
+		added := &accepted.tasks[i]
+		added.owner = accepted
+		added.index = i
+		added.workMs = core.config.Estimator.WorkMs(event.Job.Kind, declaredMs)
+		added.timer.owner = added
+	}
+	accepted.idealMs = core.ideal(accepted).Milliseconds()
+	return accepted
 }
 
 // placed returns the job as the scheduler sees it.
 func (run *run) placed() placement.Job {
-	tasks := make([]placement.Task, len(run.spec.Tasks))
-	for i, task := range run.spec.Tasks {
-		tasks[i] = placement.Task{
-			Index:      i,
-			DeclaredMs: float64(task.RunMs),
-			Need:       needOf(task),
-		}
+	tasks := make([]placement.Task, len(run.tasks))
+	for i := range run.tasks {
+		tasks[i] = run.tasks[i].placed()
 	}
 	return placement.Job{
 		Key:      run.key,
@@ -60,68 +95,85 @@
 	}
 }
 
-func needOf(task job.Task) placement.Need {
-	return placement.Need{
-		Cores:        task.Cores,
-		MemoryMb:     task.MemoryMb,
-		Accelerators: task.Accelerators,
+func (core *Core) cancelJob(event JobCancelled) {
+	if owner, known := core.jobs[event.Key]; known {
+		core.close(owner, job.ReasonCancelled, "cancelled by the caller")
 	}
 }
 
-func (core *Core) place() {
-	for {
-		assignment, placed := core.config.Scheduler.Next(core.now)
-		if !placed {
-			return
-		}
-		core.start(assignment)
+// expire closes a job at its deadline, and answers a closing job whose tasks
+// did not settle in time.
+func (run *run) expire(core *Core) {
+	switch {
+	case run.answered:
+	case !run.closing:
+		core.close(run, job.ReasonDeadline, "the deadline passed")
+	default:
+		core.answer(run, job.Failure(job.StartedUnknown, run.reason, run.detail))
 	}
 }
 
-func (core *Core) start(assignment placement.Assignment) {
-	owner := core.jobs[assignment.Key]
-	owner.messages++
-	core.decide(StartTask{
-		Task: upstream.Task{
-			Key:   assignment.Key,
-			Index: assignment.Index,
-		},
-		Upstream: assignment.Upstream,
-		Kind:     owner.spec.Kind,
-		Spec:     owner.spec.Tasks[assignment.Index],
-		Lease:    firstLease,
-		Deadline: owner.deadline,
-	})
+// close gives up a job that cannot become complete: its waiting tasks are
+// dropped and its running tasks are cancelled. The answer follows as soon as
+// it is known whether a task started.
+func (core *Core) close(owner *run, reason job.Reason, detail string) {
+	if owner.answered || owner.closing {
+		core.conclude(owner)
+		return
+	}
+	owner.closing = true
+	owner.reason = reason
+	owner.detail = detail
+	core.config.Scheduler.Drop(owner.key)
+	for i := range owner.tasks {
+		core.giveUp(&owner.tasks[i])
+	}
+	core.arm(&owner.timer, core.now.Add(core.config.Limits.SettleWithin))
+	core.conclude(owner)
 }
 
-func (core *Core) endTask(event TaskEnded) {
-	owner, known := core.jobs[event.Task.Key]
-	if !known {
-		return
+// conclude answers a closing job once its answer is certain, and forgets an
+// answered job once nothing of it is left at an upstream.
+func (core *Core) conclude(owner *run) {
+	if owner.closing && !owner.answered {
+		core.answerClosing(owner)
 	}
-	spec := owner.spec.Tasks[event.Task.Index]
-	core.config.Scheduler.Release(event.Upstream, needOf(spec))
-	core.config.Estimator.Observe(owner.spec.Kind, event.Upstream, float64(spec.RunMs), float64(event.RunMs))
-	owner.messages++
-	owner.open--
-	owner.results[event.Task.Index] = job.Result{
-		Index:    event.Task.Index,
-		Upstream: event.Upstream,
-		RunMs:    event.RunMs,
-		Output:   event.Output,
+	if owner.answered && owner.unsettled == 0 && owner.lingering == 0 {
+		core.disarm(&owner.timer)
+		delete(core.jobs, owner.key)
 	}
-	if owner.open == 0 {
-		core.finish(owner, job.Answer{
-			Outcome: job.Complete,
-			Results: owner.results,
-		})
+}
+
+func (core *Core) answerClosing(owner *run) {
+	switch {
+	case owner.started:
+		core.answer(owner, job.Failure(job.StartedYes, owner.reason, owner.detail))
+	case owner.unsettled > 0:
+	case owner.ambiguous:
+		core.answer(owner, job.Failure(job.StartedUnknown, owner.reason, owner.detail))
+	default:
+		core.answer(owner, job.Refusal(owner.reason, owner.detail))
 	}
 }
 
-func (core *Core) finish(owner *run, answer job.Answer) {
-	delete(core.jobs, owner.key)
+// complete answers a job that has all its results.
+func (core *Core) complete(owner *run) {
+	core.answer(owner, job.Answer{
+		Outcome: job.Complete,
+		Results: owner.results,
+	})
+	owner.results = nil
+	core.conclude(owner)
+}
+
+// answer is the only place that makes a FinishJob.
+func (core *Core) answer(owner *run, answer job.Answer) {
+	owner.answered = true
+	core.disarm(&owner.timer)
 	answer.ElapsedMs = core.now.Sub(owner.arrival).Milliseconds()
+	answer.IdealMs = owner.idealMs
 	answer.Messages = owner.messages
+	core.counters.countAnswer(answer)
 	core.decide(FinishJob{
 		Key:    owner.key,
 		Answer: answer,
--- /dev/null
+++ b/shared/request/dispatch/rules.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/version/plan"
+)
+
+// ruleKey names the rules of a team for a kind, in the Core's domain.
+type ruleKey struct {
+	team string
+	kind string
+}
+
+// changePlan applies the plan in force. Jobs that were accepted before keep
+// running.
+func (core *Core) changePlan(changed *plan.Plan) {
+	if changed == nil {
+		return
+	}
+	core.planned = true
+	core.rules = make(map[ruleKey][]plan.Rule)
+	for _, rule := range changed.Rules {
+		if rule.Domain != core.config.Domain {
+			continue
+		}
+		key := ruleKey{
+			team: rule.Team,
+			kind: rule.Kind,
+		}
+		core.rules[key] = append(core.rules[key], rule)
+	}
+	core.changeGuards(changed.Guards)
+}
+
+func (core *Core) changeGuards(guards plan.Guards) {
+	core.guards = guards
+	for _, at := range core.order {
+		if guards.NoEjection {
+			core.restore(at)
+		}
+		if guards.NoOccupancyCheck {
+			at.foreign = 0
+			at.occupancyKnown = true
+		}
+		core.sync(at)
+		core.rearm(at)
+	}
+}
+
+// rule returns the rule for a job: of several in force, the latest one.
+func (core *Core) rule(spec job.Job) (plan.Rule, bool) {
+	var latest plan.Rule
+	found := false
+	for _, rule := range core.rules[ruleKey{team: spec.Team, kind: spec.Kind}] {
+		inForce := rule.InForceFromMs <= core.now.UnixMilli()
+		if inForce && (!found || rule.InForceFromMs >= latest.InForceFromMs) {
+			latest = rule
+			found = true
+		}
+	}
+	return latest, found
+}
+
+// deadlineOf returns how long a job may take: what it asks for within the
+// rule's bound, or the default.
+func (core *Core) deadlineOf(spec job.Job) time.Duration {
+	deadlineMs := spec.DeadlineMs
+	if rule, found := core.rule(spec); found && rule.DeadlineMs > 0 {
+		if deadlineMs <= 0 || deadlineMs > rule.DeadlineMs {
+			deadlineMs = rule.DeadlineMs
+		}
+	}
+	if deadlineMs <= 0 {
+		deadlineMs = core.config.Team.DeadlineMs
+	}
+	return time.Duration(deadlineMs) * time.Millisecond
+}
+
+// ruleRefusal refuses a job that the plan does not allow. Without a plan
+// everything is allowed; the daemon is not ready then.
+func (core *Core) ruleRefusal(asked *run) (job.Answer, bool) {
+	if !core.planned {
+		return job.Answer{}, false
+	}
+	rule, found := core.rule(asked.spec)
+	if !found {
+		detail := fmt.Sprintf("the plan has no rule for team %q and kind %q in %s",
+			asked.spec.Team, asked.spec.Kind, core.config.Domain)
+		return job.Refusal(job.ReasonUnknownKind, detail), true
+	}
+	for i := range asked.spec.Tasks {
+		if exceeds(rule, &asked.spec.Tasks[i]) {
+			detail := fmt.Sprintf("tasks[%d] asks for more than the plan allows", i)
+			return job.Refusal(job.ReasonQuota, detail), true
+		}
+	}
+	return job.Answer{}, false
+}
+
+func exceeds(rule plan.Rule, task *job.Task) bool {
+	return above(task.Cores, rule.Cores) ||
+		above(task.MemoryMb, rule.MemoryMb) ||
+		above(task.Accelerators, rule.Accelerators)
+}
+
+// above reports whether value exceeds the bound; 0 means no bound.
+func above(value, bound int) bool {
+	return bound > 0 && value > bound
+}
