Serve a request end to end: local demo with 3 entry VMs and 12 workers

Cause: the parts existed but nothing ran from the caller to the worker. Change: the control loop follows the plan stream and the VM list, the router and the peer server are wired, local/system starts a whole deployment in one process, and 'make run' runs a job of 40 tasks.

--- a/entry/control/events.go
+++ b/entry/control/events.go
@@ -45,11 +45,13 @@
 	vmsRead struct {
 		response platform.VmsResponse
 	}
-	recordRead struct {
-		record platform.Record
+	recordsRead struct {
+		response platform.ReadResponse
+		reply    chan<- int64
 	}
 	recordsTrimmed struct {
 		first int64
+		reply chan<- int64
 	}
 	dump struct {
 		reply chan<- Dump
@@ -68,7 +70,7 @@
 func (forgetWaiter) event()   {}
 func (traffic) event()        {}
 func (vmsRead) event()        {}
-func (recordRead) event()     {}
+func (recordsRead) event()    {}
 func (recordsTrimmed) event() {}
 func (dump) event()           {}
 func (barrier) event()        {}
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -123,10 +123,11 @@
 		loop.dispatch(now, received.occurred)
 	case vmsRead:
 		loop.readVms(now, received.response)
-	case recordRead:
-		loop.readRecord(now, received.record)
+	case recordsRead:
+		received.reply <- loop.config.Plans.Read(now, received.response)
+		loop.refreshPlan(now)
 	case recordsTrimmed:
-		loop.config.Plans.Trimmed(received.first)
+		received.reply <- loop.config.Plans.Trimmed(received.first)
 	case dump:
 		received.reply <- loop.dumpState(now)
 	case barrier:
@@ -284,12 +285,6 @@
 	loop.dispatch(now, event)
 }
 
-func (loop *Loop) readRecord(now time.Time, record platform.Record) {
-	if loop.config.Plans.Read(now, record) {
-		loop.refreshPlan(now)
-	}
-}
-
 func (loop *Loop) refreshPlan(now time.Time) {
 	plan, changed := loop.config.Plans.InForce(now)
 	if changed {
--- a/entry/control/requests.go
+++ b/entry/control/requests.go
@@ -83,18 +83,32 @@
 	})
 }
 
-// TellRecord passes a record of the plan stream on.
-func (loop *Loop) TellRecord(record platform.Record) {
-	_ = loop.send(context.Background(), recordRead{
-		record: record,
+// ReadRecords passes on what a read of the plan stream brought and returns
+// the offset to read next.
+func (loop *Loop) ReadRecords(ctx context.Context, response platform.ReadResponse) (int64, error) {
+	reply := make(chan int64, 1)
+	err := loop.send(ctx, recordsRead{
+		response: response,
+		reply:    reply,
 	})
+	if err != nil {
+		return 0, err
+	}
+	return receive(ctx, loop, reply)
 }
 
-// TellTrimmed tells that the plan stream now begins at first.
-func (loop *Loop) TellTrimmed(first int64) {
-	_ = loop.send(context.Background(), recordsTrimmed{
+// TrimRecords tells that the plan stream now begins at first and returns the
+// offset to read next.
+func (loop *Loop) TrimRecords(ctx context.Context, first int64) (int64, error) {
+	reply := make(chan int64, 1)
+	err := loop.send(ctx, recordsTrimmed{
 		first: first,
+		reply: reply,
 	})
+	if err != nil {
+		return 0, err
+	}
+	return receive(ctx, loop, reply)
 }
 
 // Dump returns a copy of the control state.
--- a/entry/process/follow.go
+++ b/entry/process/follow.go
@@ -2,97 +2,67 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
-	"time"
 
 	"tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/process/logevent"
 )
 
-const (
-	firstRetry  = 50 * time.Millisecond
-	maxRetry    = time.Second
-	recordBatch = 64
-)
-
-// followVms reads the VM list by long polls and passes each newer list on.
+// followVms passes each newer VM list on.
 func (process *Process) followVms(ctx context.Context) error {
-	var version int64
 	reach := reachability{
 		logger: process.logger,
 		lost:   logevent.ListUnreachable,
 		back:   logevent.ListReachable,
 	}
-	for ctx.Err() == nil {
-		response, err := process.platform.Vms(ctx, version, pollWait)
-		if !reach.note(ctx, err) {
-			continue
-		}
-		if response.Version != version {
-			version = response.Version
-			process.loop.TellVms(response)
+	deliver := func(_ context.Context, list platform.VmsResponse, failure error) error {
+		reach.note(failure)
+		if failure == nil {
+			process.loop.TellVms(list)
 		}
+		return nil
 	}
-	return nil
+	return process.platform.FollowVms(ctx, platform.FollowConfig{}, deliver)
 }
 
-// followPlan reads the plan stream by long polls and passes each record on.
+// followPlan passes the records of the plan stream on.
 func (process *Process) followPlan(ctx context.Context) error {
-	var next int64
 	reach := reachability{
 		logger: process.logger,
 		lost:   logevent.LogUnreachable,
 		back:   logevent.LogReachable,
 	}
-	for ctx.Err() == nil {
-		response, err := process.platform.Read(ctx, process.settings.PlanStream, next, recordBatch, pollWait)
-		var trimmed *platform.TrimmedError
-		if errors.As(err, &trimmed) {
-			process.loop.TellTrimmed(trimmed.FirstOffset)
-			next = trimmed.FirstOffset
-			continue
-		}
-		if !reach.note(ctx, err) {
-			continue
-		}
-		for _, record := range response.Records {
-			process.loop.TellRecord(record)
-			next = record.Offset + 1
+	next := int64(0)
+	deliver := func(ctx context.Context, event platform.LogEvent) (int64, error) {
+		var err error
+		switch event := event.(type) {
+		case platform.RecordsRead:
+			reach.note(nil)
+			next, err = process.loop.ReadRecords(ctx, event.Response)
+		case platform.RecordsTrimmed:
+			reach.note(nil)
+			next, err = process.loop.TrimRecords(ctx, event.FirstOffset)
+		case platform.LogUnreachable:
+			reach.note(event.Err)
 		}
+		return next, err
 	}
-	return nil
+	return process.platform.FollowRecords(ctx, process.settings.PlanStream, platform.FollowConfig{}, next, deliver)
 }
 
-// reachability logs when a service is lost and when it is back, and spaces
-// the attempts in between.
+// reachability logs when a service is lost and when it is back.
 type reachability struct {
 	logger *logevent.Logger
 	lost   logevent.Event
 	back   logevent.Event
-	retry  time.Duration
+	failed bool
 }
 
-// note takes the result of one attempt. After an error it waits and reports
-// false.
-func (reachability *reachability) note(ctx context.Context, err error) bool {
-	if err == nil {
-		if reachability.retry > 0 {
-			reachability.logger.Log(reachability.back)
-		}
-		reachability.retry = 0
-		return true
-	}
-	if ctx.Err() != nil {
-		return false
-	}
-	if reachability.retry == 0 {
+func (reachability *reachability) note(err error) {
+	if err != nil && !reachability.failed {
 		reachability.logger.Log(reachability.lost, "cause", err.Error())
 	}
-	reachability.retry = min(max(2*reachability.retry, firstRetry), maxRetry)
-	select {
-	case <-ctx.Done():
-	case <-time.After(reachability.retry/2 + rand.N(reachability.retry)):
+	if err == nil && reachability.failed {
+		reachability.logger.Log(reachability.back)
 	}
-	return false
+	reachability.failed = err != nil
 }
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -19,7 +19,10 @@
 	"tanagerfall/entry/callerapi"
 	"tanagerfall/entry/control"
 	"tanagerfall/entry/operatorapi"
+	"tanagerfall/entry/peerapi"
+	"tanagerfall/entry/route"
 	"tanagerfall/entry/traffic"
+	"tanagerfall/shared/connection/peer"
 	"tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/connection/upstream"
 	"tanagerfall/shared/process/logevent"
@@ -39,8 +42,6 @@
 	maxHeaderBytes    = 16 << 10
 	// shutdownTimeout bounds the wait for open requests after the drain.
 	shutdownTimeout = 5 * time.Second
-	// pollWait is how long the platform holds a long poll.
-	pollWait = 20 * time.Second
 )
 
 // ErrListen is wrapped by the errors of New.
@@ -65,7 +66,10 @@
 	carrier     *traffic.Carrier
 	upstreams   *upstream.Client
 	platform    *platform.Client
+	pool        *peer.Pool
+	router      *route.Router
 	caller      net.Listener
+	peers       net.Listener
 	operator    net.Listener
 	draining    atomic.Bool
 	drain       chan struct{}
@@ -75,14 +79,9 @@
 
 // New opens the listeners of an entry VM. The error wraps ErrListen.
 func New(entry settings.Entry, logger *logevent.Logger) (*Process, error) {
-	caller, err := net.Listen("tcp", entry.CallerAddress)
+	listeners, err := listen(entry.CallerAddress, entry.PeerAddress, entry.OperatorAddress)
 	if err != nil {
-		return nil, eris.Wrap(ErrListen, err.Error())
-	}
-	operator, err := net.Listen("tcp", entry.OperatorAddress)
-	if err != nil {
-		_ = caller.Close()
-		return nil, eris.Wrap(ErrListen, err.Error())
+		return nil, err
 	}
 	process := &Process{
 		settings: entry,
@@ -94,8 +93,10 @@
 		logger:    logger,
 		set:       metrics.NewSet(),
 		upstreams: upstream.NewClient(),
-		caller:    caller,
-		operator:  operator,
+		caller:    listeners[0],
+		peers:     listeners[1],
+		operator:  listeners[2],
+		pool:      peer.NewPool(peer.PoolOptions{}),
 		drain:     make(chan struct{}),
 		platformWeb: &http.Client{
 			Transport: &http.Transport{
@@ -107,10 +108,30 @@
 	process.keyring.Store(entry.Keyring())
 	process.plans = control.NewPlans(logger)
 	process.loop = process.newLoop()
+	process.router = route.New(process.loop, process.pool, process.keyring.Load)
 	process.carrier = traffic.New(entry.PeerAddress, process.upstreams, process.loop, logger, process.set, time.Now)
 	return process, nil
 }
 
+func listen(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			closeAll(listeners)
+			return nil, eris.Wrap(ErrListen, err.Error())
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+}
+
 func newIncarnation() uint64 {
 	var bytes [8]byte
 	_, _ = cryptorand.Read(bytes[:])
@@ -143,6 +164,7 @@
 		"peer", process.settings.PeerAddress, "operator", process.settings.OperatorAddress)
 	process.group = rungroup.New(ctx)
 	process.group.Go(func(ctx context.Context) error { return process.loop.Run(ctx, process.carrier) })
+	process.group.Go(process.servePeers)
 	process.group.Go(process.followVms)
 	process.group.Go(process.followPlan)
 	process.group.Go(process.awaitDrain)
@@ -152,14 +174,20 @@
 	process.carrier.Abort()
 	process.carrier.Wait()
 	process.upstreams.Close()
+	process.pool.Close()
 	process.platformWeb.CloseIdleConnections()
 	process.logger.Log(logevent.ProcessStopped)
 	return err
 }
 
+func (process *Process) servePeers(ctx context.Context) error {
+	handlers := peerapi.New(process.router, process.loop, process.keyring.Load)
+	return peer.Serve(ctx, process.peers, handlers, peer.ServerOptions{})
+}
+
 func (process *Process) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           callerapi.New(process.loop, process.keyring.Load).Handler(),
+		Handler:           callerapi.New(process.router, process.keyring.Load).Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
--- a/local/main.go
+++ b/local/main.go
@@ -1,4 +1,23 @@
-// Command local is part of tanagerfall.
+// Command local runs the whole system in one process.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "local",
+		Short:         "Run the whole system in one process",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newDemo())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "local: "+err.Error())
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/local/system/publish.go
@@ -0,0 +1,54 @@
+package system
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	wire "tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/version/plan"
+)
+
+// SamplePlan allows the team workshop the kinds quote, stock-check and
+// line-booking in every failure domain. Only line-booking is non-idempotent.
+func SamplePlan(domains []string) *plan.Plan {
+	const deadlineMs = 30_000
+	sample := &plan.Plan{
+		Format:  plan.Format,
+		Domains: domains,
+	}
+	for _, domain := range domains {
+		for _, kind := range []string{"quote", "stock-check", "line-booking"} {
+			sample.Rules = append(sample.Rules, plan.Rule{
+				Team:       "workshop",
+				Kind:       kind,
+				Domain:     domain,
+				Share:      1,
+				Idempotent: kind != "line-booking",
+				DeadlineMs: deadlineMs,
+			})
+		}
+	}
+	return plan.Canonical(sample)
+}
+
+// Publish appends a plan on the empty base.
+func (system *System) Publish(ctx context.Context, published *plan.Plan) error {
+	record := &plan.Publication{
+		PublishID: "local-sample-plan",
+		Author:    "local",
+		Change:    plan.Diff(plan.Empty(), published),
+		Digest:    plan.DigestOf(published),
+	}
+	data, err := plan.Encode(record)
+	if err != nil {
+		return eris.Wrap(err, "encoding the sample plan")
+	}
+	client := wire.NewClient(system.PlatformURL, http.DefaultClient)
+	_, err = client.Append(ctx, settingsPlanStream, data)
+	return eris.Wrap(err, "publishing the sample plan")
+}
+
+// settingsPlanStream is the plan stream of settings.DefaultEntry.
+const settingsPlanStream = "plan"
