Run entry VMs as processes of their own in local deployments

Cause: kills and pauses can only be tested on real processes. Conclusion: ground for scenarios with kills and pauses.

--- a/entry/callerapi/server.go
+++ b/entry/callerapi/server.go
@@ -38,7 +38,7 @@
 // MaxBodyBytes bounds the body of a job.
 const MaxBodyBytes = 12 << 20
 
-// errDigest: the body was changed on its way.
+// errDigest means that the body was changed on its way.
 var errDigest = eris.New("body does not match its digest")
 
 // Submissions is what the server needs: a route.Router.
--- /dev/null
+++ b/local/system/entry.go
@@ -0,0 +1,183 @@
+package system
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/entry/process"
+	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/process/settings"
+)
+
+// ErrNeedsProcess is returned for what only works on entry VMs that run as
+// processes of their own.
+var ErrNeedsProcess = eris.New("entry VM is not a process of its own")
+
+// Entry is one entry VM.
+type Entry struct {
+	Name     string
+	Settings settings.Entry
+	runner   runner
+	web      *http.Client
+}
+
+// runner is how an entry VM runs: inProcess or ownProcess.
+type runner interface{ runner() }
+
+type inProcess struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+type ownProcess struct {
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+func (*inProcess) runner()  {}
+func (*ownProcess) runner() {}
+
+func (system *System) run(entry *Entry) (runner, error) {
+	writer := system.config.Log
+	if writer == nil {
+		writer = io.Discard
+	}
+	if system.config.EntryProgram != "" {
+		return system.runProgram(entry, writer)
+	}
+	started, err := process.New(entry.Settings, logevent.New(writer, system.config.LogLevel, entry.Name))
+	if err != nil {
+		return nil, eris.Wrap(err, "starting an entry VM")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	running := &inProcess{
+		cancel: cancel,
+		done:   make(chan struct{}),
+	}
+	go func() {
+		defer close(running.done)
+		_ = started.Run(ctx)
+	}()
+	return running, nil
+}
+
+func (system *System) runProgram(entry *Entry, writer io.Writer) (runner, error) {
+	entry.Settings.LogLevel = system.config.LogLevel.String()
+	data, err := yaml.Marshal(entry.Settings)
+	if err != nil {
+		return nil, eris.Wrap(err, "encoding settings")
+	}
+	file := filepath.Join(system.config.Directory, entry.Name+".yaml")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return nil, eris.Wrap(err, "writing settings")
+	}
+	command := exec.Command(system.config.EntryProgram, "--settings", file)
+	command.Stderr = writer
+	if err := command.Start(); err != nil {
+		return nil, eris.Wrap(err, "starting an entry VM")
+	}
+	running := &ownProcess{
+		command: command,
+		done:    make(chan struct{}),
+	}
+	go func() {
+		defer close(running.done)
+		_ = command.Wait()
+	}()
+	return running, nil
+}
+
+// CallerURL is the base URL of the entry VM for callers.
+func (entry *Entry) CallerURL() string { return "http://" + entry.Settings.CallerAddress }
+
+// OperatorURL is the base URL of the entry VM for operators.
+func (entry *Entry) OperatorURL() string { return "http://" + entry.Settings.OperatorAddress }
+
+// AwaitReady waits until the entry VM says that it is ready.
+func (entry *Entry) AwaitReady(ctx context.Context) error {
+	for !entry.ready(ctx) {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ErrNotReady, entry.Name)
+		case <-time.After(pollEvery):
+		}
+	}
+	return nil
+}
+
+func (entry *Entry) ready(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, entry.OperatorURL()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := entry.web.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Drain starts the graceful shutdown of the entry VM and waits for its end.
+func (entry *Entry) Drain(ctx context.Context) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, entry.OperatorURL()+"/drain", nil)
+	if err != nil {
+		return eris.Wrap(err, "building a request")
+	}
+	response, err := entry.web.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "asking for a drain")
+	}
+	response.Body.Close()
+	select {
+	case <-entry.done():
+		return nil
+	case <-ctx.Done():
+		return eris.Wrapf(ctx.Err(), "%s did not stop", entry.Name)
+	}
+}
+
+func (entry *Entry) done() <-chan struct{} {
+	switch runner := entry.runner.(type) {
+	case *inProcess:
+		return runner.done
+	case *ownProcess:
+		return runner.done
+	}
+	return nil
+}
+
+// Kill ends the entry VM at once and waits for its end.
+func (entry *Entry) Kill() {
+	switch runner := entry.runner.(type) {
+	case *inProcess:
+		runner.cancel()
+	case *ownProcess:
+		_ = runner.command.Process.Kill()
+	}
+	<-entry.done()
+}
+
+// Pause stops the process of the entry VM until Resume. The error is
+// ErrNeedsProcess or the system's.
+func (entry *Entry) Pause() error { return entry.signal(syscall.SIGSTOP) }
+
+// Resume ends a Pause.
+func (entry *Entry) Resume() error { return entry.signal(syscall.SIGCONT) }
+
+func (entry *Entry) signal(signal syscall.Signal) error {
+	running, own := entry.runner.(*ownProcess)
+	if !own {
+		return eris.Wrap(ErrNeedsProcess, entry.Name)
+	}
+	return eris.Wrap(running.command.Process.Signal(signal), entry.Name)
+}
--- a/local/system/system.go
+++ b/local/system/system.go
@@ -12,9 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 
-	"tanagerfall/entry/process"
 	wire "tanagerfall/shared/connection/platform"
-	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/process/settings"
 	"tanagerfall/standin/platform"
 	"tanagerfall/standin/worker"
@@ -29,10 +27,10 @@
 	workersRack = 8
 )
 
-// ErrNotReady: an entry VM did not become ready in time.
+// ErrNotReady is returned where an entry VM did not become ready in time.
 var ErrNotReady = eris.New("entry VM is not ready")
 
-// ErrUnknownVM: no VM has the name.
+// ErrUnknownVM is returned where no VM has the name.
 var ErrUnknownVM = eris.New("unknown VM")
 
 // Config describes a deployment.
@@ -50,6 +48,12 @@
 	Log      io.Writer
 	LogLevel log.Level
 	Policy   string
+	// EntryProgram is the path of a program that behaves as the entry program,
+	// to run each entry VM as a process of its own. Where it is empty they run
+	// in this process.
+	EntryProgram string
+	// Directory takes the settings files of such processes.
+	Directory string
 }
 
 // DefaultConfig is a small deployment with the failure domains of Kestane.
@@ -65,15 +69,6 @@
 	}
 }
 
-// Entry is one entry VM.
-type Entry struct {
-	Name     string
-	Settings settings.Entry
-	process  *process.Process
-	cancel   context.CancelFunc
-	done     chan error
-}
-
 // Worker is one worker VM.
 type Worker struct {
 	Name    string
@@ -178,23 +173,15 @@
 	if err != nil {
 		return nil, err
 	}
-	writer := system.config.Log
-	if writer == nil {
-		writer = io.Discard
-	}
-	started, err := process.New(configured, logevent.New(writer, system.config.LogLevel, name))
-	if err != nil {
-		return nil, eris.Wrap(err, "starting an entry VM")
-	}
-	ctx, cancel := context.WithCancel(context.Background())
 	entry := &Entry{
 		Name:     name,
 		Settings: configured,
-		process:  started,
-		cancel:   cancel,
-		done:     make(chan error, 1),
+		web:      system.web,
+	}
+	entry.runner, err = system.run(entry)
+	if err != nil {
+		return nil, err
 	}
-	go func() { entry.done <- started.Run(ctx) }()
 	system.Entries = append(system.Entries, entry)
 	system.Platform.SetVm(wire.Vm{
 		Address: configured.PeerAddress,
@@ -249,12 +236,8 @@
 // AwaitReady waits until every entry VM is ready.
 func (system *System) AwaitReady(ctx context.Context) error {
 	for _, entry := range system.Entries {
-		for entry.process.Ready() != nil {
-			select {
-			case <-ctx.Done():
-				return eris.Wrapf(ErrNotReady, "%s: %v", entry.Name, entry.process.Ready())
-			case <-time.After(pollEvery):
-			}
+		if err := entry.AwaitReady(ctx); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -280,24 +263,6 @@
 	return nil, eris.Wrap(ErrUnknownVM, name)
 }
 
-// CallerURL is the base URL of the entry VM for callers.
-func (entry *Entry) CallerURL() string { return "http://" + entry.Settings.CallerAddress }
-
-// OperatorURL is the base URL of the entry VM for operators.
-func (entry *Entry) OperatorURL() string { return "http://" + entry.Settings.OperatorAddress }
-
-// Drain starts the graceful shutdown of the entry VM and waits for its end.
-func (entry *Entry) Drain() error {
-	entry.process.Drain()
-	return entry.wait()
-}
-
-func (entry *Entry) wait() error {
-	err := <-entry.done
-	entry.done <- err
-	return err
-}
-
 // Remove takes the VM off the platform's list.
 func (system *System) Remove(entry *Entry) {
 	system.Platform.RemoveVm(entry.Settings.PeerAddress)
@@ -312,10 +277,7 @@
 // Stop stops everything at once.
 func (system *System) Stop() {
 	for _, entry := range system.Entries {
-		entry.cancel()
-	}
-	for _, entry := range system.Entries {
-		_ = entry.wait()
+		entry.Kill()
 	}
 	for _, worker := range system.Workers {
 		worker.Close()
--- a/shared/process/settings/decode.go
+++ b/shared/process/settings/decode.go
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// ErrUnreadable: the settings file could not be read at all.
+// ErrUnreadable is returned where the settings file can't be read at all.
 var ErrUnreadable = eris.New("settings can't be read")
 
 // Error is one fault of a settings file.
