Add the view of the fleet and the ownership of upstreams

Cause: entry VMs must agree, without a coordinator, on who is live, who owns which upstream and which upstreams are leaving.

Change: fleet.View joins the platform's list with heartbeats. Leaving is sticky: lists with an older version are ignored, a drain signal told by a peer is ignored if the worker appeared in the list after it, and only the end of the row (for an entry VM: a new incarnation) ends it. A pair of VMs of a domain has one exchange per period, started by the smaller address; two domains have two links, chosen by hash. Redirects are sent only while the digests of two peers differ. Ownership is weighted rendezvous hashing over the live VMs; a VM that starts or wakes from a pause owns nothing for one period.

--- a/shared/connection/peer/messages.go
+++ b/shared/connection/peer/messages.go
@@ -83,6 +83,10 @@
 // Drain names a leaving upstream, as told by the upstream itself.
 type Drain struct {
 	Upstream string `cbor:"1,keyasint"`
+	// ListVersion is the version of the VM list that the sender knew when the
+	// signal came. The receiver ignores the signal if the upstream appeared in
+	// the list later, because a new worker then uses the address.
+	ListVersion int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Redirect tells that the successor holds the submissions of an incarnation
@@ -110,35 +114,42 @@
 	Waiting int `cbor:"5,keyasint,omitempty"`
 }
 
-// Demand is what one team wants of one kind at one entry VM.
-type Demand struct {
-	// Quota is the hash of the capped rule's team and kind.
-	Quota uint64 `cbor:"1,keyasint"`
-	// Used counts the team's running tasks, Waiting those that wait.
-	Used    int `cbor:"2,keyasint,omitempty"`
-	Waiting int `cbor:"3,keyasint,omitempty"`
-	// Share is the part of the cap that the sender holds.
-	Share int `cbor:"4,keyasint,omitempty"`
+// QuotaCount is a number of slots of one quota.
+type QuotaCount struct {
+	// Quota is the hash of the capped rule's team, kind and failure domain.
+	Quota uint32 `cbor:"1,keyasint"`
+	Slots int    `cbor:"2,keyasint"`
 }
 
 // HeartbeatMessage is sent by both sides of an exchange.
 type HeartbeatMessage struct {
-	Address     string  `cbor:"1,keyasint"`
-	Domain      string  `cbor:"2,keyasint"`
-	Incarnation uint64  `cbor:"3,keyasint"`
-	Sequence    uint64  `cbor:"4,keyasint"`
-	Size        float64 `cbor:"5,keyasint,omitempty"`
-	// Leaving tells that the sender stops as planned.
-	Leaving     bool   `cbor:"6,keyasint,omitempty"`
-	PlanVersion int64  `cbor:"7,keyasint,omitempty"`
-	PlanDigest  uint64 `cbor:"8,keyasint,omitempty"`
-	// FleetDigest is the digest of the sender's set of live entry VMs of its
-	// domain.
-	FleetDigest uint64     `cbor:"9,keyasint,omitempty"`
-	Load        Load       `cbor:"10,keyasint"`
-	Drains      []Drain    `cbor:"11,keyasint,omitempty"`
-	Redirects   []Redirect `cbor:"12,keyasint,omitempty"`
-	Demands     []Demand   `cbor:"13,keyasint,omitempty"`
+	Address     string `cbor:"1,keyasint"`
+	Domain      string `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint"`
+	// StartedMs is the start of the incarnation in Unix ms. It orders the
+	// incarnations of one address.
+	StartedMs int64   `cbor:"4,keyasint"`
+	Sequence  uint64  `cbor:"5,keyasint"`
+	Size      float64 `cbor:"6,keyasint,omitempty"`
+	// Leaving tells that the sender stops as planned and takes no new jobs.
+	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// Released tells that the sender owns no slots any more, or not yet.
+	Released    bool   `cbor:"8,keyasint,omitempty"`
+	PlanVersion int64  `cbor:"9,keyasint,omitempty"`
+	PlanDigest  uint64 `cbor:"10,keyasint,omitempty"`
+	// FleetDigest is the digest of the incarnations that the sender counts as
+	// live in its domain.
+	FleetDigest uint64 `cbor:"11,keyasint,omitempty"`
+	// RedirectDigest is the digest of the redirects that the sender knows.
+	// Redirects are sent to a peer only while its digest differs.
+	RedirectDigest uint64     `cbor:"12,keyasint,omitempty"`
+	Load           Load       `cbor:"13,keyasint"`
+	Drains         []Drain    `cbor:"14,keyasint,omitempty"`
+	Redirects      []Redirect `cbor:"15,keyasint,omitempty"`
+	// Wants tells the quotas of which the sender is short, Spares what it
+	// could lend of the quotas that peers are short of.
+	Wants  []QuotaCount `cbor:"16,keyasint,omitempty"`
+	Spares []QuotaCount `cbor:"17,keyasint,omitempty"`
 }
 
 // PullPlanRequest asks for the plan if it is newer than After.
@@ -167,6 +178,8 @@
 	Cores        int `cbor:"5,keyasint,omitempty"`
 	MemoryMb     int `cbor:"6,keyasint,omitempty"`
 	Accelerators int `cbor:"7,keyasint,omitempty"`
+	// Quotas asks for shares of team caps, independent of Slots.
+	Quotas []QuotaCount `cbor:"8,keyasint,omitempty"`
 }
 
 // SlotGrant is a number of slots on one worker.
@@ -181,6 +194,8 @@
 	Loan    uint64      `cbor:"1,keyasint"`
 	LeaseMs int64       `cbor:"2,keyasint"`
 	Grants  []SlotGrant `cbor:"3,keyasint,omitempty"`
+	// Quotas holds the shares of team caps that are lent.
+	Quotas []QuotaCount `cbor:"4,keyasint,omitempty"`
 }
 
 // ReturnedSlots is a number of slots on one worker.
@@ -197,6 +212,7 @@
 	Loan        uint64          `cbor:"3,keyasint"`
 	Request     uint64          `cbor:"4,keyasint"`
 	Slots       []ReturnedSlots `cbor:"5,keyasint,omitempty"`
+	Quotas      []QuotaCount    `cbor:"6,keyasint,omitempty"`
 }
 
 // ReturnSlotsResponse confirms a return.
--- /dev/null
+++ b/shared/version/fleet/view_test.go
@@ -0,0 +1,407 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"tanagerfall/shared/connection/peer"
+	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/version/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 6, 0, 0, 0, time.UTC)
+
+// mesh runs views on virtual time and delivers their heartbeats at once.
+type mesh struct {
+	now time.Time
+	// silent makes exchanges with a VM that is down time out, not be refused.
+	silent   bool
+	order    []string
+	views    map[string]*fleet.View
+	down     map[string]bool
+	owned    map[string]map[string]bool
+	leaving  map[string][]string
+	events   map[string][]fleet.Decision
+	messages map[string]int
+	bytes    map[string]int
+}
+
+func entryAddress(domain, i int) string { return fmt.Sprintf("10.%d.0.%d:7000", domain, i) }
+
+func domainName(domain int) string { return fmt.Sprintf("domain-%02d", domain) }
+
+// vmList returns a list with entry VMs and workers in each domain.
+func vmList(version int64, domains, entries, workers int) platform.VmsResponse {
+	list := platform.VmsResponse{Version: version}
+	for domain := range domains {
+		for i := range entries {
+			list.Vms = append(list.Vms, platform.Vm{
+				Address: entryAddress(domain, i),
+				Domain:  domainName(domain),
+				Role:    platform.RoleEntry,
+				State:   platform.VmLive,
+				Size:    1,
+			})
+		}
+		for i := range workers {
+			list.Vms = append(list.Vms, platform.Vm{
+				Address: fmt.Sprintf("10.%d.1.%d:80", domain, i),
+				Domain:  domainName(domain),
+				Role:    platform.RoleWorker,
+				State:   platform.VmLive,
+				Slots:   8,
+			})
+		}
+	}
+	return list
+}
+
+func newMesh(domains, entries, workers int) *mesh {
+	mesh := &mesh{
+		now:      start,
+		views:    make(map[string]*fleet.View),
+		down:     make(map[string]bool),
+		owned:    make(map[string]map[string]bool),
+		leaving:  make(map[string][]string),
+		events:   make(map[string][]fleet.Decision),
+		messages: make(map[string]int),
+		bytes:    make(map[string]int),
+	}
+	for domain := range domains {
+		for i := range entries {
+			mesh.order = append(mesh.order, entryAddress(domain, i))
+			mesh.start(domain, i, uint64(domain*1000+i+1))
+		}
+	}
+	mesh.all(fleet.ListReceived{List: vmList(1, domains, entries, workers)})
+	return mesh
+}
+
+// start runs a new incarnation of an entry VM.
+func (mesh *mesh) start(domain, i int, incarnation uint64) {
+	address := entryAddress(domain, i)
+	mesh.down[address] = false
+	mesh.views[address] = fleet.New(mesh.now, fleet.Self{
+		Address:     address,
+		Domain:      domainName(domain),
+		Size:        1,
+		Incarnation: incarnation,
+		Started:     mesh.now,
+	})
+}
+
+func (mesh *mesh) all(event fleet.Event) {
+	for _, address := range mesh.order {
+		mesh.handle(address, event)
+	}
+}
+
+func (mesh *mesh) handle(address string, event fleet.Event) {
+	if !mesh.down[address] {
+		mesh.act(address, mesh.views[address].Handle(mesh.now, event))
+	}
+}
+
+func (mesh *mesh) act(from string, decisions []fleet.Decision) {
+	for _, decision := range decisions {
+		mesh.events[from] = append(mesh.events[from], decision)
+		switch decision := decision.(type) {
+		case fleet.SendHeartbeat:
+			mesh.exchange(from, decision)
+		case fleet.UpstreamsChanged:
+			mesh.owned[from] = make(map[string]bool)
+			for _, upstream := range decision.Owned {
+				mesh.owned[from][upstream.ID] = true
+			}
+			mesh.leaving[from] = decision.Leaving
+		}
+	}
+}
+
+func (mesh *mesh) exchange(from string, send fleet.SendHeartbeat) {
+	if mesh.down[send.Address] {
+		mesh.handle(from, fleet.HeartbeatFailed{
+			Address: send.Address,
+			Refused: !mesh.silent,
+		})
+		return
+	}
+	mesh.count(from, send.Address, send.Message)
+	response, decisions := mesh.views[send.Address].Answer(mesh.now, send.Message)
+	mesh.act(send.Address, decisions)
+	mesh.count(send.Address, from, response)
+	mesh.handle(from, fleet.HeartbeatReceived{Message: response})
+}
+
+func (mesh *mesh) count(from, to string, message peer.HeartbeatMessage) {
+	data, err := peer.Encoding{}.Marshal(&message)
+	if err != nil {
+		panic(err)
+	}
+	for _, address := range []string{from, to} {
+		mesh.messages[address]++
+		mesh.bytes[address] += len(data)
+	}
+}
+
+func (mesh *mesh) run(duration time.Duration) {
+	for end := mesh.now.Add(duration); mesh.now.Before(end); {
+		mesh.now = mesh.now.Add(100 * time.Millisecond)
+		mesh.all(fleet.Tick{})
+	}
+}
+
+// checkOwned fails unless every worker of every domain has exactly one owner
+// among the VMs that are up.
+func (mesh *mesh) checkOwned(t assert.TestingT, want int) {
+	owner := make(map[string]string)
+	for _, address := range mesh.order {
+		if mesh.down[address] {
+			continue
+		}
+		for upstream := range mesh.owned[address] {
+			assert.Assert(t, owner[upstream] == "", "%s is owned by %s and %s", upstream, owner[upstream], address)
+			owner[upstream] = address
+		}
+	}
+	assert.Equal(t, len(owner), want)
+}
+
+// Guards against workers with two owners or none after VMs died, started
+// again or released their slots.
+func TestEachUpstreamHasOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const entries, workers = 4, 30
+		mesh := newMesh(1, entries, workers)
+		mesh.run(2 * time.Second)
+		mesh.checkOwned(t, workers)
+		for step := range rapid.IntRange(1, 4).Draw(t, "steps") {
+			i := rapid.IntRange(1, entries-1).Draw(t, "vm")
+			address := entryAddress(0, i)
+			switch rapid.SampledFrom([]string{"kill", "restart", "release"}).Draw(t, "what") {
+			case "kill":
+				mesh.down[address] = true
+			case "restart":
+				mesh.start(0, i, uint64(5000+step))
+				mesh.owned[address] = nil
+				mesh.handle(address, fleet.ListReceived{List: vmList(1, 1, entries, workers)})
+			case "release":
+				mesh.handle(address, fleet.SlotsReleased{})
+			}
+			mesh.run(time.Duration(rapid.IntRange(3000, 5000).Draw(t, "ms")) * time.Millisecond)
+			mesh.checkOwned(t, workers)
+		}
+	})
+}
+
+// Guards against an upstream that gets new work again although it is leaving,
+// and against a new worker that gets none because its address was used before.
+func TestLeavingUpstreamIsSticky(t *testing.T) {
+	const upstream = "10.0.1.0:80"
+	row := func(version int64, state platform.VmState) fleet.Event {
+		list := vmList(version, 1, 1, 1)
+		list.Vms[1].State = state
+		return fleet.ListReceived{List: list}
+	}
+	gone := func(version int64) fleet.Event { return fleet.ListReceived{List: vmList(version, 1, 1, 0)} }
+	told := func(sequence uint64, listVersion int64) fleet.Event {
+		return fleet.HeartbeatReceived{Message: peer.HeartbeatMessage{
+			Address:     "10.0.0.9:7000",
+			Domain:      domainName(0),
+			Incarnation: 99,
+			Sequence:    sequence,
+			Released:    true,
+			Drains:      []peer.Drain{{Upstream: upstream, ListVersion: listVersion}},
+		}}
+	}
+	signal := fleet.UpstreamDraining{Upstream: upstream}
+	live, leaving := platform.VmLive, platform.VmLeaving
+	cases := []struct {
+		name   string
+		events []fleet.Event
+		owned  bool
+	}{
+		{name: "live", events: []fleet.Event{row(1, live)}, owned: true},
+		{name: "named by the list", events: []fleet.Event{row(1, live), row(2, leaving)}},
+		{name: "own signal", events: []fleet.Event{row(1, live), signal}},
+		{name: "signal told by a peer", events: []fleet.Event{row(1, live), told(1, 1)}},
+		{name: "older list after the newer", events: []fleet.Event{row(1, live), row(3, leaving), row(2, live)}},
+		{name: "later list still calls it live", events: []fleet.Event{row(1, live), signal, row(2, live)}},
+		{name: "told, then a later list calls it live", events: []fleet.Event{row(1, live), told(1, 1), row(2, live)}},
+		{name: "signal before the list names the worker", events: []fleet.Event{signal, row(2, live)}},
+		{name: "older list after the end of the row", events: []fleet.Event{row(1, live), signal, gone(3), row(2, live)}},
+		{name: "new worker at the address", events: []fleet.Event{row(1, live), signal, gone(2), row(3, live)}, owned: true},
+		{name: "old signal told of a new worker", events: []fleet.Event{row(1, live), signal, gone(2), row(3, live), told(1, 1)}, owned: true},
+		{name: "new signal told of a new worker", events: []fleet.Event{row(1, live), signal, gone(2), row(3, live), told(1, 3)}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			mesh := newMesh(1, 1, 0)
+			mesh.views[entryAddress(0, 0)] = fleet.New(start, fleet.Self{
+				Address: entryAddress(0, 0),
+				Domain:  domainName(0),
+				Size:    1,
+			})
+			mesh.down["10.0.0.9:7000"] = true
+			mesh.run(time.Second)
+			for _, event := range test.events {
+				mesh.all(event)
+			}
+			mesh.run(200 * time.Millisecond)
+			assert.Equal(t, mesh.owned[entryAddress(0, 0)][upstream], test.owned)
+		})
+	}
+}
+
+// Guards against a drain signal that reaches the peers of the domain later
+// than the 2 s within which a leaving upstream must get nothing new.
+func TestDrainSignalReachesPeers(t *testing.T) {
+	const upstream = "10.0.1.5:80"
+	mesh := newMesh(2, 3, 10)
+	mesh.run(3 * time.Second)
+	mesh.handle(entryAddress(0, 0), fleet.UpstreamDraining{Upstream: upstream})
+	mesh.run(2 * time.Second)
+	for i := range 3 {
+		assert.DeepEqual(t, mesh.leaving[entryAddress(0, i)], []string{upstream})
+	}
+}
+
+// Guards against a stale list row that makes the next incarnation of an entry
+// VM leave, and against a leaving VM that comes back through such a row.
+func TestLeavingEntryVM(t *testing.T) {
+	view := fleet.New(start, fleet.Self{
+		Address: entryAddress(0, 0),
+		Domain:  domainName(0),
+	})
+	address := entryAddress(0, 1)
+	now := start
+	say := func(incarnation, sequence uint64, leaving bool) {
+		now = now.Add(100 * time.Millisecond)
+		view.Handle(now, fleet.HeartbeatReceived{Message: peer.HeartbeatMessage{
+			Address:     address,
+			Domain:      domainName(0),
+			Incarnation: incarnation,
+			StartedMs:   int64(incarnation),
+			Sequence:    sequence,
+			Leaving:     leaving,
+		}})
+	}
+	list := vmList(1, 1, 2, 0)
+	view.Handle(now, fleet.ListReceived{List: list})
+	say(1, 1, false)
+	assert.DeepEqual(t, view.Successors(), []string{address})
+	list = vmList(2, 1, 2, 0)
+	list.Vms[1].State = platform.VmLeaving
+	view.Handle(now, fleet.ListReceived{List: list})
+	assert.Equal(t, len(view.Successors()), 0)
+	say(1, 2, false)
+	view.Handle(now, fleet.ListReceived{List: vmList(3, 1, 2, 0)})
+	assert.Equal(t, len(view.Successors()), 0, "a list brought the leaving VM back")
+	list.Version = 4
+	view.Handle(now, fleet.ListReceived{List: list})
+	say(2, 1, false)
+	list.Version = 5
+	view.Handle(now, fleet.ListReceived{List: list})
+	assert.DeepEqual(t, view.Successors(), []string{address})
+	say(1, 3, true)
+	assert.DeepEqual(t, view.Successors(), []string{address})
+}
+
+// Guards against slots that stay with a killed VM for longer than the time
+// within which the others must recover.
+func TestKilledVMIsReplaced(t *testing.T) {
+	for _, entries := range []int{3, 20} {
+		for _, silent := range []bool{false, true} {
+			mesh := newMesh(1, entries, 60)
+			mesh.run(5 * time.Second)
+			mesh.silent = silent
+			mesh.down[entryAddress(0, 1)] = true
+			mesh.run(3 * time.Second)
+			mesh.checkOwned(t, 60)
+		}
+	}
+}
+
+// Guards against a paused process that goes on with the slots that its peers
+// have taken over.
+func TestPausedProcessNotices(t *testing.T) {
+	mesh := newMesh(1, 3, 30)
+	mesh.run(3 * time.Second)
+	paused := entryAddress(0, 0)
+	mesh.down[paused] = true
+	mesh.run(4 * time.Second)
+	mesh.down[paused] = false
+	mesh.events[paused] = nil
+	mesh.handle(paused, fleet.Tick{})
+	_, lapsed := mesh.events[paused][0].(fleet.MembershipLapsed)
+	assert.Assert(t, lapsed, "%T", mesh.events[paused][0])
+	assert.Equal(t, len(mesh.owned[paused]), 0)
+	mesh.run(2 * time.Second)
+	mesh.checkOwned(t, 30)
+}
+
+// Guards against submissions of a stopped VM that nobody finds, and against
+// redirects that are told for ever.
+func TestRedirectsSpreadOnce(t *testing.T) {
+	mesh := newMesh(3, 3, 0)
+	mesh.run(3 * time.Second)
+	expiry := mesh.now.Add(time.Minute).Unix()
+	mesh.handle(entryAddress(0, 1), fleet.RedirectsReceived{Redirects: []peer.Redirect{
+		{Incarnation: 7, Successor: 8, Address: "b", ExpiryUnix: expiry},
+		{Incarnation: 8, Successor: 9, Address: "c", ExpiryUnix: expiry},
+	}})
+	mesh.run(4 * time.Second)
+	for _, address := range mesh.order {
+		redirect, found := mesh.views[address].Resolve(7)
+		assert.Assert(t, found, address)
+		assert.Equal(t, redirect.Address, "c")
+		mesh.events[address] = nil
+	}
+	mesh.run(2 * time.Second)
+	for _, address := range mesh.order {
+		for _, decision := range mesh.events[address] {
+			if send, ok := decision.(fleet.SendHeartbeat); ok {
+				assert.Equal(t, len(send.Message.Redirects), 0)
+			}
+		}
+	}
+	mesh.run(time.Minute)
+	_, found := mesh.views[entryAddress(2, 2)].Resolve(7)
+	assert.Assert(t, !found)
+}
+
+// Guards against a VM that keeps an old plan while a peer tells of a newer
+// one, and against several pulls at a time.
+func TestPlanIsPulledOnce(t *testing.T) {
+	mesh := newMesh(1, 3, 0)
+	mesh.run(3 * time.Second)
+	newer := entryAddress(0, 1)
+	mesh.handle(newer, fleet.StatusChanged{Status: fleet.Status{PlanVersion: 5}})
+	mesh.events[entryAddress(0, 0)] = nil
+	mesh.run(2 * time.Second)
+	var pulls []fleet.Decision
+	for _, decision := range mesh.events[entryAddress(0, 0)] {
+		if _, ok := decision.(fleet.PullPlan); ok {
+			pulls = append(pulls, decision)
+		}
+	}
+	assert.DeepEqual(t, pulls, []fleet.Decision{fleet.PullPlan{Address: newer, Version: 5}})
+	assert.DeepEqual(t, mesh.views[newer].Behind(), []string{entryAddress(0, 0), entryAddress(0, 2)})
+}
+
+// Guards against heartbeats beyond the 10 control messages/s a VM at the
+// current size.
+func TestHeartbeatRate(t *testing.T) {
+	const seconds = 60
+	mesh := newMesh(3, 3, 17)
+	mesh.run(5 * time.Second)
+	clear(mesh.messages)
+	mesh.run(seconds * time.Second)
+	for address, messages := range mesh.messages {
+		assert.Assert(t, messages <= 10*seconds, "%s: %d messages in %d s", address, messages, seconds)
+	}
+}
