--- /dev/null
+++ b/standin/commands.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tanagerfall/standin/fault"
+	"tanagerfall/standin/fleet"
+	"tanagerfall/standin/network"
+	"tanagerfall/standin/platform"
+	"tanagerfall/standin/worker"
+)
+
+func newWorkerCommand() *cobra.Command {
+	config := worker.Config{}
+	command := &cobra.Command{
+		Use:     "worker --address IP:PORT",
+		Short:   "Run one worker",
+		Example: "  standin worker --address 127.0.0.1:9100 --slots 8 --speed 1.5",
+		Args:    cobra.NoArgs,
+	}
+	flags := command.Flags()
+	flags.StringVar(&config.Address, "address", "127.0.0.1:0", "address to serve on")
+	flags.IntVar(&config.Slots, "slots", worker.DefaultSlots, "tasks that run at once")
+	flags.IntVar(&config.Cores, "cores", worker.DefaultCores, "processor cores")
+	flags.IntVar(&config.MemoryMb, "memory-mb", worker.DefaultMemoryMb, "memory in MB")
+	flags.IntVar(&config.Accelerators, "accelerators", 0, "accelerators")
+	flags.Float64Var(&config.Speed, "speed", 1, "divisor of every run time")
+	control := flags.String("control-address", "", "address for fault commands and the journal alone")
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		started := worker.New(config)
+		return serve(command.Context(), started, *control)
+	}
+	return command
+}
+
+func newPlatformCommand() *cobra.Command {
+	config := platform.Config{}
+	command := &cobra.Command{
+		Use:     "platform --address IP:PORT",
+		Short:   "Run the platform without VMs; PUT /v1/vms adds them",
+		Example: "  standin platform --address 127.0.0.1:7000 --lag 1s",
+		Args:    cobra.NoArgs,
+	}
+	flags := command.Flags()
+	flags.StringVar(&config.Address, "address", "127.0.0.1:0", "address to serve on")
+	flags.DurationVar(&config.Retention, "retention", platform.DefaultRetention, "how long records are kept")
+	flags.DurationVar(&config.AppendTime, "append-time", defaultAppendTime, "time of one synced append")
+	flags.DurationVar(&config.Lag, "lag", time.Second, "lag of the VM list")
+	control := flags.String("control-address", "", "address for fault commands alone")
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		started := platform.New(config)
+		return serve(command.Context(), started, *control)
+	}
+	return command
+}
+
+// defaultAppendTime allows about 330 appends per second.
+const defaultAppendTime = 3 * time.Millisecond
+
+func newFleetCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "fleet FILE",
+		Short:   "Run the platform and all workers of a deployment in one process",
+		Example: "  standin fleet tanagerload/experiments/kestane-fleet.yaml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			config, err := fleet.Load(arguments[0])
+			if err != nil {
+				return err
+			}
+			started, err := fleet.Start(config)
+			if err != nil {
+				return err
+			}
+			defer started.Close()
+			fmt.Printf("platform on %s, %d workers, control on %s\n",
+				config.Platform.Address, len(started.Workers), config.ControlAddress)
+			<-command.Context().Done()
+			return nil
+		},
+	}
+}
+
+// standin is what serve needs of a worker or a platform.
+type standin interface {
+	Listen() (string, error)
+	ControlHandler() http.Handler
+	Close()
+}
+
+// serve runs a stand-in until ctx ends.
+func serve(ctx context.Context, started standin, controlAddress string) error {
+	address, err := started.Listen()
+	if err != nil {
+		return err
+	}
+	defer started.Close()
+	fmt.Println("listening on " + address)
+	if controlAddress != "" {
+		control := network.New(started.ControlHandler(), &fault.Gate{})
+		if _, err := control.Listen(controlAddress); err != nil {
+			return err
+		}
+		defer control.Close()
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	wire "tanagerfall/shared/connection/platform"
+	"tanagerfall/standin/fault"
+	"tanagerfall/standin/network"
+	"tanagerfall/standin/platform"
+	"tanagerfall/standin/worker"
+)
+
+// Fleet is a running deployment of stand-ins.
+type Fleet struct {
+	Platform *platform.Platform
+	// Workers holds the workers by address.
+	Workers map[string]*worker.Worker
+	control *network.Server
+}
+
+// PlatformPrefix and WorkerPrefix are the paths on the control address under
+// which the platform and the workers have /v1/faults and /v1/journal.
+const PlatformPrefix = "/platform"
+
+// WorkerPrefix returns the prefix of one worker.
+func WorkerPrefix(address string) string {
+	return "/workers/" + address
+}
+
+// Start starts all stand-ins of a validated config and lists the VMs.
+func Start(config Config) (*Fleet, error) {
+	fleet := &Fleet{
+		Workers: map[string]*worker.Worker{},
+	}
+	fleet.Platform = platform.New(platform.Config{
+		Address:    config.Platform.Address,
+		Retention:  time.Duration(config.Platform.RetentionMs) * time.Millisecond,
+		AppendTime: time.Duration(config.Platform.AppendMs) * time.Millisecond,
+		Lag:        time.Duration(config.Platform.LagMs) * time.Millisecond,
+	})
+	vms := config.Vms()
+	if err := fleet.listen(config.ControlAddress, vms); err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	fleet.Platform.SetVms(vms)
+	return fleet, nil
+}
+
+// listen starts the listeners of the platform, of the workers among vms and
+// of the control address.
+func (fleet *Fleet) listen(control string, vms []wire.Vm) error {
+	mux := http.NewServeMux()
+	if _, err := fleet.Platform.Listen(); err != nil {
+		return err
+	}
+	mux.Handle(PlatformPrefix+"/", http.StripPrefix(PlatformPrefix, fleet.Platform.ControlHandler()))
+	for _, vm := range vms {
+		if vm.Role != wire.RoleWorker {
+			continue
+		}
+		started := worker.New(worker.Config{
+			Address:      vm.Address,
+			Slots:        vm.Slots,
+			Cores:        vm.Cores,
+			MemoryMb:     vm.MemoryMb,
+			Accelerators: vm.Accelerators,
+			Speed:        vm.Speed,
+		})
+		if _, err := started.Listen(); err != nil {
+			return err
+		}
+		fleet.Workers[vm.Address] = started
+		prefix := WorkerPrefix(vm.Address)
+		mux.Handle(prefix+"/", http.StripPrefix(prefix, started.ControlHandler()))
+	}
+	fleet.control = network.New(mux, &fault.Gate{})
+	_, err := fleet.control.Listen(control)
+	return err
+}
+
+// Close stops all stand-ins at once.
+func (fleet *Fleet) Close() {
+	var group sync.WaitGroup
+	for _, started := range fleet.Workers {
+		group.Go(started.Close)
+	}
+	fleet.Platform.Close()
+	if fleet.control != nil {
+		fleet.control.Close()
+	}
+	group.Wait()
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,48 @@
-// Command standin is part of tanagerfall.
+// Command standin runs stand-ins for workers and for the platform, with
+// faults on command. docs/platform-protocol.md describes what they speak.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"tanagerfall/shared/process/settings"
+)
+
+// The exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := newCommand().ExecuteContext(ctx)
+	stop()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "standin: "+err.Error())
+	var fault *settings.Error
+	if errors.As(err, &fault) || errors.Is(err, settings.ErrUnreadable) {
+		os.Exit(exitSettings)
+	}
+	os.Exit(exitFailed)
+}
+
+func newCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:           "standin",
+		Short:         "Stand-ins for workers and for the platform",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	command.AddCommand(newWorkerCommand(), newPlatformCommand(), newFleetCommand())
+	return command
+}
--- a/standin/worker/http.go
+++ b/standin/worker/http.go
@@ -22,8 +22,10 @@
 type JournalResponse struct {
 	Worker string `json:"worker"`
 	// Lost is the number of starts beyond the bound of the journal.
-	Lost    int64                   `json:"lost,omitempty"`
-	Entries []upstream.JournalEntry `json:"entries"`
+	Lost int64 `json:"lost,omitempty"`
+	// Requests counts the requests since the worker was made.
+	Requests Requests `json:"requests"`
+	Entries  []Start  `json:"entries"`
 }
 
 // routes returns the handler of the protocol without the faults of the path.
@@ -85,13 +87,14 @@
 func (worker *Worker) serveJournal(writer http.ResponseWriter, _ *http.Request) {
 	worker.mutex.Lock()
 	response := JournalResponse{
-		Worker:  worker.config.Address,
-		Lost:    worker.journalLost,
-		Entries: worker.journal[:len(worker.journal):len(worker.journal)],
+		Worker:   worker.config.Address,
+		Lost:     worker.journalLost,
+		Requests: worker.requests,
+		Entries:  worker.journal[:len(worker.journal):len(worker.journal)],
 	}
 	worker.mutex.Unlock()
 	if response.Entries == nil {
-		response.Entries = []upstream.JournalEntry{}
+		response.Entries = []Start{}
 	}
 	fault.WriteJSON(writer, http.StatusOK, response)
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
@@ -97,8 +98,9 @@
 	used         resources
 	restartedAt  time.Time
 	draining     bool
-	journal      []upstream.JournalEntry
+	journal      []Start
 	journalLost  int64
+	requests     Requests
 	speedDivisor float64
 	straggling   fault.Span
 	failing      fault.Span
@@ -158,7 +160,11 @@
 func (worker *Worker) Journal() []upstream.JournalEntry {
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
-	return slices.Clone(worker.journal)
+	entries := make([]upstream.JournalEntry, 0, len(worker.journal))
+	for i := range worker.journal {
+		entries = append(entries, worker.journal[i].JournalEntry)
+	}
+	return entries
 }
 
 // Run does what POST /v1/tasks does: it starts the task, or attaches to it if
@@ -193,6 +199,20 @@
 	return http.StatusOK
 }
 
+// Start is an entry of the journal with the task's echo, by which a checker
+// finds the job that the task belongs to.
+type Start struct {
+	upstream.JournalEntry
+	Echo json.RawMessage `json:"echo,omitempty"`
+}
+
+// Requests counts the requests that reached the worker, by path.
+type Requests struct {
+	Tasks   int64 `json:"tasks"`
+	Leases  int64 `json:"leases"`
+	Results int64 `json:"results"`
+}
+
 // refusal is the answer to a start that was not made.
 type refusal struct {
 	status int
@@ -216,6 +236,7 @@
 	payload := parsePayload(request.Payload)
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
+	worker.requests.Tasks++
 	now := time.Now()
 	worker.tasks.expire(now)
 	if known := worker.tasks.get(request.TaskID); known != nil {
@@ -273,11 +294,14 @@
 	worker.tasks.add(record)
 	worker.running[record.place] = record
 	worker.hold(record.held, 1)
-	worker.write(upstream.JournalEntry{
-		TaskID: request.TaskID,
-		AtMs:   now.UnixMilli(),
-		Worker: worker.config.Address,
-		Kind:   request.Kind,
+	worker.write(Start{
+		JournalEntry: upstream.JournalEntry{
+			TaskID: request.TaskID,
+			AtMs:   now.UnixMilli(),
+			Worker: worker.config.Address,
+			Kind:   request.Kind,
+		},
+		Echo: payload.Echo,
 	})
 	if worker.failing.In(now) {
 		worker.end(record, upstream.TaskFailed, ReasonFault, now)
@@ -305,7 +329,7 @@
 }
 
 // write appends to the journal; beyond its bound it only counts.
-func (worker *Worker) write(entry upstream.JournalEntry) {
+func (worker *Worker) write(entry Start) {
 	if len(worker.journal) >= worker.config.JournalKept {
 		worker.journalLost++
 		return
@@ -361,6 +385,7 @@
 	worker.path.Gate.Wait()
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
+	worker.requests.Leases++
 	now := time.Now()
 	worker.tasks.expire(now)
 	response := upstream.LeaseResponse{
@@ -442,6 +467,7 @@
 	worker.path.Gate.Wait()
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
+	worker.requests.Results++
 	worker.tasks.expire(time.Now())
 	record := worker.tasks.get(id)
 	if record == nil {
