Place tasks by target with an index of slots by speed

Next sorted all jobs and scanned all upstreams for every task and always took the fastest idle slot.

A tournament tree over the upstreams by speed now finds the slowest idle slot that meets a job's target, and queues by needed speed find the job for it. Its parameters are first guesses and are not tuned yet.

--- a/shared/request/placement/scheduler.go
+++ b/shared/request/placement/scheduler.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"container/heap"
+	"math"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"time"
 
 	"tanagerfall/shared/request/estimate"
@@ -34,7 +36,8 @@
 	Team    string
 	Kind    string
 	Arrival time.Time
-	// Deadline is the time by which the whole job must have ended.
+	// Deadline is the time by which the whole job must have ended. The zero
+	// time stands for no deadline.
 	Deadline time.Time
 	// Priority orders the jobs of one team; the highest goes first.
 	Priority int
@@ -50,7 +53,7 @@
 }
 
 // Assignment is a task placed on a slot. The slot stays occupied until
-// Release.
+// Finish or Release.
 type Assignment struct {
 	Key      submission.Key
 	Index    int
@@ -64,15 +67,30 @@
 	policy    Policy
 	estimator *estimate.Estimator
 	random    *rand.Rand
-	slots     map[string]*slots
-	order     []string
-	jobs      map[submission.Key]*waiting
-	teams     map[string]team
+	index     *slotIndex
+	jobs      map[submission.Key]*entry
+	teams     map[string]*team
+	queues    classQueues
+	timers    timers
+	// parked holds, for each shape of needs, the groups that no idle slot had
+	// the resources for.
+	parked map[room]*groupHeap
+	// waiting counts waiting tasks and waitingMs their estimated work.
+	waiting   int
+	waitingMs float64
+	// arrivals numbers the jobs for the policies that serve them in order.
+	arrivals int
+	turn     int
+	viewed   time.Time
+	now      time.Time
 }
 
-type team struct {
-	weight float64
-	cap    int
+// running is a task that occupies a slot.
+type running struct {
+	entry *entry
+	index int
+	need  room
+	end   time.Time
 }
 
 // Stats is a summary of the scheduler for the state dump.
@@ -88,138 +106,238 @@
 	TotalSpeed    float64 `json:"total-speed"`
 }
 
-type slots struct {
-	upstream Upstream
-	// open is false for an upstream that must get nothing new.
-	open         bool
-	used         int
-	cores        int
-	memoryMb     int
-	accelerators int
-}
-
-type waiting struct {
-	job   Job
-	tasks []Task
-}
-
 // New returns an empty Scheduler.
 func New(policy Policy, estimator *estimate.Estimator, random *rand.Rand) *Scheduler {
 	return &Scheduler{
 		policy:    policy,
 		estimator: estimator,
 		random:    random,
-		slots:     make(map[string]*slots),
-		jobs:      make(map[submission.Key]*waiting),
-		teams:     make(map[string]team),
+		index:     newSlotIndex(),
+		jobs:      make(map[submission.Key]*entry),
+		teams:     make(map[string]*team),
+		queues:    newClassQueues(),
+		parked:    make(map[room]*groupHeap),
+	}
+}
+
+// SetUpstream adds or changes an upstream and opens it for placement.
+func (scheduler *Scheduler) SetUpstream(upstream Upstream) {
+	scheduler.estimator.Declare(upstream.ID, upstream.Speed)
+	held, known := scheduler.index.hosts[upstream.ID]
+	if !known {
+		held = &host{
+			class: -1,
+		}
+		scheduler.index.hosts[upstream.ID] = held
+	}
+	if known && held.open && held.upstream == upstream {
+		return
+	}
+	held.upstream = upstream
+	held.open = true
+	held.free = held.capacity()
+	for _, task := range held.running {
+		held.free = held.free.minus(task.need)
+	}
+	scheduler.index.stale = true
+	scheduler.unparkAll()
+}
+
+// CloseUpstream stops placement on an upstream; its running tasks stay.
+func (scheduler *Scheduler) CloseUpstream(id string) {
+	held, known := scheduler.index.hosts[id]
+	if !known {
+		return
 	}
+	held.open = false
+	scheduler.index.stale = true
+	scheduler.removeUnused(held)
+}
+
+func (scheduler *Scheduler) removeUnused(held *host) {
+	if held.open || len(held.running) > 0 {
+		return
+	}
+	delete(scheduler.index.hosts, held.upstream.ID)
+	scheduler.estimator.Forget(held.upstream.ID)
+	scheduler.index.stale = true
 }
 
 // SetTeam sets the weight of a team in the fair queue and the largest number
-// of slots that it may hold at a time. A slotCap of 0 sets no limit. A team
-// that was never set has weight 1 and no limit.
+// of slots that it may hold at a time. A slotCap of 0 sets no limit, and a
+// weight that is not positive counts as 1. A team that was never set has
+// weight 1 and no limit.
 func (scheduler *Scheduler) SetTeam(name string, weight float64, slotCap int) {
-	scheduler.teams[name] = team{
-		weight: weight,
-		cap:    slotCap,
+	held := scheduler.teamOf(name)
+	held.weight = weight
+	if weight <= 0 {
+		held.weight = 1
 	}
+	held.cap = slotCap
+	scheduler.unparkTeam(held)
 }
 
-// Predict returns the time at which a job that is enqueued now should end,
-// given the waiting work and the slots.
-func (scheduler *Scheduler) Predict(now time.Time, job Job) time.Time {
-	stats := scheduler.Stats()
-	work, longest := 0.0, 0.0
-	for _, task := range job.Tasks {
-		taskMs := scheduler.estimator.WorkMs(job.Kind, task.DeclaredMs)
-		work += taskMs
-		longest = max(longest, taskMs)
-	}
-	fastest := 0.0
-	for id, held := range scheduler.slots {
-		if held.open {
-			fastest = max(fastest, scheduler.estimator.Speed(id))
+func (scheduler *Scheduler) teamOf(name string) *team {
+	held, known := scheduler.teams[name]
+	if !known {
+		held = &team{
+			weight: 1,
 		}
+		scheduler.teams[name] = held
 	}
-	if fastest == 0 {
-		return now.Add(unreachable)
-	}
-	waitMs := stats.WaitingWorkMs / stats.TotalSpeed
-	runMs := max(longest/fastest, work/stats.TotalSpeed)
-	return now.Add(time.Duration((waitMs + runMs) * float64(time.Millisecond)))
+	return held
 }
 
-// unreachable is the predicted wait while no upstream is open.
-const unreachable = 24 * time.Hour
-
-// Stats returns the counts for the state dump.
-func (scheduler *Scheduler) Stats() Stats {
-	stats := Stats{
-		WaitingJobs:  len(scheduler.jobs),
-		WaitingTasks: scheduler.Waiting(),
-		Upstreams:    len(scheduler.slots),
+// Enqueue adds a job whose tasks all wait. The key must be new.
+func (scheduler *Scheduler) Enqueue(job Job) {
+	scheduler.index.refresh(scheduler.now, scheduler.estimator)
+	held := scheduler.newEntry(job)
+	tasks := slices.Clone(job.Tasks)
+	if !scheduler.inOrder() {
+		slices.SortStableFunc(tasks, func(a, b Task) int { return descending(a.DeclaredMs, b.DeclaredMs) })
 	}
-	for id, held := range scheduler.slots {
-		stats.RunningTasks += held.used
-		if !held.open {
-			continue
+	for start := 0; start < len(tasks); {
+		end := start + 1
+		for end < len(tasks) && scheduler.alike(tasks[start], tasks[end]) {
+			end++
 		}
-		stats.OpenUpstreams++
-		stats.Slots += held.upstream.Slots
-		stats.IdleSlots += max(0, held.upstream.Slots-held.used)
-		stats.TotalSpeed += float64(held.upstream.Slots) * scheduler.estimator.Speed(id)
+		held.groups = append(held.groups, scheduler.newGroup(held, tasks[start:end:end]))
+		start = end
 	}
-	for _, held := range scheduler.jobs {
-		for _, task := range held.tasks {
-			stats.WaitingWorkMs += scheduler.estimator.WorkMs(held.job.Kind, task.DeclaredMs)
-		}
+	scheduler.addWaiting(held, len(tasks), held.workMs)
+	for _, group := range held.groups {
+		scheduler.file(group)
 	}
-	return stats
+	scheduler.setTimer(held)
 }
 
-// SetUpstream adds or changes an upstream and opens it for placement.
-func (scheduler *Scheduler) SetUpstream(upstream Upstream) {
-	scheduler.estimator.Declare(upstream.ID, upstream.Speed)
-	held, known := scheduler.slots[upstream.ID]
-	if !known {
-		held = &slots{}
-		scheduler.slots[upstream.ID] = held
-		scheduler.order = append(scheduler.order, upstream.ID)
-		sort.Strings(scheduler.order)
+func descending(a, b float64) int {
+	switch {
+	case a > b:
+		return -1
+	case a < b:
+		return 1
 	}
-	held.upstream = upstream
-	held.open = true
+	return 0
 }
 
-// CloseUpstream stops placement on an upstream; its running tasks stay.
-func (scheduler *Scheduler) CloseUpstream(id string) {
-	if held, known := scheduler.slots[id]; known {
-		held.open = false
+// inOrder reports whether the policy takes tasks in order of arrival.
+func (scheduler *Scheduler) inOrder() bool {
+	switch scheduler.policy.(type) {
+	case Target, Greedy:
+		return false
 	}
+	return true
 }
 
-// Enqueue adds a job whose tasks all wait.
-func (scheduler *Scheduler) Enqueue(job Job) {
-	tasks := append([]Task(nil), job.Tasks...)
-	sort.SliceStable(tasks, func(i, j int) bool { return tasks[i].DeclaredMs > tasks[j].DeclaredMs })
-	scheduler.jobs[job.Key] = &waiting{
-		job:   job,
+// alike reports whether two tasks of a job may share a group.
+func (scheduler *Scheduler) alike(a, b Task) bool {
+	if a.Need != b.Need {
+		return false
+	}
+	if _, yes := scheduler.policy.(Target); yes {
+		return rankOf(a.DeclaredMs) == rankOf(b.DeclaredMs)
+	}
+	return true
+}
+
+func (scheduler *Scheduler) newGroup(held *entry, tasks []Task) *group {
+	made := &group{
+		entry: held,
+		need:  roomFor(tasks[0].Need),
 		tasks: tasks,
 	}
+	if scheduler.inOrder() {
+		made.rank = -tasks[0].Index
+	} else {
+		made.rank = rankOf(tasks[0].DeclaredMs)
+	}
+	return made
+}
+
+func (scheduler *Scheduler) newEntry(job Job) *entry {
+	held := &entry{
+		job:   job,
+		team:  scheduler.teamOf(job.Team),
+		timer: -1,
+	}
+	held.job.Tasks = nil
+	ratio := scheduler.estimator.WorkMs(job.Kind, 1)
+	fit := 0.0
+	var need Need
+	for i, task := range job.Tasks {
+		if i == 0 || task.Need != need {
+			need = task.Need
+			fit = scheduler.index.topSpeedFor(roomFor(need))
+		}
+		taskMs := task.DeclaredMs * ratio
+		held.workMs += taskMs
+		if fit > 0 {
+			held.longestMs = max(held.longestMs, taskMs/fit)
+		}
+	}
+	held.ideal = milliseconds(max(held.longestMs, held.workMs/max(scheduler.index.totalSpeed, slowest)) + roundTripMs)
+	scheduler.arrivals++
+	scheduler.jobs[job.Key] = held
+	switch policy := scheduler.policy.(type) {
+	case Target:
+		scheduler.aim(held, policy.theta())
+		held.key = scheduler.targetKey(held)
+	case Greedy:
+		held.key = held.workMs
+	default:
+		held.key = float64(scheduler.arrivals)
+	}
+	return held
 }
 
 // Requeue adds one task of a known job again, after proof that its attempt
-// did not start.
+// did not start. The attempt must have been released.
 func (scheduler *Scheduler) Requeue(job Job, task Task) {
+	scheduler.index.refresh(scheduler.now, scheduler.estimator)
 	held, known := scheduler.jobs[job.Key]
 	if !known {
-		held = &waiting{
-			job: job,
+		held = scheduler.newEntry(job)
+	}
+	taskMs := scheduler.estimator.WorkMs(job.Kind, task.DeclaredMs)
+	scheduler.addWaiting(held, 1, taskMs)
+	for _, group := range held.groups {
+		if scheduler.alike(task, group.tasks[0]) {
+			group.insert(task)
+			scheduler.refile(held)
+			scheduler.setTimer(held)
+			return
 		}
-		scheduler.jobs[job.Key] = held
 	}
-	held.tasks = append(held.tasks, task)
-	sort.SliceStable(held.tasks, func(i, j int) bool { return held.tasks[i].DeclaredMs > held.tasks[j].DeclaredMs })
+	added := scheduler.newGroup(held, []Task{task})
+	held.groups = append(held.groups, added)
+	slices.SortStableFunc(held.groups, func(a, b *group) int { return b.rank - a.rank })
+	scheduler.file(added)
+	scheduler.setTimer(held)
+}
+
+func (scheduler *Scheduler) addWaiting(held *entry, tasks int, workMs float64) {
+	if held.team.waiting == 0 {
+		scheduler.catchUp(held.team)
+	}
+	held.team.waiting += tasks
+	held.waiting += tasks
+	held.remainingMs += workMs
+	scheduler.waiting += tasks
+	scheduler.waitingMs += workMs
+}
+
+// catchUp raises what a team was served to the least of the waiting teams.
+func (scheduler *Scheduler) catchUp(joining *team) {
+	least := math.Inf(1)
+	for _, other := range scheduler.teams {
+		if other.waiting > 0 {
+			least = min(least, other.servedMs)
+		}
+	}
+	if !math.IsInf(least, 1) {
+		joining.servedMs = max(joining.servedMs, least)
+	}
 }
 
 // Drop removes the waiting tasks of a job and returns how many there were.
@@ -228,136 +346,407 @@
 	if !known {
 		return 0
 	}
-	delete(scheduler.jobs, key)
-	return len(held.tasks)
+	for _, group := range held.groups {
+		scheduler.unfile(group)
+	}
+	held.groups = nil
+	dropped := held.waiting
+	scheduler.subtractWaiting(held, dropped, held.remainingMs)
+	scheduler.setTimer(held)
+	scheduler.forgetDone(held)
+	return dropped
 }
 
-// Release frees the slot and the resources that a task occupied.
-func (scheduler *Scheduler) Release(upstream string, need Need) {
-	held, known := scheduler.slots[upstream]
+func (scheduler *Scheduler) subtractWaiting(held *entry, tasks int, workMs float64) {
+	held.waiting -= tasks
+	held.team.waiting -= tasks
+	held.remainingMs -= workMs
+	scheduler.waiting -= tasks
+	scheduler.waitingMs -= workMs
+	if held.waiting == 0 {
+		// Estimates move while tasks wait, so the sums do not end at 0.
+		scheduler.waitingMs -= held.remainingMs
+		held.remainingMs = 0
+	}
+	if scheduler.waiting == 0 {
+		scheduler.waitingMs = 0
+	}
+}
+
+func (scheduler *Scheduler) forgetDone(held *entry) {
+	if held.waiting == 0 && held.running == 0 {
+		delete(scheduler.jobs, held.job.Key)
+	}
+}
+
+// Occupy registers a task that runs on an upstream without having been placed
+// here, such as one that its former owner started. Release frees it.
+func (scheduler *Scheduler) Occupy(upstream string, need Need) {
+	held, known := scheduler.index.hosts[upstream]
 	if !known {
 		return
 	}
-	held.used--
-	held.cores -= need.Cores
-	held.memoryMb -= need.MemoryMb
-	held.accelerators -= need.Accelerators
-	if held.used == 0 && !held.open {
-		scheduler.remove(upstream)
-	}
+	scheduler.occupy(held, &running{
+		need: roomFor(need),
+		end:  scheduler.now,
+	})
 }
 
-func (scheduler *Scheduler) remove(id string) {
-	delete(scheduler.slots, id)
-	scheduler.estimator.Forget(id)
-	for i, name := range scheduler.order {
-		if name == id {
-			scheduler.order = append(scheduler.order[:i], scheduler.order[i+1:]...)
-			return
-		}
+func (scheduler *Scheduler) occupy(held *host, task *running) {
+	held.running = append(held.running, task)
+	held.free = held.free.minus(task.need)
+	if held.open {
+		scheduler.index.idle--
 	}
+	scheduler.index.update(held)
 }
 
-// Fits reports whether any known upstream could ever run a task.
-func (scheduler *Scheduler) Fits(need Need) bool {
-	for _, held := range scheduler.slots {
-		if held.couldFit(need) {
+// Finish frees what a task that was placed on the upstream occupied. It
+// reports false if the task does not run there.
+func (scheduler *Scheduler) Finish(upstream string, key submission.Key, index int) bool {
+	held, known := scheduler.index.hosts[upstream]
+	if !known {
+		return false
+	}
+	for i, task := range held.running {
+		if task.entry != nil && task.entry.job.Key == key && task.index == index {
+			scheduler.free(held, i)
 			return true
 		}
 	}
 	return false
 }
 
-func (slots *slots) couldFit(need Need) bool {
-	upstream := slots.upstream
-	return need.Cores <= upstream.Cores &&
-		need.MemoryMb <= upstream.MemoryMb &&
-		need.Accelerators <= upstream.Accelerators
+// Release frees the slot and the resources of one task with that need. Of
+// several, it takes a task registered by Occupy or else the one that should
+// have ended first; Finish names the task and keeps the teams' caps exact.
+func (scheduler *Scheduler) Release(upstream string, need Need) {
+	held, known := scheduler.index.hosts[upstream]
+	if !known {
+		return
+	}
+	best := -1
+	for i, task := range held.running {
+		if task.need != roomFor(need) {
+			continue
+		}
+		if best < 0 || earlier(task, held.running[best]) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		scheduler.free(held, best)
+	}
+}
+
+func earlier(a, b *running) bool {
+	if (a.entry == nil) != (b.entry == nil) {
+		return a.entry == nil
+	}
+	return a.end.Before(b.end)
+}
+
+func (scheduler *Scheduler) free(held *host, place int) {
+	task := held.running[place]
+	last := len(held.running) - 1
+	held.running[place] = held.running[last]
+	held.running[last] = nil
+	held.running = held.running[:last]
+	held.free = held.free.plus(task.need)
+	if held.open {
+		scheduler.index.idle++
+	}
+	scheduler.index.update(held)
+	if owner := task.entry; owner != nil {
+		owner.running--
+		owner.team.used--
+		scheduler.forgetDone(owner)
+		scheduler.unpark(&owner.team.parked, unparkedPerRelease)
+	}
+	for need, parked := range scheduler.parked {
+		if held.free.holds(need) {
+			scheduler.unpark(parked, unparkedPerRelease)
+		}
+	}
+	scheduler.removeUnused(held)
 }
 
-func (slots *slots) fitsNow(need Need) bool {
-	upstream := slots.upstream
-	return slots.open && slots.used < upstream.Slots &&
-		slots.cores+need.Cores <= upstream.Cores &&
-		slots.memoryMb+need.MemoryMb <= upstream.MemoryMb &&
-		slots.accelerators+need.Accelerators <= upstream.Accelerators
+// Fits reports whether any open upstream could ever run a task.
+func (scheduler *Scheduler) Fits(need Need) bool {
+	scheduler.index.refresh(scheduler.now, scheduler.estimator)
+	return scheduler.index.topSpeedFor(roomFor(need)) > 0
 }
 
 // Waiting returns the number of waiting tasks.
 func (scheduler *Scheduler) Waiting() int {
-	count := 0
+	return scheduler.waiting
+}
+
+// Stats returns the counts for the state dump.
+func (scheduler *Scheduler) Stats() Stats {
+	index := scheduler.index
+	index.refresh(scheduler.now, scheduler.estimator)
+	stats := Stats{
+		WaitingTasks:  scheduler.waiting,
+		WaitingWorkMs: scheduler.waitingMs,
+		Upstreams:     len(index.hosts),
+		OpenUpstreams: index.open,
+		Slots:         index.slots,
+		IdleSlots:     index.idle,
+		TotalSpeed:    index.totalSpeed,
+	}
+	for _, held := range index.hosts {
+		stats.RunningTasks += len(held.running)
+	}
 	for _, held := range scheduler.jobs {
-		count += len(held.tasks)
+		if held.waiting > 0 {
+			stats.WaitingJobs++
+		}
 	}
-	return count
+	return stats
+}
+
+// Predict returns the time at which a job that is enqueued now should end,
+// given the waiting work and the slots. It costs O(1) beyond the sum of the
+// job's tasks. Without an upstream that fits the job it is a day away.
+func (scheduler *Scheduler) Predict(now time.Time, job Job) time.Time {
+	scheduler.now = now
+	scheduler.index.refresh(now, scheduler.estimator)
+	index := scheduler.index
+	workMs, longestMs, fit := 0.0, 0.0, 0.0
+	var need Need
+	for i, task := range job.Tasks {
+		if i == 0 || task.Need != need {
+			need = task.Need
+			fit = index.topSpeedFor(roomFor(need))
+		}
+		if fit == 0 {
+			return now.Add(unreachable)
+		}
+		workMs += task.DeclaredMs
+		longestMs = max(longestMs, task.DeclaredMs/fit)
+	}
+	if index.totalSpeed == 0 {
+		return now.Add(unreachable)
+	}
+	ratio := scheduler.estimator.WorkMs(job.Kind, 1)
+	queueMs := scheduler.waitingMs / index.totalSpeed
+	runMs := ratio * max(longestMs, workMs/index.totalSpeed)
+	return now.Add(milliseconds(queueMs + runMs + roundTripMs))
+}
+
+const (
+	// unreachable is the predicted wait while no upstream fits.
+	unreachable = 24 * time.Hour
+	// roundTripMs is the round trip that an ideal contains.
+	roundTripMs = 1
+	// unparkedPerRelease is the number of parked groups that are tried again
+	// for each slot that becomes free. The first may need a faster slot than
+	// the free one.
+	unparkedPerRelease = 2
+)
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func toMs(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
 }
 
 // Next places one waiting task, or reports false when none can be placed now.
 // Call it until it reports false after each change.
-func (scheduler *Scheduler) Next(time.Time) (Assignment, bool) {
-	for _, key := range scheduler.jobOrder() {
-		held := scheduler.jobs[key]
-		task := held.tasks[0]
-		best := scheduler.fastestIdle(task.Need)
-		if best == nil {
+func (scheduler *Scheduler) Next(now time.Time) (Assignment, bool) {
+	scheduler.now = now
+	if scheduler.waiting == 0 {
+		return Assignment{}, false
+	}
+	scheduler.index.refresh(now, scheduler.estimator)
+	scheduler.relax(now)
+	for {
+		idle := scheduler.index.idleClass()
+		if idle < 0 {
+			return Assignment{}, false
+		}
+		group := scheduler.queues.best(idle)
+		if group == nil {
+			return Assignment{}, false
+		}
+		held := group.entry
+		if scheduler.misfiled(group) {
 			continue
 		}
-		scheduler.occupy(best, held, task)
-		return Assignment{
-			Key:        key,
-			Index:      task.Index,
-			Upstream:   best.upstream.ID,
-			ExpectedMs: scheduler.expectedMs(held.job.Kind, task, best.upstream.ID),
-		}, true
+		if held.team.atCap() {
+			scheduler.unfile(group)
+			held.team.parked.push(group)
+			continue
+		}
+		chosen := scheduler.choose(group)
+		if chosen == nil {
+			scheduler.unfile(group)
+			scheduler.parkedFor(group.need).push(group)
+			continue
+		}
+		return scheduler.assign(group, chosen), true
 	}
-	return Assignment{}, false
 }
 
-// Wake returns the next time at which Next may place a task although nothing
-// else changed. It reports false when there is no such time.
-func (scheduler *Scheduler) Wake() (time.Time, bool) {
-	return time.Time{}, false
+// misfiled files a group anew if its class or its team's debt changed, and
+// reports whether it did.
+func (scheduler *Scheduler) misfiled(group *group) bool {
+	if group.debt == debtOf(group.entry.team) && group.class >= scheduler.classFor(group) {
+		return false
+	}
+	scheduler.unfile(group)
+	scheduler.file(group)
+	return true
+}
+
+func (scheduler *Scheduler) parkedFor(need room) *groupHeap {
+	parked, known := scheduler.parked[need]
+	if !known {
+		parked = &groupHeap{}
+		scheduler.parked[need] = parked
+	}
+	return parked
+}
+
+func (scheduler *Scheduler) unpark(parked *groupHeap, count int) {
+	for ; count > 0 && len(parked.groups) > 0; count-- {
+		group := parked.top()
+		parked.remove(group)
+		scheduler.file(group)
+	}
+}
+
+func (scheduler *Scheduler) unparkTeam(held *team) {
+	scheduler.unpark(&held.parked, len(held.parked.groups))
 }
 
-func (scheduler *Scheduler) jobOrder() []submission.Key {
-	keys := make([]submission.Key, 0, len(scheduler.jobs))
-	for key := range scheduler.jobs {
-		keys = append(keys, key)
+func (scheduler *Scheduler) unparkAll() {
+	for _, parked := range scheduler.parked {
+		scheduler.unpark(parked, len(parked.groups))
 	}
-	sort.Slice(keys, func(i, j int) bool {
-		a, b := scheduler.jobs[keys[i]].job, scheduler.jobs[keys[j]].job
-		if !a.Arrival.Equal(b.Arrival) {
-			return a.Arrival.Before(b.Arrival)
+}
+
+// file puts a group into the queue of its class.
+func (scheduler *Scheduler) file(group *group) {
+	group.debt = debtOf(group.entry.team)
+	scheduler.queues.add(group, scheduler.classFor(group))
+}
+
+func (scheduler *Scheduler) unfile(group *group) {
+	switch {
+	case group.heap == nil:
+	case group.heap == &scheduler.queues.heaps[group.class]:
+		scheduler.queues.remove(group)
+	default:
+		group.heap.remove(group)
+	}
+}
+
+// refile files the groups of a job anew after its target changed.
+func (scheduler *Scheduler) refile(held *entry) {
+	for _, group := range held.groups {
+		if group.heap == &scheduler.queues.heaps[group.class] && group.class != scheduler.classFor(group) {
+			scheduler.queues.remove(group)
+			scheduler.file(group)
 		}
-		return a.Key.Counter < b.Key.Counter
-	})
-	return keys
+	}
 }
 
-func (scheduler *Scheduler) fastestIdle(need Need) *slots {
-	var best *slots
-	bestSpeed := 0.0
-	for _, id := range scheduler.order {
-		held := scheduler.slots[id]
-		speed := scheduler.estimator.Speed(id)
-		if held.fitsNow(need) && speed > bestSpeed {
-			best, bestSpeed = held, speed
+func (scheduler *Scheduler) assign(group *group, chosen *host) Assignment {
+	held := group.entry
+	task := group.tasks[0]
+	workMs := scheduler.estimator.WorkMs(held.job.Kind, task.DeclaredMs)
+	expectedMs := workMs / scheduler.estimator.Speed(chosen.upstream.ID)
+	started := &running{
+		entry: held,
+		index: task.Index,
+		need:  group.need,
+		end:   scheduler.now.Add(milliseconds(expectedMs)),
+	}
+	scheduler.occupy(chosen, started)
+	held.running++
+	held.team.used++
+	held.team.servedMs += workMs / held.team.weight / max(scheduler.index.totalSpeed, slowest)
+	group.tasks = group.tasks[1:]
+	if len(group.tasks) == 0 {
+		scheduler.unfile(group)
+		held.removeGroup(group)
+	}
+	scheduler.subtractWaiting(held, 1, workMs)
+	scheduler.placed(held, group, started)
+	if parked, known := scheduler.parked[group.need]; known {
+		scheduler.unpark(parked, 1)
+	}
+	return Assignment{
+		Key:        held.job.Key,
+		Index:      task.Index,
+		Upstream:   chosen.upstream.ID,
+		ExpectedMs: expectedMs,
+	}
+}
+
+// placed brings the order up to date after a task of a job was placed.
+func (scheduler *Scheduler) placed(held *entry, group *group, started *running) {
+	switch scheduler.policy.(type) {
+	case Target:
+		scheduler.placedByTarget(held, group, started)
+	case Greedy:
+		held.key = held.remainingMs
+		for _, group := range held.groups {
+			group.heap.fix(group.place)
+		}
+	}
+}
+
+func (held *entry) removeGroup(removed *group) {
+	for i, group := range held.groups {
+		if group == removed {
+			held.groups = slices.Delete(held.groups, i, i+1)
+			return
 		}
 	}
-	return best
 }
 
-func (scheduler *Scheduler) occupy(held *slots, owner *waiting, task Task) {
-	held.used++
-	held.cores += task.Need.Cores
-	held.memoryMb += task.Need.MemoryMb
-	held.accelerators += task.Need.Accelerators
-	owner.tasks = owner.tasks[1:]
-	if len(owner.tasks) == 0 {
-		delete(scheduler.jobs, owner.job.Key)
+// Wake returns the next time at which Next may place a task although nothing
+// else changed. It reports false when there is no such time.
+func (scheduler *Scheduler) Wake() (time.Time, bool) {
+	if len(scheduler.timers.entries) == 0 || scheduler.index.idle == 0 {
+		return time.Time{}, false
 	}
+	return scheduler.timers.entries[0].relaxAt, true
 }
 
-func (scheduler *Scheduler) expectedMs(kind string, task Task, upstream string) float64 {
-	return scheduler.estimator.WorkMs(kind, task.DeclaredMs) / scheduler.estimator.Speed(upstream)
+// relax gives up the targets that can't be met any more for later ones.
+func (scheduler *Scheduler) relax(now time.Time) {
+	for len(scheduler.timers.entries) > 0 {
+		held := scheduler.timers.entries[0]
+		if held.relaxAt.After(now) {
+			return
+		}
+		scheduler.relaxTarget(held)
+		scheduler.refile(held)
+		scheduler.setTimer(held)
+	}
+}
+
+// setTimer brings the timer of a job up to date.
+func (scheduler *Scheduler) setTimer(held *entry) {
+	if _, yes := scheduler.policy.(Target); !yes {
+		return
+	}
+	if held.waiting == 0 {
+		if held.timer >= 0 {
+			heap.Remove(&scheduler.timers, held.timer)
+		}
+		return
+	}
+	held.relaxAt = scheduler.relaxTime(held)
+	if held.timer < 0 {
+		heap.Push(&scheduler.timers, held)
+		return
+	}
+	heap.Fix(&scheduler.timers, held.timer)
 }
--- /dev/null
+++ b/tanagerload/decisions/command.go
@@ -0,0 +1,71 @@
+package decisions
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/spf13/cobra"
+)
+
+// parallelRuns is the number of simulations that run at a time.
+const parallelRuns = 4
+
+// NewCommand returns the command "decisions".
+func NewCommand() *cobra.Command {
+	path := ""
+	command := &cobra.Command{
+		Use:   "decisions",
+		Short: "Measure placement policies on virtual time and print a table",
+		Args:  cobra.NoArgs,
+	}
+	command.Flags().StringVar(&path, "experiment", "", "YAML file; without it, the experiment of design section 3")
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		experiment := Default()
+		if path != "" {
+			read, err := Read(path)
+			if err != nil {
+				return err
+			}
+			experiment = read
+		}
+		writeTable(command.OutOrStdout(), Measure(experiment))
+		return nil
+	}
+	return command
+}
+
+// Measure runs an experiment and returns the results by run, then by policy.
+func Measure(experiment *Experiment) []Result {
+	results := make([]Result, len(experiment.Runs)*len(experiment.Policies))
+	group := sync.WaitGroup{}
+	permits := make(chan struct{}, parallelRuns)
+	for i, run := range experiment.Runs {
+		fleet := experiment.Fleet
+		fleet.SpeedSpread = run.SpeedSpread
+		totalSpeed := 0.0
+		for _, speed := range speeds(fleet) {
+			totalSpeed += speed * float64(fleet.Slots)
+		}
+		specs := generate(experiment, run, totalSpeed)
+		for j, name := range experiment.Policies {
+			permits <- struct{}{}
+			group.Go(func() {
+				results[i*len(experiment.Policies)+j] = measure(experiment, run, name, specs)
+				<-permits
+			})
+		}
+	}
+	group.Wait()
+	return results
+}
+
+func writeTable(out io.Writer, results []Result) {
+	fmt.Fprintln(out, "| run | load | policy | p50 | p99 | p99.9 | mean | us per task |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, result := range results {
+		fmt.Fprintf(out, "| %s | %.0f%% | %s | %.3f | %.3f | %.3f | %.3f | %.1f |\n",
+			result.Run.Name, 100*result.Run.Load, result.Policy,
+			result.P50, result.P99, result.P999, result.Mean, float64(result.CostPerTask.Nanoseconds())/1000)
+	}
+}
