Divide upstreams among the entry VMs of a failure domain

Cause: each entry VM used all workers of its domain, so several VMs would over-commit them; a VM started while the log is out had no plan. Change: the control goroutine owns a fleet.View; heartbeats and plan pulls go to peers by a courier; foreign IDs follow redirects; a VM is ready only with a plan and upstreams.

--- a/entry/control/events.go
+++ b/entry/control/events.go
@@ -3,10 +3,13 @@
 import (
 	"time"
 
+	"tanagerfall/shared/connection/peer"
 	"tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/request/dispatch"
 	"tanagerfall/shared/request/job"
 	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/fleet"
+	"tanagerfall/shared/version/plan"
 )
 
 // event is what other goroutines send to the Loop.
@@ -53,6 +56,21 @@
 		first int64
 		reply chan<- int64
 	}
+	heartbeat struct {
+		message peer.HeartbeatMessage
+		reply   chan<- peer.HeartbeatMessage
+	}
+	// fleetEvent carries an event for the fleet's view.
+	fleetEvent struct {
+		occurred fleet.Event
+	}
+	pull struct {
+		after int64
+		reply chan<- peer.PullPlanResponse
+	}
+	pullEnded struct {
+		snapshot *plan.Snapshot
+	}
 	dump struct {
 		reply chan<- Dump
 	}
@@ -72,6 +90,10 @@
 func (vmsRead) event()        {}
 func (recordsRead) event()    {}
 func (recordsTrimmed) event() {}
+func (heartbeat) event()      {}
+func (fleetEvent) event()     {}
+func (pull) event()           {}
+func (pullEnded) event()      {}
 func (dump) event()           {}
 func (barrier) event()        {}
 
--- a/entry/control/fleet.go
+++ b/entry/control/fleet.go
@@ -3,84 +3,130 @@
 import (
 	"time"
 
+	"tanagerfall/shared/connection/peer"
 	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/dispatch"
-	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/fleet"
+	"tanagerfall/shared/version/plan"
 )
 
-// Fleet is what this VM knows of the other VMs.
-type Fleet struct {
-	self    submission.Identity
-	version int64
-	owned   int
-	leaving int
+// FleetDump is the fleet's part of the state dump.
+type FleetDump struct {
+	Members []fleet.MemberState `json:"members"`
+	Behind  []string            `json:"peers-behind-on-the-plan"`
 }
 
-// FleetDump is the Fleet's part of the state dump.
-type FleetDump struct {
-	ListVersion int64 `json:"list-version"`
-	Owned       int   `json:"owned-upstreams"`
-	Leaving     int   `json:"leaving-upstreams"`
+func (loop *Loop) fleetTick(now time.Time) {
+	version, digest, _ := loop.config.Plans.follower.Current()
+	loop.fleet(now, fleet.StatusChanged{
+		Status: fleet.Status{
+			PlanVersion: version,
+			PlanDigest:  uint64(digest),
+			Load:        loop.load(),
+		},
+	})
 }
 
-// NewFleet returns a Fleet that knows no VM.
-func NewFleet(self submission.Identity) *Fleet {
-	return &Fleet{
-		self: self,
+func (loop *Loop) load() peer.Load {
+	stats := loop.config.Scheduler.Stats()
+	return peer.Load{
+		Slots:   stats.Slots,
+		Used:    stats.Slots - stats.IdleSlots,
+		Waiting: stats.WaitingTasks,
 	}
 }
 
-// Read takes a VM list in and returns the upstreams that this VM may use. It
-// reports false for a list that is not newer than the one known.
-func (fleet *Fleet) Read(_ time.Time, response platform.VmsResponse) (bool, dispatch.FleetChanged) {
-	if response.Version <= fleet.version {
-		return false, dispatch.FleetChanged{}
-	}
-	fleet.version = response.Version
-	var event dispatch.FleetChanged
-	for _, vm := range response.Vms {
-		if vm.Role != platform.RoleWorker || vm.Domain != fleet.self.Domain {
-			continue
-		}
-		if vm.State == platform.VmLeaving {
-			event.Leaving = append(event.Leaving, vm.Address)
-			continue
-		}
-		event.Upstreams = append(event.Upstreams, upstreamOf(vm))
-	}
-	fleet.owned = len(event.Upstreams)
-	fleet.leaving = len(event.Leaving)
-	return true, event
+// fleet tells the View of an event and carries out what follows.
+func (loop *Loop) fleet(now time.Time, event fleet.Event) {
+	loop.carryFleet(now, loop.config.View.Handle(now, event))
 }
 
-// Dump returns the Fleet's counts.
-func (fleet *Fleet) Dump() FleetDump {
-	return FleetDump{
-		ListVersion: fleet.version,
-		Owned:       fleet.owned,
-		Leaving:     fleet.leaving,
+func (loop *Loop) carryFleet(now time.Time, decisions []fleet.Decision) {
+	for _, decision := range decisions {
+		switch decision := decision.(type) {
+		case fleet.SendHeartbeat, fleet.PullPlan:
+			loop.courier.Deliver(decision)
+		case fleet.UpstreamsChanged:
+			loop.changeUpstreams(now, decision)
+		case fleet.MembershipLapsed:
+			loop.config.Logger.Log(logevent.ProcessPaused, "paused-ms", decision.Paused.Milliseconds())
+		case fleet.MemberJoined:
+			loop.config.Logger.Log(logevent.MemberJoined, "peer", decision.Address, "incarnation", decision.Incarnation)
+		case fleet.MemberLost:
+			loop.config.Logger.Log(logevent.MemberLost, "peer", decision.Address, "incarnation", decision.Incarnation)
+		case fleet.StopRequested:
+			loop.config.Stop()
+		}
 	}
 }
 
-func upstreamOf(vm platform.Vm) placement.Upstream {
-	return placement.Upstream{
-		ID:           vm.Address,
-		Domain:       vm.Domain,
-		Rack:         vm.Rack,
-		Slots:        vm.Slots,
-		Cores:        vm.Cores,
-		MemoryMb:     vm.MemoryMb,
-		Accelerators: vm.Accelerators,
-		Speed:        vm.Speed,
+func (loop *Loop) changeUpstreams(now time.Time, changed fleet.UpstreamsChanged) {
+	loop.config.Logger.Log(logevent.FleetChanged, "owned", len(changed.Owned), "gained", len(changed.Gained),
+		"leaving", len(changed.Leaving))
+	loop.dispatch(now, dispatch.FleetChanged{
+		Upstreams: changed.Owned,
+		Leaving:   changed.Leaving,
+	})
+	if len(changed.Owned) > 0 {
+		loop.owns.Store(true)
 	}
 }
 
-// Owner returns the peer address of the VM that may hold a foreign ID, or ""
+// owner returns the peer address of the VM that may hold a foreign ID, or ""
 // where its incarnation is gone.
-func (fleet *Fleet) Owner(id submission.ID) string {
-	if id.Address == fleet.self.Address {
+func (loop *Loop) owner(id submission.ID) string {
+	if redirect, known := loop.config.View.Resolve(id.Key.Incarnation); known {
+		return redirect.Address
+	}
+	if id.Address == loop.config.Identity.Address {
 		return ""
 	}
 	return id.Address
 }
+
+func (loop *Loop) answerHeartbeat(now time.Time, message peer.HeartbeatMessage) peer.HeartbeatMessage {
+	response, decisions := loop.config.View.Answer(now, message)
+	loop.carryFleet(now, decisions)
+	return response
+}
+
+// answerPull returns the encoded plan snapshot if it says more than the peer
+// knows.
+func (loop *Loop) answerPull(after int64) peer.PullPlanResponse {
+	follower := loop.config.Plans.follower
+	version, _, _ := follower.Current()
+	if version <= after {
+		return peer.PullPlanResponse{}
+	}
+	snapshot, known := follower.Snapshot(loop.config.Identity.Address)
+	if !known {
+		return peer.PullPlanResponse{}
+	}
+	data, err := plan.Encode(snapshot)
+	if err != nil {
+		return peer.PullPlanResponse{}
+	}
+	return peer.PullPlanResponse{
+		Version:  snapshot.Version,
+		ReadUpTo: snapshot.ReadUpTo,
+		Snapshot: data,
+	}
+}
+
+// endPull takes in what a peer answered to a PullPlan; nil means that it gave
+// no plan.
+func (loop *Loop) endPull(now time.Time, snapshot *plan.Snapshot) {
+	if snapshot != nil {
+		loop.config.Plans.Adopt(now, snapshot)
+		loop.refreshPlan(now)
+	}
+	loop.fleet(now, fleet.PlanPullEnded{})
+}
+
+func (loop *Loop) readVms(now time.Time, response platform.VmsResponse) {
+	loop.fleet(now, fleet.ListReceived{
+		List: response,
+	})
+}
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -2,23 +2,29 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/dispatch"
 	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/fleet"
 )
 
 const (
 	// eventBacklog bounds the events that wait for the control goroutine.
 	// Senders block while it is full.
 	eventBacklog = 8192
-	// expireInterval is the time between two clean-ups of the ledger.
-	expireInterval = time.Second
+)
+
+// The reasons why a VM can't serve callers yet.
+var (
+	ErrNoPlan      = eris.New("this VM has no plan yet")
+	ErrNoUpstreams = eris.New("this VM has no upstreams yet")
 )
 
 // ErrStopped is returned to requests that the Loop no longer takes.
@@ -30,15 +36,26 @@
 	Carry(decision dispatch.Decision)
 }
 
+// Courier carries out the decisions of the fleet's view that need a message
+// to a peer: fleet.SendHeartbeat and fleet.PullPlan. Deliver must not block.
+type Courier interface {
+	Deliver(decision fleet.Decision)
+}
+
 // Config is what a Loop needs.
 type Config struct {
-	Ledger  *submission.Ledger
-	Core    *dispatch.Core
-	Fleet   *Fleet
-	Plans   *Plans
-	Logger  *logevent.Logger
-	Metrics *Metrics
-	Now     func() time.Time
+	Identity submission.Identity
+	Ledger   *submission.Ledger
+	Core     *dispatch.Core
+	// Scheduler is the Core's, for counts.
+	Scheduler *placement.Scheduler
+	View      *fleet.View
+	Plans     *Plans
+	Logger    *logevent.Logger
+	Metrics   *Metrics
+	Now       func() time.Time
+	// Stop is called where the platform's list names this VM as leaving.
+	Stop func()
 }
 
 // Loop owns the control state. Its exported methods are safe for concurrent
@@ -46,10 +63,13 @@
 type Loop struct {
 	config  Config
 	carrier Carrier
+	courier Courier
 	events  chan event
 	waiters map[submission.Key][]waiter
 	stopped chan struct{}
-	expired time.Time
+	ticked  time.Time
+	// owns is set once this VM was given upstreams.
+	owns atomic.Bool
 }
 
 // waiter is a request that waits for the end of a job. Its channel has room
@@ -69,10 +89,12 @@
 	}
 }
 
-// Run handles events until ctx ends. carrier carries out the decisions.
-func (loop *Loop) Run(ctx context.Context, carrier Carrier) error {
+// Run handles events until ctx ends. carrier and courier carry out the
+// decisions.
+func (loop *Loop) Run(ctx context.Context, carrier Carrier, courier Courier) error {
 	defer close(loop.stopped)
 	loop.carrier = carrier
+	loop.courier = courier
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -88,8 +110,20 @@
 	}
 }
 
+// Ready returns nil, ErrNoPlan or ErrNoUpstreams. It is safe for concurrent
+// use.
+func (loop *Loop) Ready() error {
+	if !loop.config.Plans.Ready() {
+		return ErrNoPlan
+	}
+	if !loop.owns.Load() {
+		return ErrNoUpstreams
+	}
+	return nil
+}
+
 func (loop *Loop) arm(timer *time.Timer) {
-	next := loop.expired.Add(expireInterval)
+	next := loop.ticked.Add(fleet.TickInterval)
 	if wake, set := loop.config.Core.Wake(); set && wake.Before(next) {
 		next = wake
 	}
@@ -98,10 +132,11 @@
 
 func (loop *Loop) tick() {
 	now := loop.config.Now()
-	if now.Sub(loop.expired) >= expireInterval {
-		loop.expired = now
+	if now.Sub(loop.ticked) >= fleet.TickInterval {
+		loop.ticked = now
 		loop.config.Ledger.Expire(now)
 		loop.refreshPlan(now)
+		loop.fleetTick(now)
 	}
 	loop.dispatch(now, dispatch.Tick{})
 }
@@ -120,7 +155,7 @@
 	case forgetWaiter:
 		loop.forgetWaiter(received)
 	case traffic:
-		loop.dispatch(now, received.occurred)
+		loop.observe(now, received.occurred)
 	case vmsRead:
 		loop.readVms(now, received.response)
 	case recordsRead:
@@ -128,6 +163,14 @@
 		loop.refreshPlan(now)
 	case recordsTrimmed:
 		received.reply <- loop.config.Plans.Trimmed(received.first)
+	case heartbeat:
+		received.reply <- loop.answerHeartbeat(now, received.message)
+	case fleetEvent:
+		loop.fleet(now, received.occurred)
+	case pull:
+		received.reply <- loop.answerPull(received.after)
+	case pullEnded:
+		loop.endPull(now, received.snapshot)
 	case dump:
 		received.reply <- loop.dumpState(now)
 	case barrier:
@@ -160,8 +203,8 @@
 		loop.finish(now, received.id.Key, *received.refusal)
 		return
 	}
-	if !loop.config.Plans.Ready() {
-		loop.finish(now, received.id.Key, job.Refusal(job.ReasonNotReady, "this VM has no plan yet"))
+	if err := loop.Ready(); err != nil {
+		loop.finish(now, received.id.Key, job.Refusal(job.ReasonNotReady, err.Error()))
 		return
 	}
 	loop.dispatch(now, dispatch.JobAccepted{
@@ -222,7 +265,7 @@
 	case submission.ClaimForeign:
 		return Reply{
 			Foreign: true,
-			Owner:   loop.config.Fleet.Owner(id),
+			Owner:   loop.owner(id),
 		}
 	case submission.ClaimRunning, submission.ClaimNew:
 		return Reply{
@@ -242,6 +285,18 @@
 	}
 }
 
+// observe passes an event of the traffic on. A drain signal also goes to the
+// peers of the domain.
+func (loop *Loop) observe(now time.Time, event dispatch.Event) {
+	if draining, told := event.(dispatch.UpstreamDraining); told {
+		loop.config.Logger.Log(logevent.UpstreamDraining, "upstream", draining.Upstream)
+		loop.fleet(now, fleet.UpstreamDraining{
+			Upstream: draining.Upstream,
+		})
+	}
+	loop.dispatch(now, event)
+}
+
 func (loop *Loop) dispatch(now time.Time, event dispatch.Event) {
 	for _, decision := range loop.config.Core.Handle(now, event) {
 		switch decision := decision.(type) {
@@ -276,15 +331,6 @@
 	return bytes
 }
 
-func (loop *Loop) readVms(now time.Time, response platform.VmsResponse) {
-	changed, event := loop.config.Fleet.Read(now, response)
-	if !changed {
-		return
-	}
-	loop.config.Logger.Log(logevent.FleetChanged, "version", response.Version, "upstreams", len(event.Upstreams))
-	loop.dispatch(now, event)
-}
-
 func (loop *Loop) refreshPlan(now time.Time) {
 	plan, changed := loop.config.Plans.InForce(now)
 	if changed {
--- a/entry/control/requests.go
+++ b/entry/control/requests.go
@@ -4,10 +4,13 @@
 	"context"
 	"time"
 
+	"tanagerfall/shared/connection/peer"
 	"tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/request/dispatch"
 	"tanagerfall/shared/request/job"
 	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/fleet"
+	"tanagerfall/shared/version/plan"
 )
 
 // Issue returns count fresh IDs for a team. The error is ErrStopped or the
@@ -111,6 +114,46 @@
 	return receive(ctx, loop, reply)
 }
 
+// Heartbeat takes in a peer's heartbeat and returns this VM's.
+func (loop *Loop) Heartbeat(ctx context.Context, message peer.HeartbeatMessage) (peer.HeartbeatMessage, error) {
+	reply := make(chan peer.HeartbeatMessage, 1)
+	err := loop.send(ctx, heartbeat{
+		message: message,
+		reply:   reply,
+	})
+	if err != nil {
+		return peer.HeartbeatMessage{}, err
+	}
+	return receive(ctx, loop, reply)
+}
+
+// TellFleet passes an event to the fleet's view.
+func (loop *Loop) TellFleet(event fleet.Event) {
+	_ = loop.send(context.Background(), fleetEvent{
+		occurred: event,
+	})
+}
+
+// PullPlan returns the plan known if its version is above after.
+func (loop *Loop) PullPlan(ctx context.Context, after int64) (peer.PullPlanResponse, error) {
+	reply := make(chan peer.PullPlanResponse, 1)
+	err := loop.send(ctx, pull{
+		after: after,
+		reply: reply,
+	})
+	if err != nil {
+		return peer.PullPlanResponse{}, err
+	}
+	return receive(ctx, loop, reply)
+}
+
+// EndPull passes on the plan that a peer gave, or nil where it gave none.
+func (loop *Loop) EndPull(snapshot *plan.Snapshot) {
+	_ = loop.send(context.Background(), pullEnded{
+		snapshot: snapshot,
+	})
+}
+
 // Dump returns a copy of the control state.
 func (loop *Loop) Dump(ctx context.Context) (Dump, error) {
 	reply := make(chan Dump, 1)
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -21,16 +21,19 @@
 }
 
 func (loop *Loop) dumpState(now time.Time) Dump {
-	fleet := loop.config.Fleet
+	identity := loop.config.Identity
 	return Dump{
 		AtMs:        now.UnixMilli(),
-		Domain:      fleet.self.Domain,
-		Peer:        fleet.self.Address,
-		Incarnation: fleet.self.Incarnation,
+		Domain:      identity.Domain,
+		Peer:        identity.Address,
+		Incarnation: identity.Incarnation,
 		Plan:        loop.config.Plans.Dump(),
 		Ledger:      loop.config.Ledger.Stats(),
 		Dispatch:    loop.config.Core.Dump(),
-		Fleet:       fleet.Dump(),
-		Waiters:     len(loop.waiters),
+		Fleet: FleetDump{
+			Members: loop.config.View.Members(now),
+			Behind:  loop.config.View.Behind(),
+		},
+		Waiters: len(loop.waiters),
 	}
 }
--- a/entry/peerapi/pending.go
+++ b/entry/peerapi/pending.go
@@ -6,16 +6,6 @@
 	"tanagerfall/shared/connection/peer"
 )
 
-// Heartbeat is not taken yet.
-func (server *Server) Heartbeat(context.Context, *peer.HeartbeatMessage) (*peer.HeartbeatMessage, error) {
-	return nil, ErrNotTaken
-}
-
-// PullPlan is not taken yet.
-func (server *Server) PullPlan(context.Context, *peer.PullPlanRequest) (*peer.PullPlanResponse, error) {
-	return nil, ErrNotTaken
-}
-
 // BorrowSlots is not taken yet.
 func (server *Server) BorrowSlots(context.Context, *peer.BorrowSlotsRequest) (*peer.BorrowSlotsResponse, error) {
 	return nil, ErrNotTaken
@@ -45,8 +35,3 @@
 func (server *Server) HandOverCommit(context.Context, *peer.HandOverCommitRequest) (*peer.HandOverResponse, error) {
 	return nil, ErrNotTaken
 }
-
-// Redirect is not taken yet.
-func (server *Server) Redirect(context.Context, *peer.RedirectRequest) (*peer.RedirectResponse, error) {
-	return nil, ErrNotTaken
-}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -32,6 +32,7 @@
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/fleet"
 )
 
 const (
@@ -47,11 +48,8 @@
 // ErrListen is wrapped by the errors of New.
 var ErrListen = eris.New("address can't be listened on")
 
-// The reasons why a VM is not ready.
-var (
-	ErrNoPlan   = eris.New("no plan is known")
-	ErrDraining = eris.New("draining")
-)
+// ErrDraining is why a VM that stops is not ready.
+var ErrDraining = eris.New("draining")
 
 // Process is one entry VM's process.
 type Process struct {
@@ -64,6 +62,7 @@
 	loop        *control.Loop
 	plans       *control.Plans
 	carrier     *traffic.Carrier
+	courier     *traffic.Courier
 	upstreams   *upstream.Client
 	platform    *platform.Client
 	pool        *peer.Pool
@@ -110,6 +109,7 @@
 	process.loop = process.newLoop()
 	process.router = route.New(process.loop, process.pool, process.keyring.Load)
 	process.carrier = traffic.New(entry.PeerAddress, process.upstreams, process.loop, logger, process.set, time.Now)
+	process.courier = traffic.NewCourier(process.pool, process.loop, logger)
 	return process, nil
 }
 
@@ -139,6 +139,7 @@
 }
 
 func (process *Process) newLoop() *control.Loop {
+	now := time.Now()
 	random := rand.New(rand.NewPCG(process.identity.Incarnation, 0))
 	estimator := estimate.New()
 	scheduler := placement.New(process.settings.PlacementPolicy(), estimator, random)
@@ -150,7 +151,16 @@
 			Estimator: estimator,
 			Random:    random,
 		}),
-		Fleet:   control.NewFleet(process.identity),
+		Scheduler: scheduler,
+		Identity:  process.identity,
+		View: fleet.New(now, fleet.Self{
+			Address:     process.identity.Address,
+			Domain:      process.identity.Domain,
+			Size:        process.settings.Size,
+			Incarnation: process.identity.Incarnation,
+			Started:     now,
+		}),
+		Stop:    process.Drain,
 		Plans:   process.plans,
 		Logger:  process.logger,
 		Metrics: control.NewMetrics(process.set),
@@ -163,7 +173,7 @@
 	process.logger.Log(logevent.ProcessStarted, "caller", process.settings.CallerAddress,
 		"peer", process.settings.PeerAddress, "operator", process.settings.OperatorAddress)
 	process.group = rungroup.New(ctx)
-	process.group.Go(func(ctx context.Context) error { return process.loop.Run(ctx, process.carrier) })
+	process.group.Go(func(ctx context.Context) error { return process.loop.Run(ctx, process.carrier, process.courier) })
 	process.group.Go(process.servePeers)
 	process.group.Go(process.followVms)
 	process.group.Go(process.followPlan)
@@ -173,6 +183,7 @@
 	err := process.group.Wait()
 	process.carrier.Abort()
 	process.carrier.Wait()
+	process.courier.Wait()
 	process.upstreams.Close()
 	process.pool.Close()
 	process.platformWeb.CloseIdleConnections()
@@ -205,15 +216,12 @@
 	}
 }
 
-// Ready returns nil, ErrNoPlan or ErrDraining.
+// Ready returns nil, ErrDraining or an error of control.Loop.Ready.
 func (process *Process) Ready() error {
 	if process.draining.Load() {
 		return ErrDraining
 	}
-	if !process.plans.Ready() {
-		return ErrNoPlan
-	}
-	return nil
+	return process.loop.Ready()
 }
 
 // Dump returns the state dump.
--- a/local/system/system.go
+++ b/local/system/system.go
@@ -60,7 +60,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Domains:  []string{"ege-izmir", "ege-manisa", "ege-aydin"},
-		Entries:  1,
+		Entries:  2,
 		Workers:  4,
 		Slots:    8,
 		Speeds:   []float64{1, 2, 0.5, 1},
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -79,6 +79,18 @@
 		Level:  log.InfoLevel,
 		Text:   "VM list can be read again",
 	}
+	MemberJoined = Event{
+		Number: 204,
+		Name:   "member-joined",
+		Level:  log.InfoLevel,
+		Text:   "entry VM of the failure domain is live",
+	}
+	MemberLost = Event{
+		Number: 205,
+		Name:   "member-lost",
+		Level:  log.WarnLevel,
+		Text:   "entry VM of the failure domain is not live any more",
+	}
 	PlanAdopted = Event{
 		Number: 301,
 		Name:   "plan-adopted",
@@ -193,7 +205,7 @@
 func Events() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopping, ProcessStopped, ProcessPaused, StateDumped, KeysReloaded, KeysRejected,
-		FleetChanged, ListUnreachable, ListReachable,
+		FleetChanged, ListUnreachable, ListReachable, MemberJoined, MemberLost,
 		PlanAdopted, PlanConflict, PlanInvalid, PlanTrimmed, PlanSnapshot, LogUnreachable, LogReachable,
 		JobFailed, JobRefused, RequestRejected,
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
