Add scripted failure scenarios over local deployments

Cause: the invariants were not checked against kills, pauses and lost connections of real processes. Change: a scenario package on testscript with commands for jobs, faults, VMs and load, and a checker that reads the workers' journals.

--- /dev/null
+++ b/local/scenario/run.go
@@ -0,0 +1,401 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/client"
+	"tanagerfall/local/system"
+	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/submission"
+)
+
+const (
+	team = "workshop"
+	// patience bounds every wait of a scenario; it only ends a scenario that
+	// hangs.
+	patience = 90 * time.Second
+)
+
+// The errors of a scenario.
+var (
+	ErrUnknownJob = eris.New("no job has that name")
+	ErrInvariant  = eris.New("invariant broken")
+)
+
+// Run is one scenario under way.
+type Run struct {
+	System *system.System
+	jobs   map[string]*Submission
+	loads  map[string]*Load
+	web    *http.Client
+}
+
+// New returns a scenario on a running system.
+func New(system *system.System) *Run {
+	return &Run{
+		System: system,
+		jobs:   make(map[string]*Submission),
+		loads:  make(map[string]*Load),
+		web: &http.Client{
+			Transport: &http.Transport{
+				DisableKeepAlives: true,
+			},
+		},
+	}
+}
+
+// Submission is one job under one ID, however often it was sent.
+type Submission struct {
+	Name string
+	ID   string
+	Key  submission.Key
+	Job  job.Job
+
+	mutex    sync.Mutex
+	answers  []job.Answer
+	failures []error
+	pending  sync.WaitGroup
+}
+
+// Submit takes an ID from the entry VM issuer and sends the job to the entry
+// VM at, in the background.
+func (run *Run) Submit(name, issuer, at string, submitted job.Job) error {
+	entry, err := run.System.Entry(issuer)
+	if err != nil {
+		return err
+	}
+	id, err := run.takeID(entry)
+	if err != nil {
+		return err
+	}
+	decoded, err := run.System.Keyring().Decode(id)
+	if err != nil {
+		return err
+	}
+	run.jobs[name] = &Submission{
+		Name: name,
+		ID:   id,
+		Key:  decoded.Key,
+		Job:  submitted,
+	}
+	return run.Resubmit(name, at)
+}
+
+func (run *Run) takeID(entry *system.Entry) (string, error) {
+	reply, err := run.do(http.MethodPost, entry.CallerURL()+"/v1/submission-ids?count=1", nil)
+	if err != nil {
+		return "", err
+	}
+	var issued struct {
+		SubmissionIDs []string `json:"submission-ids"`
+	}
+	if err := json.Unmarshal(reply, &issued); err != nil || len(issued.SubmissionIDs) != 1 {
+		return "", eris.Errorf("no ID was issued: %s", reply)
+	}
+	return issued.SubmissionIDs[0], nil
+}
+
+// Resubmit sends a job again under its ID, in the background.
+func (run *Run) Resubmit(name, at string) error {
+	sent, known := run.jobs[name]
+	if !known {
+		return eris.Wrap(ErrUnknownJob, name)
+	}
+	entry, err := run.System.Entry(at)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(sent.Job)
+	if err != nil {
+		return eris.Wrap(err, "encoding a job")
+	}
+	url := entry.CallerURL() + "/v1/jobs/" + sent.ID
+	sent.pending.Go(func() { sent.note(run.answer(http.MethodPut, url, body)) })
+	return nil
+}
+
+// Cancel cancels a job through an entry VM and waits for the answer.
+func (run *Run) Cancel(name, at string) error {
+	sent, known := run.jobs[name]
+	if !known {
+		return eris.Wrap(ErrUnknownJob, name)
+	}
+	entry, err := run.System.Entry(at)
+	if err != nil {
+		return err
+	}
+	sent.note(run.answer(http.MethodDelete, entry.CallerURL()+"/v1/jobs/"+sent.ID, nil))
+	return nil
+}
+
+func (run *Run) answer(method, url string, body []byte) (job.Answer, error) {
+	data, err := run.do(method, url, body)
+	if err != nil {
+		return job.Answer{}, err
+	}
+	var answer job.Answer
+	err = json.Unmarshal(data, &answer)
+	return answer, err
+}
+
+func (run *Run) do(method, url string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Tanager-Team", team)
+	response, err := run.web.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	return io.ReadAll(response.Body)
+}
+
+func (sent *Submission) note(answer job.Answer, err error) {
+	sent.mutex.Lock()
+	defer sent.mutex.Unlock()
+	if err != nil {
+		sent.failures = append(sent.failures, err)
+		return
+	}
+	sent.answers = append(sent.answers, answer)
+}
+
+// Await waits for all answers of a job and writes one line for each distinct
+// one.
+func (run *Run) Await(out io.Writer, name string) error {
+	sent, known := run.jobs[name]
+	if !known {
+		return eris.Wrap(ErrUnknownJob, name)
+	}
+	sent.pending.Wait()
+	sent.mutex.Lock()
+	defer sent.mutex.Unlock()
+	lines := make(map[string]int)
+	for i := range sent.answers {
+		lines[describe(&sent.answers[i], len(sent.Job.Tasks))]++
+	}
+	if len(sent.failures) > 0 {
+		lines["no answer"] = len(sent.failures)
+	}
+	for _, line := range sortedKeys(lines) {
+		fmt.Fprintf(out, "%s: %s x%d\n", name, line, lines[line])
+	}
+	return nil
+}
+
+func describe(answer *job.Answer, tasks int) string {
+	switch answer.Outcome {
+	case job.Complete:
+		return fmt.Sprintf("complete %d/%d", len(answer.Results), tasks)
+	case job.Failed:
+		return fmt.Sprintf("failed started=%s %s", answer.Started, answer.Reason)
+	case job.Refused:
+		return fmt.Sprintf("refused %s", answer.Reason)
+	}
+	return "unknown outcome " + string(answer.Outcome)
+}
+
+func sortedKeys[Value any](values map[string]Value) []string {
+	keys := make([]string, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// NewJob returns a job whose tasks' run times grow from firstMs to lastMs in
+// equal steps and whose outputs name the job and the task.
+func NewJob(name, kind string, tasks int, firstMs, lastMs int64, deadlineMs int64) job.Job {
+	submitted := job.Job{
+		Kind:       kind,
+		DeadlineMs: deadlineMs,
+	}
+	for i := range tasks {
+		runMs := firstMs
+		if tasks > 1 {
+			runMs += (lastMs - firstMs) * int64(i) / int64(tasks-1)
+		}
+		submitted.Tasks = append(submitted.Tasks, job.Task{
+			RunMs:   runMs,
+			Payload: json.RawMessage(fmt.Sprintf(`{"echo":%q}`, echo(name, i))),
+		})
+	}
+	return submitted
+}
+
+func echo(name string, index int) string { return fmt.Sprintf("%s/%d", name, index) }
+
+// Load is a stream of jobs sent by the client package at a fixed pace.
+type Load struct {
+	name    string
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	mutex   sync.Mutex
+	counts  map[string]int
+	wrong   []string
+}
+
+// StartLoad sends small jobs at the given pace, to the entry VMs in turn,
+// until StopLoad. Each entry VM has a client of its own, as a balancer that
+// places connections would give.
+func (run *Run) StartLoad(name string, perSecond int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	load := &Load{
+		name:   name,
+		cancel: cancel,
+		counts: make(map[string]int),
+	}
+	run.loads[name] = load
+	balancer := newBalancer(run.System)
+	caller := client.New(client.Config{
+		URL:         "http://" + balancer.address(),
+		Team:        team,
+		Connections: 64,
+	})
+	load.running.Go(func() {
+		defer balancer.close()
+		load.drive(ctx, caller, time.Second/time.Duration(perSecond))
+		caller.Close()
+	})
+}
+
+func (load *Load) drive(ctx context.Context, caller *client.Client, pace time.Duration) {
+	var jobs sync.WaitGroup
+	defer jobs.Wait()
+	ticker := time.NewTicker(pace)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			jobs.Go(func() { load.one(caller, fmt.Sprintf("%s-%d", load.name, i)) })
+		}
+	}
+}
+
+func (load *Load) one(caller *client.Client, name string) {
+	const tasks, firstMs, lastMs, deadlineMs = 3, 20, 120, 10_000
+	submitted := NewJob(name, "quote", tasks, firstMs, lastMs, deadlineMs)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	answer, err := caller.Run(ctx, submitted)
+	load.mutex.Lock()
+	defer load.mutex.Unlock()
+	if err != nil {
+		load.counts["no answer"]++
+		return
+	}
+	load.counts[describe(&answer, tasks)]++
+	if fault := wrongResults(name, &answer); fault != "" {
+		load.wrong = append(load.wrong, fault)
+	}
+}
+
+// StopLoad ends a load, waits for its jobs and writes the counts.
+func (run *Run) StopLoad(out io.Writer, name string) error {
+	load, known := run.loads[name]
+	if !known {
+		return eris.Wrap(ErrUnknownJob, name)
+	}
+	load.cancel()
+	load.running.Wait()
+	load.mutex.Lock()
+	defer load.mutex.Unlock()
+	for _, line := range sortedKeys(load.counts) {
+		fmt.Fprintf(out, "%s: %s\n", name, line)
+	}
+	if len(load.wrong) > 0 {
+		return eris.Wrap(ErrInvariant, strings.Join(load.wrong, "; "))
+	}
+	return nil
+}
+
+// Counts returns how often each line of StopLoad came.
+func (run *Run) Counts(name string) map[string]int { return run.loads[name].counts }
+
+// balancer spreads new connections over the entry VMs that are ready, as the
+// platform's balancer does. It copies bytes and knows no protocol.
+type balancer struct {
+	listener net.Listener
+	system   *system.System
+	next     int
+	mutex    sync.Mutex
+}
+
+func newBalancer(system *system.System) *balancer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic("scenario: no port for the balancer: " + err.Error())
+	}
+	balancer := &balancer{
+		listener: listener,
+		system:   system,
+	}
+	go balancer.serve()
+	return balancer
+}
+
+func (balancer *balancer) address() string { return balancer.listener.Addr().String() }
+
+func (balancer *balancer) close() { balancer.listener.Close() }
+
+func (balancer *balancer) serve() {
+	for {
+		conn, err := balancer.listener.Accept()
+		if err != nil {
+			return
+		}
+		go balancer.carry(conn)
+	}
+}
+
+func (balancer *balancer) carry(conn net.Conn) {
+	defer conn.Close()
+	upstream, err := balancer.dial()
+	if err != nil {
+		return
+	}
+	defer upstream.Close()
+	go func() {
+		defer upstream.Close()
+		_, _ = io.Copy(upstream, conn)
+	}()
+	_, _ = io.Copy(conn, upstream)
+}
+
+// dial tries the ready entry VMs in turn.
+func (balancer *balancer) dial() (net.Conn, error) {
+	balancer.mutex.Lock()
+	balancer.next++
+	first := balancer.next
+	balancer.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	entries := balancer.system.Ready(ctx)
+	for i := range entries {
+		entry := entries[(first+i)%len(entries)]
+		conn, err := net.DialTimeout("tcp", entry.Settings.CallerAddress, time.Second)
+		if err == nil {
+			return conn, nil
+		}
+	}
+	return nil, eris.New("no entry VM is ready")
+}
--- /dev/null
+++ b/local/scenario/scenario_test.go
@@ -0,0 +1,314 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"tanagerfall/entry/command"
+	"tanagerfall/local/system"
+	"tanagerfall/standin/fault"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"entry": func() { os.Exit(command.Main()) },
+	})
+}
+
+// TestScripts runs each script in testdata/scripts against a deployment of its
+// own. Each script says which failure it guards against.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/scripts",
+		RequireExplicitExec: true,
+		UpdateScripts:       os.Getenv("UPDATE_GOLDEN") != "",
+		Setup: func(env *testscript.Env) error {
+			env.Values[stateKey{}] = &state{}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"system":   startSystem,
+			"publish":  publish,
+			"ready":    ready,
+			"job":      submitJob,
+			"resubmit": resubmit,
+			"cancel":   cancelJob,
+			"await":    await,
+			"fault":    injectFault,
+			"vm":       operateVM,
+			"load":     load,
+			"check":    check,
+			"sleep":    sleep,
+			"starts":   countStarts,
+		},
+	})
+}
+
+type stateKey struct{}
+
+// state is what the commands of one script share.
+type state struct {
+	run *Run
+}
+
+func stateOf(script *testscript.TestScript) *state {
+	held, ok := script.Value(stateKey{}).(*state)
+	if !ok || held.run == nil {
+		script.Fatalf("no system is running; start one with the system command")
+	}
+	return held
+}
+
+// options are the key=value arguments of a command, read by typed methods.
+type options struct {
+	script *testscript.TestScript
+	values map[string]string
+}
+
+func parse(script *testscript.TestScript, args []string) *options {
+	parsed := &options{
+		script: script,
+		values: make(map[string]string),
+	}
+	for _, arg := range args {
+		key, value, found := strings.Cut(arg, "=")
+		if !found {
+			script.Fatalf("argument %q is not key=value", arg)
+		}
+		parsed.values[key] = value
+	}
+	return parsed
+}
+
+func (options *options) text(key, fallback string) string {
+	if value, set := options.values[key]; set {
+		return value
+	}
+	return fallback
+}
+
+func (options *options) number(key string, fallback int) int {
+	value, set := options.values[key]
+	if !set {
+		return fallback
+	}
+	number, err := strconv.Atoi(value)
+	options.script.Check(err)
+	return number
+}
+
+func (options *options) numbers(key string, fallback []float64) []float64 {
+	value, set := options.values[key]
+	if !set {
+		return fallback
+	}
+	var numbers []float64
+	for _, text := range strings.Split(value, ",") {
+		number, err := strconv.ParseFloat(text, 64)
+		options.script.Check(err)
+		numbers = append(numbers, number)
+	}
+	return numbers
+}
+
+func startSystem(script *testscript.TestScript, _ bool, args []string) {
+	options := parse(script, args)
+	config := system.DefaultConfig()
+	config.Entries = options.number("entries", config.Entries)
+	config.Workers = options.number("workers", config.Workers)
+	config.Slots = options.number("slots", config.Slots)
+	config.Domains = strings.Split(options.text("domains", strings.Join(config.Domains, ",")), ",")
+	config.Retention = time.Duration(options.number("retention-ms", 0)) * time.Millisecond
+	config.Speeds = options.numbers("speeds", config.Speeds)
+	config.LogLevel = log.WarnLevel
+	config.Log = os.Stderr
+	if options.text("processes", "") == "own" {
+		config.EntryProgram = findProgram(script)
+		config.Directory = script.MkAbs(".")
+	}
+	started, err := system.Start(config)
+	script.Check(err)
+	script.Defer(started.Stop)
+	held, ok := script.Value(stateKey{}).(*state)
+	if !ok {
+		script.Fatalf("the script has no state")
+	}
+	held.run = New(started)
+	if options.text("plan", "sample") == "sample" {
+		script.Check(started.Publish(context.Background(), system.SamplePlan(config.Domains)))
+		ready(script, false, nil)
+	}
+}
+
+func findProgram(script *testscript.TestScript) string {
+	for _, directory := range strings.Split(script.Getenv("PATH"), string(os.PathListSeparator)) {
+		path := directory + string(os.PathSeparator) + "entry"
+		if _, err := exec.LookPath(path); err == nil {
+			return path
+		}
+	}
+	script.Fatalf("the entry program is not on the script's path")
+	return ""
+}
+
+func publish(script *testscript.TestScript, _ bool, _ []string) {
+	run := stateOf(script).run
+	script.Check(run.System.Publish(context.Background(), system.SamplePlan(run.System.Domains())))
+}
+
+func ready(script *testscript.TestScript, negated bool, args []string) {
+	run := stateOf(script).run
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if negated {
+		if len(run.System.Ready(ctx)) > 0 {
+			script.Fatalf("an entry VM is ready")
+		}
+		return
+	}
+	if len(args) == 0 {
+		script.Check(run.System.AwaitReady(ctx))
+		return
+	}
+	entry, err := run.System.Entry(args[0])
+	script.Check(err)
+	script.Check(entry.AwaitReady(ctx))
+}
+
+// submitJob: job NAME from=VM at=VM [tasks=N] [run-ms=A] [last-run-ms=B]
+// [kind=K] [deadline-ms=D].
+func submitJob(script *testscript.TestScript, _ bool, args []string) {
+	run := stateOf(script).run
+	options := parse(script, args[1:])
+	first := options.number("run-ms", 50)
+	last := options.number("last-run-ms", first)
+	submitted := NewJob(args[0], options.text("kind", "quote"), options.number("tasks", 1), int64(first), int64(last),
+		int64(options.number("deadline-ms", 0)))
+	submitted.Tasks[0].Cores = options.number("cores", 0)
+	from := options.text("from", run.System.Entries[0].Name)
+	script.Check(run.Submit(args[0], from, options.text("at", from), submitted))
+}
+
+func resubmit(script *testscript.TestScript, _ bool, args []string) {
+	run := stateOf(script).run
+	script.Check(run.Resubmit(args[0], parse(script, args[1:]).text("at", "")))
+}
+
+func cancelJob(script *testscript.TestScript, _ bool, args []string) {
+	run := stateOf(script).run
+	script.Check(run.Cancel(args[0], parse(script, args[1:]).text("at", "")))
+}
+
+func await(script *testscript.TestScript, _ bool, args []string) {
+	script.Check(stateOf(script).run.Await(script.Stdout(), args[0]))
+}
+
+// injectFault: fault platform|WORKER FAULT [parameter=value ...].
+func injectFault(script *testscript.TestScript, _ bool, args []string) {
+	run := stateOf(script).run
+	parameters := map[string]any{
+		"fault": args[1],
+	}
+	for key, value := range parse(script, args[2:]).values {
+		parameters[key] = parameterOf(value)
+	}
+	data, err := json.Marshal(parameters)
+	script.Check(err)
+	var command fault.Command
+	script.Check(json.Unmarshal(data, &command))
+	if args[0] == "platform" {
+		script.Check(run.System.Platform.Inject(command))
+		return
+	}
+	worker, err := run.System.Worker(args[0])
+	script.Check(err)
+	script.Check(worker.Inject(command))
+}
+
+func parameterOf(text string) any {
+	if number, err := strconv.ParseFloat(text, 64); err == nil {
+		return number
+	}
+	if strings.Contains(text, ",") {
+		return strings.Split(text, ",")
+	}
+	return text
+}
+
+// operateVM: vm kill|pause|resume|drain|remove NAME, vm start NAME DOMAIN,
+// vm leaving WORKER.
+func operateVM(script *testscript.TestScript, _ bool, args []string) {
+	run := stateOf(script).run
+	switch args[0] {
+	case "start":
+		_, err := run.System.StartEntry(args[1], args[2])
+		script.Check(err)
+		return
+	case "leaving":
+		worker, err := run.System.Worker(args[1])
+		script.Check(err)
+		run.System.Platform.SetState(worker.Address, "leaving")
+		return
+	}
+	entry, err := run.System.Entry(args[1])
+	script.Check(err)
+	switch args[0] {
+	case "kill":
+		entry.Kill()
+	case "pause":
+		script.Check(entry.Pause())
+	case "resume":
+		script.Check(entry.Resume())
+	case "remove":
+		run.System.Remove(entry)
+	case "drain":
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		script.Check(entry.Drain(ctx))
+	default:
+		script.Fatalf("unknown operation %q", args[0])
+	}
+}
+
+// load: load start NAME per-second=N, load stop NAME.
+func load(script *testscript.TestScript, _ bool, args []string) {
+	run := stateOf(script).run
+	if args[0] == "stop" {
+		script.Check(run.StopLoad(script.Stdout(), args[1]))
+		return
+	}
+	run.StartLoad(args[1], parse(script, args[2:]).number("per-second", 20))
+}
+
+func check(script *testscript.TestScript, negated bool, _ []string) {
+	err := stateOf(script).run.Check()
+	if negated && err == nil {
+		script.Fatalf("the check found nothing")
+	}
+	if !negated {
+		script.Check(err)
+	}
+}
+
+func sleep(script *testscript.TestScript, _ bool, args []string) {
+	duration, err := time.ParseDuration(args[0])
+	script.Check(err)
+	time.Sleep(duration)
+}
+
+// countStarts: starts WORKER prints the number of starts so far.
+func countStarts(script *testscript.TestScript, _ bool, args []string) {
+	worker, err := stateOf(script).run.System.Worker(args[0])
+	script.Check(err)
+	fmt.Fprintf(script.Stdout(), "%d\n", len(worker.Journal()))
+}
--- a/local/system/system.go
+++ b/local/system/system.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -14,6 +16,7 @@
 
 	wire "tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/process/settings"
+	"tanagerfall/shared/request/submission"
 	"tanagerfall/standin/platform"
 	"tanagerfall/standin/worker"
 )
@@ -21,6 +24,7 @@
 const (
 	loopback    = "127.0.0.1"
 	pollEvery   = 10 * time.Millisecond
+	macKeyID    = 1
 	macSecret   = "local deployment secret, not for production"
 	coresEach   = 16
 	memoryEach  = 32 << 10
@@ -85,6 +89,8 @@
 	Workers     []*Worker
 	Entries     []*Entry
 	web         *http.Client
+	// mutex guards changes of Entries while a load runs.
+	mutex sync.Mutex
 }
 
 // Start starts the platform, the workers and the entry VMs. Without a plan no
@@ -182,7 +188,9 @@
 	if err != nil {
 		return nil, err
 	}
+	system.mutex.Lock()
 	system.Entries = append(system.Entries, entry)
+	system.mutex.Unlock()
 	system.Platform.SetVm(wire.Vm{
 		Address: configured.PeerAddress,
 		Domain:  domain,
@@ -207,7 +215,7 @@
 	configured.PlatformURL = system.PlatformURL
 	configured.MacKeys = []settings.MacKey{
 		{
-			ID:     1,
+			ID:     macKeyID,
 			Secret: base64.StdEncoding.EncodeToString([]byte(macSecret)),
 		},
 	}
@@ -243,6 +251,34 @@
 	return nil
 }
 
+// Ready returns the entry VMs that say that they are ready.
+func (system *System) Ready(ctx context.Context) []*Entry {
+	var ready []*Entry
+	for _, entry := range system.listEntries() {
+		if entry.ready(ctx) {
+			ready = append(ready, entry)
+		}
+	}
+	return ready
+}
+
+// Domains returns the failure domains.
+func (system *System) Domains() []string { return system.config.Domains }
+
+// Keyring returns the keyring of the deployment's submission IDs.
+func (system *System) Keyring() *submission.Keyring {
+	return submission.NewKeyring(submission.MacKey{
+		ID:     macKeyID,
+		Secret: []byte(macSecret),
+	})
+}
+
+func (system *System) listEntries() []*Entry {
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	return slices.Clone(system.Entries)
+}
+
 // Entry returns the entry VM with the name.
 func (system *System) Entry(name string) (*Entry, error) {
 	for _, entry := range system.Entries {
@@ -266,6 +302,8 @@
 // Remove takes the VM off the platform's list.
 func (system *System) Remove(entry *Entry) {
 	system.Platform.RemoveVm(entry.Settings.PeerAddress)
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
 	for i, known := range system.Entries {
 		if known == entry {
 			system.Entries = append(system.Entries[:i], system.Entries[i+1:]...)
