--- a/shared/request/dispatch/admission.go
+++ b/shared/request/dispatch/admission.go
@@ -181,9 +181,20 @@
 	return milliseconds(core.load.workMs / speed)
 }
 
-// predict returns when a job would end behind all work that is present.
+// predict returns when a job would end if it were admitted. The scheduler can
+// tell while it has open slots. Its prediction knows the order of the queue,
+// but a job that goes first delays those that were admitted before; so the job
+// must also fit behind all work that is present.
 func (core *Core) predict(asked *run, drain time.Duration) time.Time {
-	return core.now.Add(drain + time.Duration(asked.idealMs)*time.Millisecond)
+	behindAll := core.now.Add(drain + time.Duration(asked.idealMs)*time.Millisecond)
+	if core.currentCapacity().speed == 0 {
+		return behindAll
+	}
+	predicted := core.config.Scheduler.Predict(core.now, asked.placing)
+	if predicted.After(behindAll) {
+		return predicted
+	}
+	return behindAll
 }
 
 func milliseconds(value float64) time.Duration {
--- a/shared/request/dispatch/core.go
+++ b/shared/request/dispatch/core.go
@@ -17,8 +17,9 @@
 	upstreams map[string]*upstreamState
 	// order holds the upstreams in order of their listing, so that equal
 	// events give equal decisions.
-	order []*upstreamState
-	rules map[ruleKey][]plan.Rule
+	order  []*upstreamState
+	rules  map[ruleKey][]plan.Rule
+	shares map[ruleKey]share
 	// planned is false until the first plan came.
 	planned   bool
 	guards    plan.Guards
@@ -43,6 +44,7 @@
 		config:    config,
 		jobs:      make(map[submission.Key]*run),
 		upstreams: make(map[string]*upstreamState),
+		shares:    make(map[ruleKey]share),
 		budgets:   make(map[string]*limit.Budget),
 		overdue:   limit.NewBudget(limits.OverdueShare, limits.OverdueBurst),
 		admission: limit.Admission{
--- a/shared/request/dispatch/fake_test.go
+++ b/shared/request/dispatch/fake_test.go
@@ -64,12 +64,11 @@
 
 // execution is a task at a fake worker.
 type execution struct {
-	task    upstream.Task
-	fate    fate
-	runMs   int64
-	end     time.Time
-	lease   time.Time
-	dropped bool
+	task  upstream.Task
+	fate  fate
+	runMs int64
+	end   time.Time
+	lease time.Time
 }
 
 // worker is a fake worker: it keeps leases, results and tombstones in memory
--- a/shared/request/dispatch/jobs.go
+++ b/shared/request/dispatch/jobs.go
@@ -6,18 +6,24 @@
 	"tanagerfall/shared/request/job"
 	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/plan"
 )
 
 // run is one accepted job, kept until it is answered and the end of all its
 // tasks is known.
 type run struct {
-	key      submission.Key
-	spec     job.Job
+	key  submission.Key
+	spec job.Job
+	// rule is the plan's, if ruled is true.
+	rule     plan.Rule
+	ruled    bool
 	arrival  time.Time
 	deadline time.Time
 	idealMs  int64
 	tasks    []task
-	results  []job.Result
+	// placing is the job as the scheduler sees it.
+	placing placement.Job
+	results []job.Result
 	// missing counts the tasks without a result.
 	missing int
 	// unsettled counts the attempts that may be running.
@@ -50,19 +56,23 @@
 		core.answer(accepted, answer)
 		return
 	}
+	core.shareOut(keyOf(&event.Job), accepted.rule)
 	core.jobs[event.Key] = accepted
 	core.load.add(accepted)
 	core.arm(&accepted.timer, accepted.deadline)
-	core.config.Scheduler.Enqueue(accepted.placed())
+	core.config.Scheduler.Enqueue(accepted.placing)
 	core.placeable = true
 }
 
 func (core *Core) newRun(event JobAccepted) *run {
+	rule, ruled := core.rule(keyOf(&event.Job))
 	accepted := &run{
 		key:      event.Key,
 		spec:     event.Job,
+		rule:     rule,
+		ruled:    ruled,
 		arrival:  core.now,
-		deadline: core.now.Add(core.deadlineOf(event.Job)),
+		deadline: core.now.Add(core.deadlineOf(&event.Job, rule)),
 		tasks:    make([]task, len(event.Job.Tasks)),
 		missing:  len(event.Job.Tasks),
 	}
@@ -75,6 +85,7 @@
 		added.workMs = core.config.Estimator.WorkMs(event.Job.Kind, declaredMs)
 		added.timer.owner = added
 	}
+	accepted.placing = accepted.placed()
 	accepted.idealMs = core.ideal(accepted).Milliseconds()
 	return accepted
 }
@@ -87,10 +98,11 @@
 	}
 	return placement.Job{
 		Key:      run.key,
-		Team:     run.spec.Team,
+		Team:     keyOf(&run.spec).queue(),
 		Kind:     run.spec.Kind,
 		Arrival:  run.arrival,
 		Deadline: run.deadline,
+		Priority: run.rule.Priority,
 		Tasks:    tasks,
 	}
 }
--- a/shared/request/dispatch/retries.go
+++ b/shared/request/dispatch/retries.go
@@ -33,6 +33,6 @@
 
 func (core *Core) requeue(task *task) {
 	task.state = waiting
-	core.config.Scheduler.Requeue(task.owner.placed(), task.placed())
+	core.config.Scheduler.Requeue(task.owner.placing, task.placed())
 	core.placeable = true
 }
--- a/shared/request/dispatch/rules.go
+++ b/shared/request/dispatch/rules.go
@@ -14,6 +14,24 @@
 	kind string
 }
 
+// share is what the scheduler was told of a rule.
+type share struct {
+	weight float64
+	cap    int
+}
+
+// queue returns the scheduler's name for what it shares out and caps.
+func (key ruleKey) queue() string {
+	return key.team + "/" + key.kind
+}
+
+func keyOf(spec *job.Job) ruleKey {
+	return ruleKey{
+		team: spec.Team,
+		kind: spec.Kind,
+	}
+}
+
 // changePlan applies the plan in force. Jobs that were accepted before keep
 // running.
 func (core *Core) changePlan(changed *plan.Plan) {
@@ -32,7 +50,31 @@
 		}
 		core.rules[key] = append(core.rules[key], rule)
 	}
+	for key := range core.rules {
+		if latest, found := core.rule(key); found {
+			core.shareOut(key, latest)
+		}
+	}
 	core.changeGuards(changed.Guards)
+	core.placeable = true
+}
+
+// shareOut tells the scheduler the share and cap of a rule. The sheet gives
+// both for each team and kind, so that is what the scheduler queues by.
+func (core *Core) shareOut(key ruleKey, rule plan.Rule) {
+	weight := rule.Share
+	if weight <= 0 {
+		weight = core.config.Team.Weight
+	}
+	told := share{
+		weight: weight,
+		cap:    rule.Cap,
+	}
+	if core.shares[key] == told {
+		return
+	}
+	core.shares[key] = told
+	core.config.Scheduler.SetTeam(key.queue(), told.weight, told.cap)
 }
 
 func (core *Core) changeGuards(guards plan.Guards) {
@@ -50,11 +92,11 @@
 	}
 }
 
-// rule returns the rule for a job: of several in force, the latest one.
-func (core *Core) rule(spec job.Job) (plan.Rule, bool) {
+// rule returns the rule for a team and kind: of several in force, the latest.
+func (core *Core) rule(key ruleKey) (plan.Rule, bool) {
 	var latest plan.Rule
 	found := false
-	for _, rule := range core.rules[ruleKey{team: spec.Team, kind: spec.Kind}] {
+	for _, rule := range core.rules[key] {
 		inForce := rule.InForceFromMs <= core.now.UnixMilli()
 		if inForce && (!found || rule.InForceFromMs >= latest.InForceFromMs) {
 			latest = rule
@@ -66,12 +108,10 @@
 
 // deadlineOf returns how long a job may take: what it asks for within the
 // rule's bound, or the default.
-func (core *Core) deadlineOf(spec job.Job) time.Duration {
+func (core *Core) deadlineOf(spec *job.Job, rule plan.Rule) time.Duration {
 	deadlineMs := spec.DeadlineMs
-	if rule, found := core.rule(spec); found && rule.DeadlineMs > 0 {
-		if deadlineMs <= 0 || deadlineMs > rule.DeadlineMs {
-			deadlineMs = rule.DeadlineMs
-		}
+	if rule.DeadlineMs > 0 && (deadlineMs <= 0 || deadlineMs > rule.DeadlineMs) {
+		deadlineMs = rule.DeadlineMs
 	}
 	if deadlineMs <= 0 {
 		deadlineMs = core.config.Team.DeadlineMs
@@ -85,14 +125,13 @@
 	if !core.planned {
 		return job.Answer{}, false
 	}
-	rule, found := core.rule(asked.spec)
-	if !found {
+	if !asked.ruled {
 		detail := fmt.Sprintf("the plan has no rule for team %q and kind %q in %s",
 			asked.spec.Team, asked.spec.Kind, core.config.Domain)
 		return job.Refusal(job.ReasonUnknownKind, detail), true
 	}
 	for i := range asked.spec.Tasks {
-		if exceeds(rule, &asked.spec.Tasks[i]) {
+		if exceeds(asked.rule, &asked.spec.Tasks[i]) {
 			detail := fmt.Sprintf("tasks[%d] asks for more than the plan allows", i)
 			return job.Refusal(job.ReasonQuota, detail), true
 		}
