--- /dev/null
+++ b/shared/version/plan/bench_test.go
@@ -0,0 +1,102 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/version/plan"
+)
+
+// largePlan is a plan of 180 teams and 12 failure domains.
+func largePlan(kinds int) *plan.Plan {
+	content := &plan.Plan{
+		Format: plan.Format,
+	}
+	for domain := range 12 {
+		content.Domains = append(content.Domains, fmt.Sprintf("region-domain-%02d", domain))
+	}
+	for team := range 180 {
+		for kind := range kinds {
+			for domain, name := range content.Domains {
+				content.Rules = append(content.Rules, plan.Rule{
+					Team:       fmt.Sprintf("team-%03d", team),
+					Kind:       fmt.Sprintf("kind-%02d", kind),
+					Domain:     name,
+					Share:      float64(1 + team%7),
+					Cap:        1 + (team*31+kind*17+domain*13)%400,
+					Cores:      1 + kind%4,
+					MemoryMb:   512 * (1 + kind%8),
+					Idempotent: kind%3 != 0,
+					DeadlineMs: int64(1000 * (1 + (team+kind)%30)),
+					Priority:   team % 5,
+					Spill:      kind%2 == 0,
+				})
+			}
+		}
+	}
+	return plan.Canonical(content)
+}
+
+var kindCounts = []int{1, 5, 10}
+
+// BenchmarkApplyChange applies a publication that changes one rule.
+func BenchmarkApplyChange(b *testing.B) {
+	for _, kinds := range kindCounts {
+		from := largePlan(kinds)
+		to := largePlan(kinds)
+		to.Rules[len(to.Rules)/2].Cap++
+		data := encoded(b, publication("publish-2", 1, from, to))
+		snapshot := &plan.Snapshot{Version: 1, ReadUpTo: 2, PublishID: "publish-1", Digest: plan.DigestOf(from), Plan: from}
+		b.Run(fmt.Sprintf("rules=%d", len(from.Rules)), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				follower := plan.New()
+				follower.Adopt(epoch, snapshot)
+				verdict := follower.Apply(epoch, platform.Record{Offset: 2, Data: data})
+				if _, adopted := verdict.(plan.Adopted); !adopted {
+					b.Fatalf("%+v", verdict)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "record-bytes")
+		})
+	}
+}
+
+// BenchmarkSnapshot encodes and decodes a snapshot.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, kinds := range kindCounts {
+		content := largePlan(kinds)
+		snapshot := &plan.Snapshot{Version: 1, ReadUpTo: 2, PublishID: "publish-1", Digest: plan.DigestOf(content), Plan: content}
+		data := encoded(b, snapshot)
+		b.Run(fmt.Sprintf("encode/rules=%d", len(content.Rules)), func(b *testing.B) {
+			for b.Loop() {
+				encoded(b, snapshot)
+			}
+			b.ReportMetric(float64(len(data)), "record-bytes")
+		})
+		b.Run(fmt.Sprintf("decode/rules=%d", len(content.Rules)), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := plan.Decode(data)
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAt picks the rules in force.
+func BenchmarkAt(b *testing.B) {
+	for _, kinds := range kindCounts {
+		content := largePlan(kinds)
+		b.Run(fmt.Sprintf("rules=%d", len(content.Rules)), func(b *testing.B) {
+			now := time.Now()
+			for b.Loop() {
+				content.At(now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/shared/version/plan/follower_test.go
@@ -0,0 +1,196 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/version/plan"
+)
+
+// Guards against a rule that accepts a publication on another base than the
+// current one, or one that is not what its author saw.
+func TestPublicationRule(t *testing.T) {
+	one, two := planOf(rule("a", 1)), planOf(rule("a", 2), rule("b", 1))
+	wrongDigest := publication("publish-x", 1, one, two)
+	wrongDigest.Digest++
+	noDomain := publication("publish-x", 1, one, two)
+	noDomain.Change.Domains = &plan.Domains{}
+	unknownRule := publication("publish-x", 1, one, two)
+	unknownRule.Change.Remove = []plan.Key{rule("z", 1).Key()}
+	cases := []struct {
+		name    string
+		record  plan.Record
+		verdict string
+		version int64
+	}{
+		{name: "current base", record: publication("publish-x", 1, one, two), verdict: "plan.Adopted", version: 2},
+		{name: "stale base", record: publication("publish-x", 0, one, two), verdict: "plan.Conflict", version: 1},
+		{name: "base that is no version yet", record: publication("publish-x", 2, one, two), verdict: "plan.Conflict", version: 1},
+		{name: "repeated append of the winner", record: publication("publish-1", 0, plan.Empty(), one), verdict: "plan.Ignored", version: 1},
+		{name: "wrong digest", record: wrongDigest, verdict: "plan.Invalid", version: 1},
+		{name: "domain missing", record: noDomain, verdict: "plan.Invalid", version: 1},
+		{name: "removes a rule that is not there", record: unknownRule, verdict: "plan.Invalid", version: 1},
+		{name: "recovery", record: &plan.Recovery{PublishID: "publish-x", Digest: plan.DigestOf(two), Plan: two}, verdict: "plan.Adopted", version: 2},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			stream, follower := newLog(), plan.New()
+			stream.append(encoded(t, publication("publish-1", 0, plan.Empty(), one)))
+			stream.append(encoded(t, test.record))
+			verdicts := stream.feed(follower, 10)
+			assert.Equal(t, fmt.Sprintf("%T", verdicts[1]), test.verdict)
+			version, _, _ := follower.Current()
+			assert.Equal(t, version, test.version)
+		})
+	}
+}
+
+// Guards against a conflict that doesn't name the winner.
+func TestRacingPublicationsHaveOneWinnerAndOneNamedConflict(t *testing.T) {
+	stream, follower := newLog(), plan.New()
+	first, second := planOf(rule("a", 1)), planOf(rule("a", 2))
+	stream.append(encoded(t, publication("publish-1", 0, plan.Empty(), first)))
+	late := publication("publish-2", 0, plan.Empty(), second)
+	late.Author = "deniz"
+	stream.append(encoded(t, late))
+	verdicts := stream.feed(follower, 10)
+	assert.DeepEqual(t, verdicts[1], plan.Conflict{
+		Offset:        2,
+		PublishID:     "publish-2",
+		Author:        "deniz",
+		Current:       1,
+		CurrentID:     "publish-1",
+		CurrentAuthor: "ayla",
+	})
+}
+
+// Guards against a plan that is given up when the log lost records, was
+// trimmed beyond the reader or was emptied and started again.
+func TestFollowerKeepsItsPlanWhateverTheLogSays(t *testing.T) {
+	content := planOf(rule("a", 1))
+	follower := plan.New()
+	follower.Adopt(epoch, &plan.Snapshot{
+		Version:   7,
+		ReadUpTo:  9,
+		PublishID: "publish-7",
+		Digest:    plan.DigestOf(content),
+		Plan:      content,
+	})
+	assert.Equal(t, follower.Next(), int64(9))
+	follower.Read(epoch, platform.ReadResponse{
+		FirstOffset: 1,
+		NextOffset:  2,
+		Records: []platform.Record{
+			{Offset: 1, Data: encoded(t, publication("publish-1", 0, plan.Empty(), planOf(rule("b", 1))))},
+		},
+	})
+	follower.Trimmed(20)
+	version, digest, _ := follower.Current()
+	assert.Equal(t, version, int64(7))
+	assert.Equal(t, digest, plan.DigestOf(content))
+	assert.Assert(t, !follower.Synced())
+	assert.Equal(t, follower.PullAfter(), int64(6), "a peer's snapshot of the same version closes the gap")
+}
+
+// Guards against a snapshot that hides a publication accepted between the
+// offset its writer had read and the snapshot itself.
+func TestPublicationBeforeLateSnapshotIsNotMissed(t *testing.T) {
+	stream, writer := newLog(), plan.New()
+	one, two := planOf(rule("a", 1)), planOf(rule("a", 2))
+	stream.append(encoded(t, publication("publish-1", 0, plan.Empty(), one)))
+	stream.feed(writer, 10)
+	snapshot, _ := writer.Snapshot("10.0.0.1:7400")
+	stream.append(encoded(t, publication("publish-2", 1, one, two)))
+	stream.append(encoded(t, snapshot))
+	stream.first = 2
+	reader := plan.New()
+	for range 3 {
+		stream.feed(reader, 10)
+	}
+	version, _, _ := reader.Current()
+	assert.Equal(t, version, int64(2))
+	assert.Assert(t, reader.Synced())
+}
+
+// Guards against rules that come into force before their time, and against a
+// change of rules that nobody is told of.
+func TestAt(t *testing.T) {
+	later, latest := rule("a", 2), rule("a", 3)
+	later.InForceFromMs, latest.InForceFromMs = 2000, 3000
+	content := planOf(rule("a", 1), later, latest, rule("b", 9))
+	cases := []struct {
+		atMs, nextMs int64
+		limit        int
+	}{
+		{atMs: 1999, nextMs: 2000, limit: 1},
+		{atMs: 2000, nextMs: 3000, limit: 2},
+		{atMs: 3000, limit: 3},
+	}
+	for _, test := range cases {
+		effective, next := content.At(time.UnixMilli(test.atMs))
+		assert.Equal(t, len(effective.Rules), 2)
+		assert.Equal(t, effective.Rules[0].Cap, test.limit)
+		assert.Equal(t, !next.IsZero(), test.nextMs != 0)
+		if test.nextMs != 0 {
+			assert.Equal(t, next.UnixMilli(), test.nextMs)
+		}
+	}
+}
+
+// Guards against a log without a snapshot when half the retention has passed,
+// while most of the VMs that should write it are gone, and against all VMs
+// writing at once.
+func TestSnapshotIsDueBeforeHalfTheRetention(t *testing.T) {
+	stream, follower := newLog(), plan.New()
+	stream.append(encoded(t, publication("publish-1", 0, plan.Empty(), planOf(rule("a", 1)))))
+	stream.feed(follower, 10)
+	var live []string
+	for i := range 240 {
+		live = append(live, fmt.Sprintf("10.0.0.%d:7400", i))
+	}
+	const retention = 60 * time.Second
+	written := epoch.Add(time.Millisecond)
+	due := make(map[time.Time]int)
+	early := 0
+	for _, address := range live {
+		at := follower.SnapshotAt(address, live)
+		due[at]++
+		assert.Assert(t, !at.Before(written.Add(retention/3)))
+		if at.Before(written.Add(retention / 2)) {
+			early++
+		}
+	}
+	assert.Equal(t, early, 12)
+	assert.Equal(t, len(due), len(live), "two VMs write at the same time")
+	assert.Assert(t, plan.New().SnapshotAt(live[0], live).IsZero(), "nothing to write without a plan")
+}
+
+// Guards against a rule order that binary search and merge don't expect, and
+// values that the daemon can't work with.
+func TestValidate(t *testing.T) {
+	cases := map[string]func(content *plan.Plan){
+		"rule b/quote/ege-izmir is out of order": func(content *plan.Plan) {
+			content.Rules[0], content.Rules[1] = content.Rules[1], content.Rules[0]
+			content.Rules[0].Team, content.Rules[1].Team = "c", "b"
+		},
+		"rule a/quote/ege-izmir: share -1": func(content *plan.Plan) { content.Rules[0].Share = -1 },
+		"deadline-ms 0, allowed are 1":     func(content *plan.Plan) { content.Rules[0].DeadlineMs = 0 },
+		"not in the plan's list":           func(content *plan.Plan) { content.Domains = nil },
+		"is no valid name":                 func(content *plan.Plan) { content.Rules[0].Team = "Team A" },
+		"format 2, allowed is 1":           func(content *plan.Plan) { content.Format = 2 },
+	}
+	for expected, spoil := range cases {
+		t.Run(expected, func(t *testing.T) {
+			content := planOf(rule("a", 1), rule("b", 1))
+			assert.NilError(t, plan.Validate(content))
+			spoil(content)
+			err := plan.Validate(content)
+			assert.ErrorIs(t, err, plan.ErrInvalid)
+			assert.ErrorContains(t, err, expected)
+		})
+	}
+}
--- /dev/null
+++ b/shared/version/plan/record_test.go
@@ -0,0 +1,70 @@
+package plan_test
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/version/plan"
+)
+
+// Guards against records that decode to something else than was written, and
+// against a decoder that accepts a plan it has not checked or fails on damage.
+func FuzzDecode(f *testing.F) {
+	content := planOf(rule("a", 1), rule("b", 2))
+	records := []plan.Record{
+		publication("publish-1", 3, planOf(rule("a", 2)), content),
+		&plan.Snapshot{Version: 3, ReadUpTo: 4, PublishID: "publish-1", Digest: plan.DigestOf(content), Plan: content},
+		&plan.Recovery{PublishID: "publish-1", Digest: plan.DigestOf(content), Plan: content},
+	}
+	for _, record := range records {
+		data := encoded(f, record)
+		f.Add(data)
+		f.Add(data[:len(data)-3])
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		follower := plan.New()
+		follower.Apply(epoch, platform.Record{
+			Offset: 1,
+			Data:   data,
+		})
+		decoded, err := plan.Decode(data)
+		if err != nil {
+			if !errors.Is(err, plan.ErrRecord) && !errors.Is(err, plan.ErrInvalid) {
+				t.Fatalf("error of no known kind: %v", err)
+			}
+			return
+		}
+		again, err := plan.Decode(encoded(t, decoded))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, decoded)
+		if snapshot, is := decoded.(*plan.Snapshot); is {
+			assert.NilError(t, plan.Validate(snapshot.Plan))
+			assert.Equal(t, plan.DigestOf(snapshot.Plan), snapshot.Digest)
+		}
+	})
+}
+
+// Guards against a small record that takes the reader's memory when it is
+// decompressed.
+func TestDecodeRefusesBodyThatInflatesBeyondBound(t *testing.T) {
+	var body bytes.Buffer
+	writer, err := flate.NewWriter(&body, flate.BestCompression)
+	assert.NilError(t, err)
+	zeros := make([]byte, 1<<20)
+	for range 65 {
+		_, err = writer.Write(zeros)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, writer.Close())
+	data, err := cbor.Marshal(map[int]any{1: "tanagerfall-plan-record", 2: 1, 3: body.Bytes()})
+	assert.NilError(t, err)
+	_, err = plan.Decode(data)
+	assert.ErrorIs(t, err, plan.ErrRecord)
+	assert.ErrorContains(t, err, "larger than")
+}
