Add the lending of slots and the division of team caps

Cause: a VM short of slots, or of its part of a team cap, borrows from a peer in one exchange; caps are divided without a coordinator.

--- a/shared/version/fleet/heartbeat.go
+++ b/shared/version/fleet/heartbeat.go
@@ -104,10 +104,10 @@
 		Sequence:       view.sequence,
 		Size:           view.self.Size,
 		Leaving:        view.leaving,
-		Released:       view.released || now.Before(view.ownsFrom),
+		Released:       !view.owns(now),
 		PlanVersion:    view.status.PlanVersion,
 		PlanDigest:     view.status.PlanDigest,
-		FleetDigest:    view.fleetDigest(),
+		FleetDigest:    view.fleetDigest(now),
 		RedirectDigest: digest,
 		Load:           view.status.Load,
 	}
@@ -122,18 +122,40 @@
 	return message
 }
 
-// fleetDigest is the same at two VMs of a domain that count the same
-// incarnations as live.
-func (view *View) fleetDigest() uint64 {
-	digest := mix(view.self.Incarnation, 0)
+// fleetDigest is the same at two VMs of a domain that know the same list and
+// count the same incarnations as owners.
+func (view *View) fleetDigest(now time.Time) uint64 {
+	digest := mix(uint64(view.listVersion), 0)
+	if view.owns(now) {
+		digest ^= mix(view.self.Incarnation, 1)
+	}
 	for _, member := range view.members {
-		if member.domain == view.self.Domain && member.live {
-			digest ^= mix(member.last.Incarnation, 0)
+		if view.isOwner(member) {
+			digest ^= mix(member.last.Incarnation, 1)
 		}
 	}
 	return digest
 }
 
+// Agreement tells whether the live VMs of the domain tell the same ownership
+// and plan version as this VM.
+func (view *View) Agreement(now time.Time) Agreement {
+	digest := view.fleetDigest(now)
+	agreed := view.owns(now) || view.released
+	for _, member := range view.members {
+		if member.domain != view.self.Domain || !member.live {
+			continue
+		}
+		if member.last.FleetDigest != digest || member.last.PlanVersion != view.status.PlanVersion {
+			agreed = false
+		}
+	}
+	return Agreement{
+		Agreed: agreed,
+		LostAt: view.lostAt,
+	}
+}
+
 func mix(a, b uint64) uint64 {
 	var data [16]byte
 	binary.LittleEndian.PutUint64(data[:8], a)
--- a/shared/version/fleet/view.go
+++ b/shared/version/fleet/view.go
@@ -78,10 +78,14 @@
 	earlyDue  bool
 	// ownsFrom is the time before which this VM owns nothing: its peers are
 	// to know of it first.
-	ownsFrom  time.Time
-	pulling   bool
-	pullAt    time.Time
-	owned     map[string]bool
+	ownsFrom time.Time
+	pulling  bool
+	pullAt   time.Time
+	owned    map[string]bool
+	// shares counts the slots that each owner of the domain owns.
+	shares []SlotShare
+	// lostAt is when a VM of the domain was last lost.
+	lostAt    time.Time
 	announced bool
 	dirty     bool
 	selfRow   platform.VmState
@@ -283,6 +287,7 @@
 			})
 			continue
 		}
+		view.lostAt = now
 		decisions = append(decisions, MemberLost{
 			Address:     address,
 			Incarnation: member.last.Incarnation,
@@ -498,17 +503,25 @@
 
 // Ownership.
 
+func (view *View) owns(now time.Time) bool {
+	return !view.released && !now.Before(view.ownsFrom)
+}
+
+func (view *View) isOwner(member *member) bool {
+	return member.domain == view.self.Domain && member.live && !member.last.Released
+}
+
 // owners returns the VMs of the domain that own upstreams.
 func (view *View) owners(now time.Time) []Owner {
 	var owners []Owner
-	if !view.released && !now.Before(view.ownsFrom) {
+	if view.owns(now) {
 		owners = append(owners, Owner{
 			Address: view.self.Address,
 			Weight:  view.self.Size,
 		})
 	}
 	for _, member := range view.members {
-		if member.domain == view.self.Domain && member.live && !member.last.Released {
+		if view.isOwner(member) {
 			owners = append(owners, Owner{
 				Address: member.address,
 				Weight:  member.size,
@@ -532,6 +545,7 @@
 	owners := view.owners(now)
 	changed := UpstreamsChanged{}
 	owned := make(map[string]bool)
+	slots := make(map[string]int)
 	for address, worker := range view.workers {
 		if worker.row.Domain != view.self.Domain {
 			continue
@@ -540,7 +554,9 @@
 			changed.Leaving = append(changed.Leaving, address)
 			continue
 		}
-		if OwnerOf(owners, address) != view.self.Address {
+		owner := OwnerOf(owners, address)
+		slots[owner] += worker.row.Slots
+		if owner != view.self.Address {
 			continue
 		}
 		owned[address] = true
@@ -550,6 +566,13 @@
 		}
 	}
 	view.owned = owned
+	view.shares = view.shares[:0:0]
+	for _, owner := range owners {
+		view.shares = append(view.shares, SlotShare{
+			Address: owner.Address,
+			Slots:   slots[owner.Address],
+		})
+	}
 	sort.Slice(changed.Owned, func(i, j int) bool { return changed.Owned[i].ID < changed.Owned[j].ID })
 	sort.Strings(changed.Gained)
 	sort.Strings(changed.Leaving)
@@ -569,6 +592,32 @@
 	}
 }
 
+// SlotShares returns the number of slots that each owner of the domain owns.
+// The caller must not change the result.
+func (view *View) SlotShares() []SlotShare { return view.shares }
+
+// SettlingTime is the time after which a VM of the domain that is not heard
+// counts as dead.
+func (view *View) SettlingTime() time.Duration { return view.failAfter() }
+
+// Lendings lists the VMs of the domain from which slots can be borrowed, with
+// what their heartbeats told.
+func (view *View) Lendings() []Lending {
+	var lendings []Lending
+	for _, address := range view.sortedMembers() {
+		member := view.members[address]
+		if !view.isOwner(member) || member.leaving || member.heardAt.IsZero() {
+			continue
+		}
+		lendings = append(lendings, Lending{
+			Address: address,
+			Load:    member.last.Load,
+			Spares:  member.last.Spares,
+		})
+	}
+	return lendings
+}
+
 // Successors lists the VMs of the domain that can take this VM's submissions
 // over, best first. The order is the same at each call while the VMs stay.
 func (view *View) Successors() []string {
@@ -591,14 +640,14 @@
 	Listed      bool   `json:"listed"`
 	HeardAgoMs  int64  `json:"heard-ago-ms"`
 	PlanVersion int64  `json:"plan-version"`
-	// Agrees tells that the VM counts the same VMs of the domain as live.
+	// Agrees tells that the VM knows the same list and owners.
 	Agrees bool      `json:"agrees"`
 	Load   peer.Load `json:"load"`
 }
 
 // Members returns the state of all other entry VMs, by address.
 func (view *View) Members(now time.Time) []MemberState {
-	digest := view.fleetDigest()
+	digest := view.fleetDigest(now)
 	states := make([]MemberState, 0, len(view.members))
 	for _, address := range view.sortedMembers() {
 		member := view.members[address]
