Let the dispatch core use borrowed slots and parts of caps

Cause: an entry VM that owns no fitting upstream refused jobs that another VM of its domain could serve, and each VM applied the whole cap of a team.

--- a/shared/request/dispatch/admission.go
+++ b/shared/request/dispatch/admission.go
@@ -98,10 +98,14 @@
 }
 
 func (at *upstreamState) fits(need placement.Need) bool {
-	return at.usable() && at.declared.Slots > 0 &&
-		need.Cores <= at.declared.Cores &&
-		need.MemoryMb <= at.declared.MemoryMb &&
-		need.Accelerators <= at.declared.Accelerators
+	return at.usable() && fits(&at.declared, need)
+}
+
+func fits(declared *placement.Upstream, need placement.Need) bool {
+	return declared.Slots > 0 &&
+		need.Cores <= declared.Cores &&
+		need.MemoryMb <= declared.MemoryMb &&
+		need.Accelerators <= declared.Accelerators
 }
 
 // refusal returns the refusal of a job that must not enter the queue. Nothing
@@ -122,7 +126,7 @@
 // fitRefusal refuses a job with a task that no upstream can ever run. An
 // ejected upstream counts, because it returns.
 func (core *Core) fitRefusal(asked *run) (job.Answer, bool) {
-	if core.currentCapacity().usable == 0 {
+	if core.currentCapacity().usable == 0 && len(core.domain) == 0 {
 		answer := job.Refusal(job.ReasonNotReady, "no upstream is known")
 		answer.RetryAfterMs = core.config.Limits.MaxRetryAfter.Milliseconds()
 		return answer, true
@@ -142,6 +146,19 @@
 }
 
 func (core *Core) anyFits(need placement.Need) bool {
+	if core.fitsHere(need) {
+		return true
+	}
+	for i := range core.domain {
+		if fits(&core.domain[i], need) {
+			return true
+		}
+	}
+	return false
+}
+
+// fitsHere reports whether an upstream that this VM may use now can run a task.
+func (core *Core) fitsHere(need placement.Need) bool {
 	for _, at := range core.order {
 		if at.fits(need) {
 			return true
--- a/shared/request/dispatch/core.go
+++ b/shared/request/dispatch/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerfall/shared/request/limit"
+	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
 	"tanagerfall/shared/version/plan"
 )
@@ -20,6 +21,13 @@
 	order  []*upstreamState
 	rules  map[ruleKey][]plan.Rule
 	shares map[ruleKey]share
+	// allowances holds this VM's parts of the rules' caps.
+	allowances map[ruleKey]int
+	// domain holds all upstreams of the failure domain.
+	domain []placement.Upstream
+	// unfit holds the needs of the jobs with a task that fits no upstream of
+	// this VM and waits for borrowed slots.
+	unfit map[submission.Key]placement.Need
 	// planned is false until the first plan came.
 	planned   bool
 	guards    plan.Guards
@@ -45,6 +53,7 @@
 		jobs:      make(map[submission.Key]*run),
 		upstreams: make(map[string]*upstreamState),
 		shares:    make(map[ruleKey]share),
+		unfit:     make(map[submission.Key]placement.Need),
 		budgets:   make(map[string]*limit.Budget),
 		overdue:   limit.NewBudget(limits.OverdueShare, limits.OverdueBurst),
 		admission: limit.Admission{
@@ -95,6 +104,8 @@
 		core.retryLeases(event)
 	case FleetChanged:
 		core.changeFleet(event)
+	case AllowancesChanged:
+		core.changeAllowances(event)
 	case UpstreamDraining:
 		core.drainUpstream(event.Upstream)
 	case PlanChanged:
--- a/shared/request/dispatch/jobs.go
+++ b/shared/request/dispatch/jobs.go
@@ -59,6 +59,7 @@
 	core.shareOut(keyOf(&event.Job), accepted.rule)
 	core.jobs[event.Key] = accepted
 	core.load.add(accepted)
+	core.noteUnfit(accepted)
 	core.arm(&accepted.timer, accepted.deadline)
 	core.config.Scheduler.Enqueue(accepted.placing)
 	core.placeable = true
@@ -181,6 +182,7 @@
 // answer is the only place that makes a FinishJob.
 func (core *Core) answer(owner *run, answer job.Answer) {
 	owner.answered = true
+	delete(core.unfit, owner.key)
 	core.disarm(&owner.timer)
 	answer.ElapsedMs = core.now.Sub(owner.arrival).Milliseconds()
 	answer.IdealMs = owner.idealMs
--- a/shared/request/dispatch/messages.go
+++ b/shared/request/dispatch/messages.go
@@ -74,8 +74,21 @@
 	// FleetChanged carries all upstreams that this VM may place tasks on.
 	// Upstreams that are missing or listed in Leaving get nothing new.
 	FleetChanged struct {
+		// Upstreams are owned by this VM, without the slots lent to peers.
 		Upstreams []placement.Upstream
-		Leaving   []string
+		// Borrowed are slots of upstreams that peers own. Other VMs run tasks
+		// there, so their occupancy is not asked for.
+		Borrowed []placement.Upstream
+		Leaving  []string
+		// Domain lists all upstreams of the failure domain, whoever owns them.
+		// A task that fits one of them can run on borrowed slots. It may be
+		// empty where nothing can be borrowed.
+		Domain []placement.Upstream
+	}
+	// AllowancesChanged carries how many slots this VM may give to each rule
+	// with a cap. Rules that are missing have the whole cap of the plan.
+	AllowancesChanged struct {
+		Allowances []Allowance
 	}
 	// UpstreamDraining tells that an upstream gave its own drain signal.
 	UpstreamDraining struct {
@@ -89,17 +102,25 @@
 	Tick struct{}
 )
 
-func (JobAccepted) event()      {}
-func (JobCancelled) event()     {}
-func (TaskEnded) event()        {}
-func (TaskNotStarted) event()   {}
-func (TaskLost) event()         {}
-func (LeaseAnswered) event()    {}
-func (LeaseFailed) event()      {}
-func (FleetChanged) event()     {}
-func (UpstreamDraining) event() {}
-func (PlanChanged) event()      {}
-func (Tick) event()             {}
+func (JobAccepted) event()       {}
+func (JobCancelled) event()      {}
+func (TaskEnded) event()         {}
+func (TaskNotStarted) event()    {}
+func (TaskLost) event()          {}
+func (LeaseAnswered) event()     {}
+func (LeaseFailed) event()       {}
+func (FleetChanged) event()      {}
+func (AllowancesChanged) event() {}
+func (UpstreamDraining) event()  {}
+func (PlanChanged) event()       {}
+func (Tick) event()              {}
+
+// Allowance is this VM's part of the cap of a team for a kind.
+type Allowance struct {
+	Team  string
+	Kind  string
+	Slots int
+}
 
 // Decision is something the Core wants done.
 type Decision interface{ decision() }
--- a/shared/request/dispatch/rules.go
+++ b/shared/request/dispatch/rules.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/version/plan"
 )
 
@@ -68,7 +69,7 @@
 	}
 	told := share{
 		weight: weight,
-		cap:    rule.Cap,
+		cap:    core.capOf(key, rule),
 	}
 	if core.shares[key] == told {
 		return
@@ -77,6 +78,36 @@
 	core.config.Scheduler.SetTeam(key.queue(), told.weight, told.cap)
 }
 
+// capOf returns the scheduler's cap for a rule: this VM's allowance, or the
+// plan's cap where no allowance is known.
+func (core *Core) capOf(key ruleKey, rule plan.Rule) int {
+	allowed, known := core.allowances[key]
+	if !known || rule.Cap == 0 {
+		return rule.Cap
+	}
+	if allowed <= 0 {
+		return placement.NoSlots
+	}
+	return allowed
+}
+
+func (core *Core) changeAllowances(event AllowancesChanged) {
+	core.allowances = make(map[ruleKey]int, len(event.Allowances))
+	for _, allowance := range event.Allowances {
+		key := ruleKey{
+			team: allowance.Team,
+			kind: allowance.Kind,
+		}
+		core.allowances[key] = allowance.Slots
+	}
+	for key := range core.rules {
+		if latest, found := core.rule(key); found {
+			core.shareOut(key, latest)
+		}
+	}
+	core.placeable = true
+}
+
 func (core *Core) changeGuards(guards plan.Guards) {
 	core.guards = guards
 	for _, at := range core.order {
--- a/shared/request/dispatch/upstreams.go
+++ b/shared/request/dispatch/upstreams.go
@@ -20,6 +20,8 @@
 type upstreamState struct {
 	declared     placement.Upstream
 	capabilities Capabilities
+	// borrowed is true while only a peer's loan allows tasks there.
+	borrowed bool
 	// used counts the attempts of this VM that may be running there.
 	used int
 	// foreign counts the slots that other VMs occupy.
@@ -55,8 +57,15 @@
 	listed := make(map[string]bool, len(event.Upstreams)+len(event.Leaving))
 	for _, declared := range event.Upstreams {
 		listed[declared.ID] = true
-		core.listUpstream(declared)
+		core.listUpstream(declared, false)
 	}
+	for _, declared := range event.Borrowed {
+		if !listed[declared.ID] {
+			listed[declared.ID] = true
+			core.listUpstream(declared, true)
+		}
+	}
+	core.domain = event.Domain
 	for _, id := range event.Leaving {
 		listed[id] = true
 		if at, known := core.upstreams[id]; known {
@@ -72,11 +81,15 @@
 	core.capacity.stale = true
 }
 
-func (core *Core) listUpstream(declared placement.Upstream) {
+func (core *Core) listUpstream(declared placement.Upstream, borrowed bool) {
 	at, known := core.upstreams[declared.ID]
 	if known && !at.gone {
-		changed := at.declared != declared
+		changed := at.declared != declared || at.borrowed != borrowed
 		at.declared = declared
+		if at.borrowed && !borrowed {
+			core.checkOccupancy(at)
+		}
+		at.borrowed = borrowed
 		if changed {
 			at.slots = 0
 			core.sync(at)
@@ -95,6 +108,7 @@
 	at.leaving = false
 	at.draining = false
 	at.foreign = 0
+	at.borrowed = borrowed
 	core.checkOccupancy(at)
 	core.sync(at)
 }
@@ -156,7 +170,7 @@
 
 // checkOccupancy asks a new upstream what runs there before it is used.
 func (core *Core) checkOccupancy(at *upstreamState) {
-	at.occupancyKnown = core.guards.NoOccupancyCheck || !at.capabilities.AnswersLeases
+	at.occupancyKnown = at.borrowed || core.guards.NoOccupancyCheck || !at.capabilities.AnswersLeases
 	if at.occupancyKnown {
 		return
 	}
@@ -211,7 +225,7 @@
 // been free: another VM uses it.
 func (core *Core) recordBusy(at *upstreamState) {
 	core.counters.BusyRefusals++
-	if core.guards.NoOccupancyCheck || !at.capabilities.AnswersLeases {
+	if at.borrowed || core.guards.NoOccupancyCheck || !at.capabilities.AnswersLeases {
 		return
 	}
 	at.foreign = max(at.declared.Slots-at.used, at.foreign)
--- a/shared/request/placement/fair.go
+++ b/shared/request/placement/fair.go
@@ -21,7 +21,7 @@
 }
 
 func (team *team) atCap() bool {
-	return team.cap > 0 && team.used >= team.cap
+	return team.cap != 0 && team.used >= team.cap
 }
 
 func debtOf(team *team) int64 {
--- a/shared/request/placement/scheduler.go
+++ b/shared/request/placement/scheduler.go
@@ -163,6 +163,27 @@
 	scheduler.index.stale = true
 }
 
+// NoSlots is a cap for SetTeam that allows no slot at all.
+const NoSlots = -1
+
+// TeamStats counts the tasks of one team.
+type TeamStats struct {
+	Running int
+	Waiting int
+}
+
+// TeamStats returns the counts of a team.
+func (scheduler *Scheduler) TeamStats(name string) TeamStats {
+	held, known := scheduler.teams[name]
+	if !known {
+		return TeamStats{}
+	}
+	return TeamStats{
+		Running: held.used,
+		Waiting: held.waiting,
+	}
+}
+
 // SetTeam sets the weight of a team in the fair queue and the largest number
 // of slots that it may hold at a time. A slotCap of 0 sets no limit, and a
 // weight that is not positive counts as 1. A team that was never set has
