Lend slots and team caps between the entry VMs of a domain

Cause: the scenarios bad-input, cancel, kill-owner and leaving failed, because an entry VM that owned no upstream could not serve. Conclusion: borrowing works; a dead worker of two can use up the retry budget, which is next.

--- a/entry/control/events.go
+++ b/entry/control/events.go
@@ -71,6 +71,21 @@
 	pullEnded struct {
 		snapshot *plan.Snapshot
 	}
+	borrow struct {
+		request *peer.BorrowSlotsRequest
+		reply   chan<- peer.BorrowSlotsResponse
+	}
+	returned struct {
+		request *peer.ReturnSlotsRequest
+	}
+	recalled struct {
+		request *peer.RecallSlotsRequest
+	}
+	// borrowEnded carries the answer to a request for slots, or nil.
+	borrowEnded struct {
+		response  *peer.BorrowSlotsResponse
+		delivered bool
+	}
 	dump struct {
 		reply chan<- Dump
 	}
@@ -94,6 +109,10 @@
 func (fleetEvent) event()     {}
 func (pull) event()           {}
 func (pullEnded) event()      {}
+func (borrow) event()         {}
+func (returned) event()       {}
+func (recalled) event()       {}
+func (borrowEnded) event()    {}
 func (dump) event()           {}
 func (barrier) event()        {}
 
--- a/entry/control/fleet.go
+++ b/entry/control/fleet.go
@@ -6,7 +6,6 @@
 	"tanagerfall/shared/connection/peer"
 	"tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/process/logevent"
-	"tanagerfall/shared/request/dispatch"
 	"tanagerfall/shared/request/submission"
 	"tanagerfall/shared/version/fleet"
 	"tanagerfall/shared/version/plan"
@@ -25,6 +24,8 @@
 			PlanVersion: version,
 			PlanDigest:  uint64(digest),
 			Load:        loop.load(),
+			Wants:       loop.lending.wants,
+			Spares:      loop.lending.spares,
 		},
 	})
 }
@@ -32,8 +33,9 @@
 func (loop *Loop) load() peer.Load {
 	stats := loop.config.Scheduler.Stats()
 	return peer.Load{
-		Slots:   stats.Slots,
+		Slots:   stats.Slots + loop.lending.lender.Total(),
 		Used:    stats.Slots - stats.IdleSlots,
+		Lent:    loop.lending.lender.Total(),
 		Waiting: stats.WaitingTasks,
 	}
 }
@@ -65,13 +67,23 @@
 func (loop *Loop) changeUpstreams(now time.Time, changed fleet.UpstreamsChanged) {
 	loop.config.Logger.Log(logevent.FleetChanged, "owned", len(changed.Owned), "gained", len(changed.Gained),
 		"leaving", len(changed.Leaving))
-	loop.dispatch(now, dispatch.FleetChanged{
-		Upstreams: changed.Owned,
-		Leaving:   changed.Leaving,
-	})
-	if len(changed.Owned) > 0 {
-		loop.owns.Store(true)
+	loop.recallLost(changed.Owned)
+	loop.lending.owned = changed.Owned
+	loop.lending.leaving = changed.Leaving
+	loop.lending.domain = changed.Domain
+	loop.announceUpstreams(now)
+	loop.owns.Store(loop.anyOwner())
+}
+
+// anyOwner reports whether a live VM of the failure domain owns slots, so that
+// this VM has its own or can borrow some.
+func (loop *Loop) anyOwner() bool {
+	for _, share := range loop.config.View.SlotShares() {
+		if share.Slots > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 // owner returns the peer address of the VM that may hold a foreign ID, or ""
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -37,14 +37,18 @@
 }
 
 // Courier carries out the decisions of the fleet's view that need a message
-// to a peer: fleet.SendHeartbeat and fleet.PullPlan. Deliver must not block.
+// to a peer. Its methods must not block.
 type Courier interface {
 	Deliver(decision fleet.Decision)
+	Borrow(request fleet.BorrowRequest)
+	Return(request fleet.ReturnRequest)
+	Recall(recall fleet.Recall)
 }
 
 // Config is what a Loop needs.
 type Config struct {
 	Identity submission.Identity
+	Self     fleet.Self
 	Ledger   *submission.Ledger
 	Core     *dispatch.Core
 	// Scheduler is the Core's, for counts.
@@ -67,8 +71,9 @@
 	events  chan event
 	waiters map[submission.Key][]waiter
 	stopped chan struct{}
+	lending *lending
 	ticked  time.Time
-	// owns is set once this VM was given upstreams.
+	// owns is set while a live VM of the failure domain owns slots.
 	owns atomic.Bool
 }
 
@@ -86,6 +91,7 @@
 		events:  make(chan event, eventBacklog),
 		waiters: make(map[submission.Key][]waiter),
 		stopped: make(chan struct{}),
+		lending: newLending(config.Self, config.View.SettlingTime()),
 	}
 }
 
@@ -136,6 +142,7 @@
 		loop.ticked = now
 		loop.config.Ledger.Expire(now)
 		loop.refreshPlan(now)
+		loop.tickLending(now)
 		loop.fleetTick(now)
 	}
 	loop.dispatch(now, dispatch.Tick{})
@@ -167,6 +174,14 @@
 		received.reply <- loop.answerHeartbeat(now, received.message)
 	case fleetEvent:
 		loop.fleet(now, received.occurred)
+	case borrow:
+		received.reply <- loop.lend(now, received.request)
+	case returned:
+		loop.takeBack(now, received.request)
+	case recalled:
+		loop.endLoan(now, received.request)
+	case borrowEnded:
+		loop.endBorrowing(now, received.response, received.delivered)
 	case pull:
 		received.reply <- loop.answerPull(received.after)
 	case pullEnded:
@@ -211,6 +226,7 @@
 		Key: received.id.Key,
 		Job: received.job,
 	})
+	loop.askSlots(now)
 }
 
 func (loop *Loop) look(now time.Time, received look) {
@@ -334,6 +350,7 @@
 func (loop *Loop) refreshPlan(now time.Time) {
 	plan, changed := loop.config.Plans.InForce(now)
 	if changed {
+		loop.lending.setPlan(plan, loop.config.Identity.Domain)
 		loop.dispatch(now, dispatch.PlanChanged{
 			Plan: plan,
 		})
--- a/entry/control/requests.go
+++ b/entry/control/requests.go
@@ -154,6 +154,43 @@
 	})
 }
 
+// Lend answers a peer that is short of slots.
+func (loop *Loop) Lend(ctx context.Context, request *peer.BorrowSlotsRequest) (peer.BorrowSlotsResponse, error) {
+	reply := make(chan peer.BorrowSlotsResponse, 1)
+	err := loop.send(ctx, borrow{
+		request: request,
+		reply:   reply,
+	})
+	if err != nil {
+		return peer.BorrowSlotsResponse{}, err
+	}
+	return receive(ctx, loop, reply)
+}
+
+// TakeBack takes slots back that were lent to a peer.
+func (loop *Loop) TakeBack(request *peer.ReturnSlotsRequest) {
+	_ = loop.send(context.Background(), returned{
+		request: request,
+	})
+}
+
+// EndLoan ends the use of slots that a peer lent and wants back.
+func (loop *Loop) EndLoan(request *peer.RecallSlotsRequest) {
+	_ = loop.send(context.Background(), recalled{
+		request: request,
+	})
+}
+
+// EndBorrowing passes on what a peer answered to a request for slots; nil
+// means that it gave no answer, and delivered whether it may have got the
+// request.
+func (loop *Loop) EndBorrowing(response *peer.BorrowSlotsResponse, delivered bool) {
+	_ = loop.send(context.Background(), borrowEnded{
+		response:  response,
+		delivered: delivered,
+	})
+}
+
 // Dump returns a copy of the control state.
 func (loop *Loop) Dump(ctx context.Context) (Dump, error) {
 	reply := make(chan Dump, 1)
--- a/entry/peerapi/fleet.go
+++ b/entry/peerapi/fleet.go
@@ -32,3 +32,24 @@
 	})
 	return &peer.RedirectResponse{}, nil
 }
+
+// BorrowSlots lends idle slots to a peer.
+func (server *Server) BorrowSlots(ctx context.Context, request *peer.BorrowSlotsRequest) (*peer.BorrowSlotsResponse, error) {
+	response, err := server.loop.Lend(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return &response, nil
+}
+
+// ReturnSlots takes slots back from a peer.
+func (server *Server) ReturnSlots(_ context.Context, request *peer.ReturnSlotsRequest) (*peer.ReturnSlotsResponse, error) {
+	server.loop.TakeBack(request)
+	return &peer.ReturnSlotsResponse{}, nil
+}
+
+// RecallSlots ends the use of slots that a peer wants back.
+func (server *Server) RecallSlots(_ context.Context, request *peer.RecallSlotsRequest) (*peer.RecallSlotsResponse, error) {
+	server.loop.EndLoan(request)
+	return &peer.RecallSlotsResponse{}, nil
+}
--- a/entry/peerapi/pending.go
+++ b/entry/peerapi/pending.go
@@ -6,21 +6,6 @@
 	"tanagerfall/shared/connection/peer"
 )
 
-// BorrowSlots is not taken yet.
-func (server *Server) BorrowSlots(context.Context, *peer.BorrowSlotsRequest) (*peer.BorrowSlotsResponse, error) {
-	return nil, ErrNotTaken
-}
-
-// ReturnSlots is not taken yet.
-func (server *Server) ReturnSlots(context.Context, *peer.ReturnSlotsRequest) (*peer.ReturnSlotsResponse, error) {
-	return nil, ErrNotTaken
-}
-
-// RecallSlots is not taken yet.
-func (server *Server) RecallSlots(context.Context, *peer.RecallSlotsRequest) (*peer.RecallSlotsResponse, error) {
-	return nil, ErrNotTaken
-}
-
 // HandOverBegin is not taken yet.
 func (server *Server) HandOverBegin(context.Context, *peer.HandOverBeginRequest) (*peer.HandOverResponse, error) {
 	return nil, ErrNotTaken
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -140,6 +140,13 @@
 
 func (process *Process) newLoop() *control.Loop {
 	now := time.Now()
+	self := fleet.Self{
+		Address:     process.identity.Address,
+		Domain:      process.identity.Domain,
+		Size:        process.settings.Size,
+		Incarnation: process.identity.Incarnation,
+		Started:     now,
+	}
 	random := rand.New(rand.NewPCG(process.identity.Incarnation, 0))
 	estimator := estimate.New()
 	scheduler := placement.New(process.settings.PlacementPolicy(), estimator, random)
@@ -153,18 +160,13 @@
 		}),
 		Scheduler: scheduler,
 		Identity:  process.identity,
-		View: fleet.New(now, fleet.Self{
-			Address:     process.identity.Address,
-			Domain:      process.identity.Domain,
-			Size:        process.settings.Size,
-			Incarnation: process.identity.Incarnation,
-			Started:     now,
-		}),
-		Stop:    process.Drain,
-		Plans:   process.plans,
-		Logger:  process.logger,
-		Metrics: control.NewMetrics(process.set),
-		Now:     time.Now,
+		Self:      self,
+		View:      fleet.New(now, self),
+		Stop:      process.Drain,
+		Plans:     process.plans,
+		Logger:    process.logger,
+		Metrics:   control.NewMetrics(process.set),
+		Now:       time.Now,
 	})
 }
 
--- a/entry/traffic/courier.go
+++ b/entry/traffic/courier.go
@@ -12,13 +12,18 @@
 	"tanagerfall/shared/version/plan"
 )
 
-// pullTimeout bounds the pull of a plan from a peer.
-const pullTimeout = time.Second
+const (
+	// pullTimeout bounds the pull of a plan from a peer.
+	pullTimeout = time.Second
+	// lendingTimeout bounds the messages about borrowed slots.
+	lendingTimeout = 500 * time.Millisecond
+)
 
 // FleetSink takes what came of the messages to peers. It may block.
 type FleetSink interface {
 	TellFleet(event fleet.Event)
 	EndPull(snapshot *plan.Snapshot)
+	EndBorrowing(response *peer.BorrowSlotsResponse, delivered bool)
 }
 
 // Courier sends the fleet's messages to peers.
@@ -88,3 +93,38 @@
 	snapshot, _ := record.(*plan.Snapshot)
 	courier.sink.EndPull(snapshot)
 }
+
+// Borrow asks a peer for slots without blocking. FleetSink.EndBorrowing
+// follows.
+func (courier *Courier) Borrow(request fleet.BorrowRequest) {
+	courier.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lendingTimeout)
+		defer cancel()
+		response, err := peer.BorrowSlots.Call(ctx, courier.pool, request.Address, &request.Request)
+		if err != nil {
+			courier.sink.EndBorrowing(nil, !errors.Is(err, peer.ErrNotDelivered))
+			return
+		}
+		courier.sink.EndBorrowing(response, true)
+	})
+}
+
+// Return gives slots back to a peer without blocking. A lost return is not
+// repeated: the lease ends the loan.
+func (courier *Courier) Return(request fleet.ReturnRequest) {
+	courier.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lendingTimeout)
+		defer cancel()
+		_, _ = peer.ReturnSlots.Call(ctx, courier.pool, request.Address, &request.Request)
+	})
+}
+
+// Recall asks a peer for slots back without blocking. The lease ends the loan
+// where the message is lost.
+func (courier *Courier) Recall(recall fleet.Recall) {
+	courier.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lendingTimeout)
+		defer cancel()
+		_, _ = peer.RecallSlots.Call(ctx, courier.pool, recall.Borrower, &recall.Request)
+	})
+}
--- a/local/system/entry.go
+++ b/local/system/entry.go
@@ -108,6 +108,8 @@
 		select {
 		case <-ctx.Done():
 			return eris.Wrap(ErrNotReady, entry.Name)
+		case <-entry.done():
+			return eris.Wrapf(ErrNotReady, "%s has stopped", entry.Name)
 		case <-time.After(pollEvery):
 		}
 	}
--- a/local/system/system.go
+++ b/local/system/system.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 
+	"tanagerfall/entry/process"
 	wire "tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/process/settings"
 	"tanagerfall/shared/request/submission"
@@ -22,13 +23,16 @@
 )
 
 const (
-	loopback    = "127.0.0.1"
-	pollEvery   = 10 * time.Millisecond
-	macKeyID    = 1
-	macSecret   = "local deployment secret, not for production"
-	coresEach   = 16
-	memoryEach  = 32 << 10
-	workersRack = 8
+	loopback = "127.0.0.1"
+	// listenRetries is how often an entry VM is started again because another
+	// program took one of its ports in between.
+	listenRetries = 3
+	pollEvery     = 10 * time.Millisecond
+	macKeyID      = 1
+	macSecret     = "local deployment secret, not for production"
+	coresEach     = 16
+	memoryEach    = 32 << 10
+	workersRack   = 8
 )
 
 // ErrNotReady is returned where an entry VM did not become ready in time.
@@ -175,16 +179,13 @@
 
 // StartEntry starts one more entry VM and lists it with the platform.
 func (system *System) StartEntry(name, domain string) (*Entry, error) {
-	configured, err := system.entrySettings(domain)
-	if err != nil {
-		return nil, err
-	}
-	entry := &Entry{
-		Name:     name,
-		Settings: configured,
-		web:      system.web,
+	entry, err := system.newEntry(name, domain)
+	for range listenRetries {
+		if !errors.Is(err, process.ErrListen) {
+			break
+		}
+		entry, err = system.newEntry(name, domain)
 	}
-	entry.runner, err = system.run(entry)
 	if err != nil {
 		return nil, err
 	}
@@ -192,15 +193,29 @@
 	system.Entries = append(system.Entries, entry)
 	system.mutex.Unlock()
 	system.Platform.SetVm(wire.Vm{
-		Address: configured.PeerAddress,
+		Address: entry.Settings.PeerAddress,
 		Domain:  domain,
 		Role:    wire.RoleEntry,
 		State:   wire.VmLive,
-		Size:    configured.Size,
+		Size:    entry.Settings.Size,
 	})
 	return entry, nil
 }
 
+func (system *System) newEntry(name, domain string) (*Entry, error) {
+	configured, err := system.entrySettings(domain)
+	if err != nil {
+		return nil, err
+	}
+	entry := &Entry{
+		Name:     name,
+		Settings: configured,
+		web:      system.web,
+	}
+	entry.runner, err = system.run(entry)
+	return entry, err
+}
+
 func (system *System) entrySettings(domain string) (settings.Entry, error) {
 	addresses, err := freeAddresses(3)
 	if err != nil {
@@ -228,19 +243,6 @@
 	return configured, nil
 }
 
-func freeAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", loopback+":0")
-		if err != nil {
-			return nil, eris.Wrap(err, "looking for a free port")
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // AwaitReady waits until every entry VM is ready.
 func (system *System) AwaitReady(ctx context.Context) error {
 	for _, entry := range system.Entries {
--- a/shared/version/fleet/events.go
+++ b/shared/version/fleet/events.go
@@ -95,6 +95,8 @@
 		Owned   []placement.Upstream
 		Gained  []string
 		Leaving []string
+		// Domain lists all upstreams of the domain that may get new tasks.
+		Domain []placement.Upstream
 	}
 	// PullPlan asks a peer for a newer plan. PlanPullEnded must follow.
 	PullPlan struct {
--- a/shared/version/fleet/view.go
+++ b/shared/version/fleet/view.go
@@ -554,6 +554,7 @@
 			changed.Leaving = append(changed.Leaving, address)
 			continue
 		}
+		changed.Domain = append(changed.Domain, upstreamOf(worker.row))
 		owner := OwnerOf(owners, address)
 		slots[owner] += worker.row.Slots
 		if owner != view.self.Address {
@@ -574,6 +575,7 @@
 		})
 	}
 	sort.Slice(changed.Owned, func(i, j int) bool { return changed.Owned[i].ID < changed.Owned[j].ID })
+	sort.Slice(changed.Domain, func(i, j int) bool { return changed.Domain[i].ID < changed.Domain[j].ID })
 	sort.Strings(changed.Gained)
 	sort.Strings(changed.Leaving)
 	return []Decision{changed}
