--- a/shared/connection/upstream/messages.go
+++ b/shared/connection/upstream/messages.go
@@ -104,6 +104,10 @@
 	Stopped TaskState = "stopped"
 )
 
+// ReasonRestarted comes with TaskFailed for a task that the worker does not
+// know and that may have started before the worker restarted.
+const ReasonRestarted = "restarted"
+
 // TaskReport is one task's state, in the answer to POST /v1/tasks (status 200
 // for Finished, TaskFailed and Stopped; 503 for NeverStarted) and in lease
 // answers.
--- a/shared/request/dispatch/config.go
+++ b/shared/request/dispatch/config.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"tanagerfall/shared/connection/upstream"
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/request/job"
 	"tanagerfall/shared/request/limit"
@@ -19,15 +20,6 @@
 	DeadlineMs int64
 }
 
-// Capabilities says what the workers behind an upstream adapter support.
-type Capabilities struct {
-	// AnswersLeases: the workers answer AskUpstream.
-	AnswersLeases bool
-	// KeepsTombstones: a task that was answered "never started" never will.
-	// Without it, such an answer is no proof.
-	KeepsTombstones bool
-}
-
 // Config is what a Core is made of.
 type Config struct {
 	// Domain is the failure domain whose rules of the plan apply.
@@ -40,7 +32,7 @@
 	Random    *rand.Rand
 	// Capabilities returns those of an upstream's adapter; nil means that all
 	// upstreams support everything.
-	Capabilities func(upstream string) Capabilities
+	Capabilities func(id string) upstream.Capabilities
 	// Limits holds bounds; a zero field takes its value from DefaultLimits.
 	Limits Limits
 }
@@ -136,10 +128,10 @@
 	return config
 }
 
-func allCapabilities(string) Capabilities {
-	return Capabilities{
-		AnswersLeases:   true,
-		KeepsTombstones: true,
+func allCapabilities(string) upstream.Capabilities {
+	return upstream.Capabilities{
+		Leases:     true,
+		Tombstones: true,
 	}
 }
 
--- a/shared/request/dispatch/dump.go
+++ b/shared/request/dispatch/dump.go
@@ -15,7 +15,6 @@
 	ActiveTasks    int            `json:"active-tasks"`
 	PredictedWork  float64        `json:"predicted-work-ms"`
 	OpenSpeed      float64        `json:"open-speed"`
-	FailureShare   float64        `json:"failure-share"`
 	Ejected        int            `json:"ejected-upstreams"`
 	Timers         int            `json:"timers"`
 	Guards         plan.Guards    `json:"guards"`
@@ -90,7 +89,6 @@
 		ActiveTasks:    core.load.active,
 		PredictedWork:  core.load.workMs,
 		OpenSpeed:      core.currentCapacity().speed,
-		FailureShare:   core.health.failureShare,
 		Ejected:        core.health.ejected,
 		Timers:         len(core.timers),
 		Guards:         core.guards,
--- a/shared/request/dispatch/health.go
+++ b/shared/request/dispatch/health.go
@@ -9,8 +9,6 @@
 	// shareWeight is the weight of a new observation in an upstream's share of
 	// failures.
 	shareWeight = 0.1
-	// fleetWeight is the same for the share over all upstreams.
-	fleetWeight = 0.005
 	// minSamples is the number of results after which a share of failures is
 	// taken as evidence.
 	minSamples = 10
@@ -32,8 +30,9 @@
 
 // fleetHealth is the health of all upstreams together.
 type fleetHealth struct {
-	failureShare float64
-	ejected      int
+	// shares sums up the shares of failures of the upstreams.
+	shares  float64
+	ejected int
 }
 
 // health is the health of one upstream.
@@ -63,17 +62,37 @@
 	return slots
 }
 
-func (health *health) observe(failure float64) {
-	health.samples++
-	health.share += shareWeight * (failure - health.share)
+func (core *Core) observe(state *health, failure float64) {
+	change := shareWeight * (failure - state.share)
+	state.samples++
+	state.share += change
+	core.health.shares += change
+}
+
+// forgetShare drops what was observed of an upstream.
+func (core *Core) forgetShare(state *health) {
+	core.health.shares -= state.share
+	state.samples = 0
+	state.share = 0
+	state.consecutive = 0
+}
+
+// shareOfOthers returns the mean share of failures of the other upstreams, so
+// that one bad upstream does not excuse itself, however much it draws.
+func (core *Core) shareOfOthers(state *health) float64 {
+	others := core.listed() - 1
+	if others <= 0 {
+		return maxFleetShare
+	}
+	share := (core.health.shares - state.share) / float64(others)
+	return min(max(share, minFleetShare), maxFleetShare)
 }
 
 // recordSuccess notes that an upstream ran a task to its end. The slots of an
 // upstream in slow start double after as many successes as it has slots.
 func (core *Core) recordSuccess(at *upstreamState) {
-	core.health.failureShare -= fleetWeight * core.health.failureShare
 	state := &at.health
-	state.observe(0)
+	core.observe(state, 0)
 	state.consecutive = 0
 	state.successes++
 	if state.successes >= forgiveAfter {
@@ -93,9 +112,8 @@
 // recordFailure notes that an upstream failed a task, refused a connection or
 // left an ask without an answer.
 func (core *Core) recordFailure(at *upstreamState) {
-	core.health.failureShare += fleetWeight * (1 - core.health.failureShare)
 	state := &at.health
-	state.observe(1)
+	core.observe(state, 1)
 	state.consecutive++
 	state.successes = 0
 	if core.failing(state) {
@@ -106,8 +124,8 @@
 // failing compares an upstream with the fleet, so that jobs that fail
 // everywhere eject nobody.
 func (core *Core) failing(state *health) bool {
-	fleetShare := min(max(core.health.failureShare, minFleetShare), maxFleetShare)
-	if state.probeSlots == firstProbe && core.health.failureShare < badShare {
+	fleetShare := core.shareOfOthers(state)
+	if state.probeSlots == firstProbe && fleetShare < badShare {
 		return true
 	}
 	needed := math.Ceil(math.Log(falseAlarm) / math.Log(fleetShare))
@@ -131,9 +149,7 @@
 	jitter := time.Duration(core.config.Random.Int64N(int64(length)/5 + 1))
 	at.health.until = core.now.Add(length + jitter)
 	at.health.ejections++
-	at.health.consecutive = 0
-	at.health.samples = 0
-	at.health.share = 0
+	core.forgetShare(&at.health)
 	core.health.ejected++
 	core.counters.Ejections++
 	core.sync(at)
@@ -155,7 +171,7 @@
 func (core *Core) probe(at *upstreamState) {
 	core.health.ejected--
 	at.health.probeSlots = firstProbe
-	at.health.consecutive = 0
+	core.forgetShare(&at.health)
 	at.health.successes = 0
 	core.sync(at)
 }
@@ -165,5 +181,6 @@
 	if at.health.ejected() {
 		core.health.ejected--
 	}
+	core.forgetShare(&at.health)
 	at.health = health{}
 }
--- a/shared/request/dispatch/invariants_test.go
+++ b/shared/request/dispatch/invariants_test.go
@@ -6,8 +6,10 @@
 
 	"pgregory.net/rapid"
 
+	"tanagerfall/shared/connection/upstream"
 	"tanagerfall/shared/request/dispatch"
 	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
 )
 
@@ -17,7 +19,14 @@
 func TestInvariantsHoldUnderRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		workers := newWorkers(rapid.IntRange(1, 4).Draw(t, "workers"), 2, 1)
-		world := newWorld(rapid.Uint64().Draw(t, "seed"), workers...)
+		can := upstream.Capabilities{
+			Leases:     rapid.IntRange(0, 9).Draw(t, "leases") > 0,
+			Tombstones: rapid.IntRange(0, 9).Draw(t, "tombstones") > 0,
+		}
+		policies := []placement.Policy{placement.Greedy{}, placement.Target{Theta: 1.2}, placement.Random{}}
+		world := newWorldOf(dispatch.Config{
+			Capabilities: func(string) upstream.Capabilities { return can },
+		}, rapid.SampledFrom(policies).Draw(t, "policy"), rapid.Uint64().Draw(t, "seed"), workers...)
 		fatesDrawn := rapid.SliceOfN(rapid.SampledFrom(allFates()), 1, 12).Draw(t, "fates")
 		starts := 0
 		world.fate = func() fate {
--- a/shared/request/dispatch/leases.go
+++ b/shared/request/dispatch/leases.go
@@ -17,7 +17,7 @@
 	switch {
 	case !core.now.Before(task.giveUpAt):
 		core.giveUpWaiting(task)
-	case task.pending || task.asking || !task.at.capabilities.AnswersLeases:
+	case task.pending || task.asking || !task.at.capabilities.Leases:
 		core.arm(&task.timer, task.giveUpAt)
 	case core.early(task) && !core.overdue.Take():
 		core.arm(&task.timer, task.renewAt())
@@ -30,7 +30,7 @@
 // news. Workers that answer no leases keep none, so there an open connection
 // is waited for while the job may still become complete.
 func (core *Core) giveUpWaiting(task *task) {
-	if !task.at.capabilities.AnswersLeases && !task.owner.closing {
+	if !task.at.capabilities.Leases && !task.owner.closing {
 		task.giveUpAt = core.now.Add(task.lease)
 		core.arm(&task.timer, task.giveUpAt)
 		return
@@ -52,7 +52,7 @@
 // questions to the upstream within the window.
 func (core *Core) ask(asked *task, window time.Duration) {
 	core.arm(&asked.timer, asked.giveUpAt)
-	if asked.pending || !asked.at.capabilities.AnswersLeases {
+	if asked.pending || !asked.at.capabilities.Leases {
 		return
 	}
 	asked.pending = true
@@ -140,6 +140,10 @@
 	case upstream.Finished:
 		core.finishTask(reported, report.RunMs, report.Output)
 	case upstream.TaskFailed:
+		if report.Reason == upstream.ReasonRestarted {
+			core.loseTask(reported)
+			return
+		}
 		core.failTask(reported, report.Reason)
 	case upstream.StillRunning:
 		core.keepTask(reported, event.Ask.Lease)
@@ -163,7 +167,7 @@
 // took to arrive only makes the comparison stricter.
 func (core *Core) provesNeverStarted(reported *task, response upstream.LeaseResponse) bool {
 	uptime := time.Duration(response.UptimeMs) * time.Millisecond
-	return reported.at.capabilities.KeepsTombstones && uptime >= core.now.Sub(reported.startedAt)
+	return reported.at.capabilities.Tombstones && uptime >= core.now.Sub(reported.startedAt)
 }
 
 // keepTask goes on watching an attempt that is running.
--- a/shared/request/dispatch/measure_test.go
+++ b/shared/request/dispatch/measure_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"tanagerfall/shared/connection/upstream"
 	"tanagerfall/shared/request/dispatch"
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/request/job"
@@ -131,8 +132,8 @@
 		Scheduler: placement.New(placement.Greedy{}, estimator, random),
 		Estimator: estimator,
 		Random:    random,
-		Capabilities: func(string) dispatch.Capabilities {
-			return dispatch.Capabilities{}
+		Capabilities: func(string) upstream.Capabilities {
+			return upstream.Capabilities{}
 		},
 	})
 	var fleet dispatch.FleetChanged
--- a/shared/request/dispatch/tasks.go
+++ b/shared/request/dispatch/tasks.go
@@ -204,7 +204,7 @@
 		return
 	}
 	core.counters.LostTasks++
-	if !missed.at.capabilities.AnswersLeases {
+	if !missed.at.capabilities.Leases {
 		core.loseTask(missed)
 		return
 	}
--- a/shared/request/dispatch/upstreams.go
+++ b/shared/request/dispatch/upstreams.go
@@ -19,7 +19,7 @@
 // upstreamState is what the Core knows of one upstream.
 type upstreamState struct {
 	declared     placement.Upstream
-	capabilities Capabilities
+	capabilities upstream.Capabilities
 	// borrowed is true while only a peer's loan allows tasks there.
 	borrowed bool
 	// used counts the attempts of this VM that may be running there.
@@ -170,7 +170,7 @@
 
 // checkOccupancy asks a new upstream what runs there before it is used.
 func (core *Core) checkOccupancy(at *upstreamState) {
-	at.occupancyKnown = at.borrowed || core.guards.NoOccupancyCheck || !at.capabilities.AnswersLeases
+	at.occupancyKnown = at.borrowed || core.guards.NoOccupancyCheck || !at.capabilities.Leases
 	if at.occupancyKnown {
 		return
 	}
@@ -225,7 +225,7 @@
 // been free: another VM uses it.
 func (core *Core) recordBusy(at *upstreamState) {
 	core.counters.BusyRefusals++
-	if at.borrowed || core.guards.NoOccupancyCheck || !at.capabilities.AnswersLeases {
+	if at.borrowed || core.guards.NoOccupancyCheck || !at.capabilities.Leases {
 		return
 	}
 	at.foreign = max(at.declared.Slots-at.used, at.foreign)
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -117,6 +117,7 @@
 func (worker *Worker) restart() {
 	worker.mutex.Lock()
 	worker.restartedAt = time.Now()
+	worker.startedAt = worker.restartedAt
 	address := worker.config.Address
 	worker.mutex.Unlock()
 	if worker.server.Address() == "" {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -96,6 +96,7 @@
 	tasks        memory
 	running      map[place]*record
 	used         resources
+	startedAt    time.Time
 	restartedAt  time.Time
 	draining     bool
 	journal      []Start
@@ -122,6 +123,7 @@
 	worker := &Worker{
 		config:       config,
 		running:      map[place]*record{},
+		startedAt:    time.Now(),
 		speedDivisor: 1,
 	}
 	worker.tasks = newMemory(&worker.config)
@@ -391,6 +393,7 @@
 	response := upstream.LeaseResponse{
 		Draining: worker.draining,
 		Slots:    worker.config.Slots,
+		UptimeMs: now.Sub(worker.startedAt).Milliseconds(),
 	}
 	for _, id := range request.Renew {
 		response.Tasks = append(response.Tasks, worker.renew(id, &request, now))
