--- a/shared/request/dispatch/config.go
+++ b/shared/request/dispatch/config.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"tanagerfall/shared/connection/upstream"
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/request/job"
 	"tanagerfall/shared/request/limit"
@@ -19,15 +20,6 @@
 	DeadlineMs int64
 }
 
-// Capabilities says what the workers behind an upstream adapter support.
-type Capabilities struct {
-	// AnswersLeases: the workers answer AskUpstream.
-	AnswersLeases bool
-	// KeepsTombstones: a task that was answered "never started" never will.
-	// Without it, such an answer is no proof.
-	KeepsTombstones bool
-}
-
 // Config is what a Core is made of.
 type Config struct {
 	// Domain is the failure domain whose rules of the plan apply.
@@ -40,7 +32,7 @@
 	Random    *rand.Rand
 	// Capabilities returns those of an upstream's adapter; nil means that all
 	// upstreams support everything.
-	Capabilities func(upstream string) Capabilities
+	Capabilities func(id string) upstream.Capabilities
 	// Limits holds bounds; a zero field takes its value from DefaultLimits.
 	Limits Limits
 }
@@ -49,6 +41,9 @@
 type Limits struct {
 	// QueueTasks bounds the waiting tasks of all jobs together.
 	QueueTasks int
+	// WaitMargin is added to the predicted waiting time of a job, as a share of
+	// it, before it is compared with the deadline.
+	WaitMargin float64
 	// MinRetryAfter and MaxRetryAfter bound the advice to refused callers.
 	MinRetryAfter time.Duration
 	MaxRetryAfter time.Duration
@@ -97,6 +92,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		QueueTasks:    20_000,
+		WaitMargin:    0.2,
 		MinRetryAfter: 50 * time.Millisecond,
 		MaxRetryAfter: 5 * time.Second,
 		FirstLease:    3 * time.Second,
@@ -136,16 +132,17 @@
 	return config
 }
 
-func allCapabilities(string) Capabilities {
-	return Capabilities{
-		AnswersLeases:   true,
-		KeepsTombstones: true,
+func allCapabilities(string) upstream.Capabilities {
+	return upstream.Capabilities{
+		Leases:     true,
+		Tombstones: true,
 	}
 }
 
 func (limits Limits) withDefaults() Limits {
 	defaults := DefaultLimits()
 	orDefault(&limits.QueueTasks, defaults.QueueTasks)
+	orDefault(&limits.WaitMargin, defaults.WaitMargin)
 	orDefault(&limits.MinRetryAfter, defaults.MinRetryAfter)
 	orDefault(&limits.MaxRetryAfter, defaults.MaxRetryAfter)
 	orDefault(&limits.FirstLease, defaults.FirstLease)
