--- a/shared/connection/platform/client.go
+++ b/shared/connection/platform/client.go
@@ -110,12 +110,19 @@
 // at from is no longer retained, and wraps ErrUnavailable or ErrRefused
 // otherwise.
 func (client *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (ReadResponse, error) {
+	return client.read(ctx, stream, from, limit, poll{
+		wait:  wait,
+		grace: ReadGrace,
+	})
+}
+
+func (client *Client) read(ctx context.Context, stream string, from int64, limit int, poll poll) (ReadResponse, error) {
 	parameters := url.Values{}
 	parameters.Set("from", strconv.FormatInt(from, 10))
 	parameters.Set("max", strconv.Itoa(limit))
-	parameters.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	parameters.Set("wait-ms", strconv.FormatInt(poll.wait.Milliseconds(), 10))
 	var reply ReadResponse
-	err := client.get(ctx, PathRecords(stream), parameters, wait, &reply)
+	err := client.get(ctx, PathRecords(stream), parameters, poll, &reply)
 	var trimmed *TrimmedError
 	if errors.As(err, &trimmed) {
 		trimmed.Stream = stream
@@ -131,19 +138,26 @@
 // Vms returns the VM list once its version is above after, or the present
 // list when wait passes. The error wraps ErrUnavailable or ErrRefused.
 func (client *Client) Vms(ctx context.Context, after int64, wait time.Duration) (VmsResponse, error) {
+	return client.vms(ctx, after, poll{
+		wait:  wait,
+		grace: ReadGrace,
+	})
+}
+
+func (client *Client) vms(ctx context.Context, after int64, poll poll) (VmsResponse, error) {
 	parameters := url.Values{}
 	parameters.Set("after", strconv.FormatInt(after, 10))
-	parameters.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	parameters.Set("wait-ms", strconv.FormatInt(poll.wait.Milliseconds(), 10))
 	var reply VmsResponse
-	err := client.get(ctx, PathVms, parameters, wait, &reply)
+	err := client.get(ctx, PathVms, parameters, poll, &reply)
 	if err != nil {
 		return VmsResponse{}, eris.Wrapf(err, "read the VM list after version %d", after)
 	}
 	return reply, nil
 }
 
-func (client *Client) get(ctx context.Context, path string, parameters url.Values, wait time.Duration, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+ReadGrace)
+func (client *Client) get(ctx context.Context, path string, parameters url.Values, poll poll, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, poll.wait+poll.grace)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.base+path+"?"+parameters.Encode(), nil)
 	if err != nil {
--- a/shared/connection/platform/follow.go
+++ b/shared/connection/platform/follow.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// DefaultWait is the wait of one long poll. With ReadGrace it keeps two
-	// lost polls in a row within the 3 s target, at one poll a second.
+	// DefaultWait is the wait of one long poll. With ReadGrace and the shorter
+	// polls after a failure, two lost polls in a row leave the 3 s target
+	// intact, at one poll a second.
 	DefaultWait = time.Second
 	// DefaultBackoff is the mean pause after the first failure.
 	DefaultBackoff = 50 * time.Millisecond
@@ -18,6 +19,8 @@
 	DefaultMaxBackoff = time.Second
 	// DefaultBatch is the largest number of records in one read.
 	DefaultBatch = 64
+	// maxReadGrace bounds the grace given to a platform that answers slowly.
+	maxReadGrace = 8 * time.Second
 )
 
 // FollowConfig bounds a follow loop. The zero value means the defaults.
@@ -83,11 +86,10 @@
 // with full jitter; the offset comes from deliver each time, so that a reader
 // can go back to the offset of a snapshot.
 func (client *Client) FollowRecords(ctx context.Context, stream string, config FollowConfig, next int64, deliver Deliver) error {
-	config = config.withDefaults()
-	failures := 0
+	pacer := newPacer(config)
 	for {
-		began := time.Now()
-		event := client.readEvent(ctx, stream, config, next)
+		poll := pacer.poll()
+		event := client.readEvent(ctx, stream, pacer.config.Batch, next, poll)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -96,34 +98,15 @@
 			return err
 		}
 		next = following
-		if progress(event, next, time.Since(began) >= config.Wait/2) {
-			failures = 0
-			continue
-		}
-		failures++
-		err = pause(ctx, config.delay(failures))
+		err = pacer.after(ctx, poll, outcomeOf(event, next))
 		if err != nil {
 			return err
 		}
 	}
 }
 
-// progress says whether the loop may read again at once. A platform that
-// answers long polls at once and with nothing must not be polled in a tight
-// loop.
-func progress(event LogEvent, next int64, waited bool) bool {
-	switch event := event.(type) {
-	case RecordsRead:
-		return waited || len(event.Response.Records) > 0
-	case RecordsTrimmed:
-		return next >= event.FirstOffset
-	default:
-		return false
-	}
-}
-
-func (client *Client) readEvent(ctx context.Context, stream string, config FollowConfig, next int64) LogEvent {
-	response, err := client.Read(ctx, stream, next, config.Batch, config.Wait)
+func (client *Client) readEvent(ctx context.Context, stream string, batch int, next int64, poll poll) LogEvent {
+	response, err := client.read(ctx, stream, next, batch, poll)
 	var trimmed *TrimmedError
 	switch {
 	case errors.As(err, &trimmed):
@@ -143,21 +126,41 @@
 	}
 }
 
+func outcomeOf(event LogEvent, next int64) outcome {
+	switch event := event.(type) {
+	case RecordsRead:
+		if len(event.Response.Records) == 0 {
+			return outcomeEmpty
+		}
+		return outcomeNews
+	case RecordsTrimmed:
+		if next >= event.FirstOffset {
+			return outcomeNews
+		}
+	}
+	return outcomeFailed
+}
+
 // FollowVms reads the VM list until ctx ends or deliver fails, and returns
 // that error. deliver gets each list with a new version and a nil error, or
 // the error of a failed read.
 func (client *Client) FollowVms(ctx context.Context, config FollowConfig, deliver func(ctx context.Context, list VmsResponse, failure error) error) error {
-	config = config.withDefaults()
-	failures := 0
+	pacer := newPacer(config)
 	known := int64(-1)
 	for {
-		began := time.Now()
-		list, failure := client.Vms(ctx, known, config.Wait)
+		poll := pacer.poll()
+		list, failure := client.vms(ctx, known, poll)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		unchanged := failure == nil && list.Version == known
-		if !unchanged {
+		outcome := outcomeNews
+		switch {
+		case failure != nil:
+			outcome = outcomeFailed
+		case list.Version == known:
+			outcome = outcomeEmpty
+		}
+		if outcome != outcomeEmpty {
 			err := deliver(ctx, list, failure)
 			if err != nil {
 				return err
@@ -166,28 +169,86 @@
 		if failure == nil {
 			known = list.Version
 		}
-		waited := time.Since(began) >= config.Wait/2
-		if failure == nil && (waited || !unchanged) {
-			failures = 0
-			continue
-		}
-		failures++
-		err := pause(ctx, config.delay(failures))
+		err := pacer.after(ctx, poll, outcome)
 		if err != nil {
 			return err
 		}
 	}
 }
 
-// delay is the pause after a number of failures in a row: a random part of a
-// bound that doubles with each failure.
-func (config FollowConfig) delay(failures int) time.Duration {
-	bound := config.MaxBackoff
-	shift := min(failures, 30)
-	if doubled := config.Backoff << shift; doubled > 0 && doubled < bound {
-		bound = doubled
+// outcome is what a poll brought.
+type outcome uint8
+
+const (
+	outcomeNews outcome = iota
+	outcomeEmpty
+	outcomeFailed
+)
+
+// poll bounds one long poll: it is held for up to wait and given up after
+// wait plus grace.
+type poll struct {
+	wait  time.Duration
+	grace time.Duration
+	began time.Time
+}
+
+// pacer spaces the polls of a follow loop.
+type pacer struct {
+	config   FollowConfig
+	failures int
+	// unheld counts the polls in a row that the platform answered at once and
+	// with nothing.
+	unheld int
+	grace  time.Duration
+}
+
+func newPacer(config FollowConfig) *pacer {
+	return &pacer{
+		config: config.withDefaults(),
+		grace:  ReadGrace,
+	}
+}
+
+// poll bounds the next poll. After a failure the platform is asked not to hold
+// the request, so that a connection that went silent is told from a poll that
+// found nothing.
+func (pacer *pacer) poll() poll {
+	next := poll{
+		wait:  pacer.config.Wait,
+		grace: pacer.grace,
+		began: time.Now(),
+	}
+	if pacer.failures > 0 {
+		next.wait = 0
+	}
+	return next
+}
+
+// after pauses as the outcome of a poll demands. The grace doubles with each
+// failure, so that a platform that answers slowly is still read, and shrinks
+// by half with each success.
+func (pacer *pacer) after(ctx context.Context, done poll, outcome outcome) error {
+	if outcome == outcomeFailed {
+		pacer.failures++
+		pacer.grace = min(2*pacer.grace, maxReadGrace)
+		return pause(ctx, pacer.delay(pacer.failures))
 	}
-	return time.Duration(config.Random() * float64(bound))
+	pacer.failures = 0
+	pacer.grace = max(pacer.grace/2, ReadGrace)
+	if outcome == outcomeNews || time.Since(done.began) >= done.wait/2 {
+		pacer.unheld = 0
+		return nil
+	}
+	pacer.unheld++
+	return pause(ctx, pacer.delay(pacer.unheld))
+}
+
+// delay is a random part of a bound that doubles with the count.
+func (pacer *pacer) delay(count int) time.Duration {
+	const maxShift = 20
+	bound := min(pacer.config.Backoff<<min(count, maxShift), pacer.config.MaxBackoff)
+	return time.Duration(pacer.config.Random() * float64(bound))
 }
 
 func pause(ctx context.Context, delay time.Duration) error {
