--- /dev/null
+++ b/shared/version/sheet/write.go
@@ -0,0 +1,70 @@
+package sheet
+
+import (
+	"encoding/csv"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/shared/version/plan"
+)
+
+// Write writes the rules of a plan as a CSV sheet that Parse reads back.
+// Times are in UTC.
+func Write(writer io.Writer, content *plan.Plan) error {
+	sheet := csv.NewWriter(writer)
+	err := sheet.Write(Columns())
+	if err != nil {
+		return eris.Wrap(err, "write the header")
+	}
+	for _, rule := range content.Rules {
+		err := sheet.Write(fields(rule))
+		if err != nil {
+			return eris.Wrapf(err, "write rule %s", rule.Key())
+		}
+	}
+	sheet.Flush()
+	return eris.Wrap(sheet.Error(), "write the sheet")
+}
+
+func fields(rule plan.Rule) []string {
+	return []string{
+		rule.Team,
+		rule.Kind,
+		rule.Domain,
+		strconv.FormatFloat(rule.Share, 'f', -1, 64),
+		orBlank(rule.Cap),
+		orBlank(rule.Cores),
+		orBlank(rule.MemoryMb),
+		orBlank(rule.Accelerators),
+		yesNo(rule.Idempotent),
+		strconv.FormatInt(rule.DeadlineMs, 10),
+		orBlank(rule.Priority),
+		yesNo(rule.Spill),
+		timeText(rule.InForceFromMs),
+	}
+}
+
+// orBlank leaves a cell blank that stands for the default.
+func orBlank(value int) string {
+	if value == 0 {
+		return ""
+	}
+	return strconv.Itoa(value)
+}
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
+
+func timeText(unixMs int64) string {
+	if unixMs == 0 {
+		return ""
+	}
+	return time.UnixMilli(unixMs).UTC().Format(time.RFC3339Nano)
+}
