--- a/shared/version/plan/follower_test.go
+++ b/shared/version/plan/follower_test.go
@@ -141,6 +141,20 @@
 	}
 }
 
+// Guards against a team that has no rule between the publication of a sheet
+// and the time from which its row holds.
+func TestCarryOverKeepsRuleUntilTheNextOneHolds(t *testing.T) {
+	later, unknown := rule("a", 2), rule("b", 2)
+	later.InForceFromMs, unknown.InForceFromMs = 3000, 3000
+	dropped := rule("c", 1)
+	carried, kept := plan.CarryOver(planOf(rule("a", 1), dropped), planOf(later, unknown), time.UnixMilli(2000))
+	assert.DeepEqual(t, kept, []plan.Rule{rule("a", 1)})
+	assert.DeepEqual(t, carried, planOf(rule("a", 1), later, unknown))
+	unchanged, kept := plan.CarryOver(planOf(rule("a", 1)), planOf(later), time.UnixMilli(3000))
+	assert.Equal(t, len(kept), 0)
+	assert.DeepEqual(t, unchanged, planOf(later))
+}
+
 // Guards against a log without a snapshot when half the retention has passed,
 // while most of the VMs that should write it are gone, and against all VMs
 // writing at once.
--- /dev/null
+++ b/tanagerctl/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line of tanagerctl.
+package command
