Add the open-loop load tool with its checker and charts

Cause: nothing put load on entry VMs or held their answers against what the workers did.

Change: tanagerload run, plot and settings. Jobs arrive by a Poisson process and responses count from the scheduled arrival; each task carries an echo that names run, job and task, so that the checker finds second starts, answers that are not whole or not their own, and refused jobs that ran, in the workers' journals. Messages are counted at the workers and at the caller.

--- /dev/null
+++ b/tanagerload/caller/caller.go
@@ -0,0 +1,152 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/shared/request/job"
+	"tanagerfall/tanagerload/experiment"
+	"tanagerfall/tanagerload/workload"
+)
+
+const (
+	dialTimeout  = time.Second
+	firstBackoff = 20 * time.Millisecond
+	maxBackoff   = time.Second
+	// maxFreshIDs bounds the fresh IDs that a job takes after not-delivered.
+	maxFreshIDs = 3
+)
+
+// ErrNoAnswer is wrapped if no answer came before the deadline and the slack.
+var ErrNoAnswer = eris.New("no answer")
+
+// Config is what a Caller needs.
+type Config struct {
+	// Entries holds the callers' addresses of the entry VMs.
+	Entries []string
+	Callers experiment.Callers
+	// ResubmitAfter is the time after which a job is sent a second time.
+	ResubmitAfter time.Duration
+	// Transport replaces the transport in tests; nil takes HTTP connections.
+	Transport http.RoundTripper
+}
+
+// Caller submits jobs. It is safe for concurrent use.
+type Caller struct {
+	config Config
+	http   *http.Client
+	stocks []*stock
+}
+
+// Reply is what came of one job.
+type Reply struct {
+	// Answer is valid if Err is nil.
+	Answer job.Answer
+	Err    error
+	// Second is the answer to the resubmission, if there was one.
+	Second *job.Answer
+	// Submissions counts the submissions that were meant to be made: 1, or 2
+	// with the resubmission. Requests counts the requests sent for them,
+	// those for IDs included.
+	Submissions int
+	Requests    int
+}
+
+// New returns a Caller.
+func New(config Config) *Caller {
+	caller := &Caller{
+		config: config,
+	}
+	transport := config.Transport
+	if transport == nil {
+		dialer := &net.Dialer{
+			Timeout: dialTimeout,
+		}
+		transport = &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: config.Callers.IdleConnections,
+			DisableCompression:  true,
+		}
+	}
+	caller.http = &http.Client{
+		Transport: transport,
+	}
+	for range config.Entries {
+		caller.stocks = append(caller.stocks, newStock())
+	}
+	return caller
+}
+
+// Close closes the idle connections.
+func (caller *Caller) Close() {
+	caller.http.CloseIdleConnections()
+}
+
+// Prefetch gets a block of IDs for each team from each entry VM that answers,
+// so that the first jobs do not wait for them.
+func (caller *Caller) Prefetch(ctx context.Context, teams []experiment.Share) {
+	for entry := range caller.config.Entries {
+		for _, team := range teams {
+			ids, err := caller.fetchIDs(ctx, entry, team.Name)
+			if err == nil {
+				caller.stocks[entry].put(team.Name, ids)
+			}
+		}
+	}
+}
+
+// Submit submits the job of an arrival and returns when it is answered or
+// given up.
+func (caller *Caller) Submit(ctx context.Context, arrival *workload.Arrival) Reply {
+	body, err := json.Marshal(arrival.Job)
+	if err != nil {
+		return Reply{
+			Err: eris.Wrap(err, "encoding the job"),
+		}
+	}
+	wait := time.Duration(arrival.Job.DeadlineMs+caller.config.Callers.AnswerSlackMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	sending := &sending{
+		caller: caller,
+		team:   arrival.Team,
+		body:   body,
+		entry:  caller.EntryOf(arrival),
+		apart:  arrival.Entry >> 32,
+	}
+	reply := Reply{
+		Submissions: 1,
+	}
+	seconds := make(chan *job.Answer, 1)
+	if arrival.Resubmit {
+		reply.Submissions = 2
+		sending.announce = make(chan string, 1)
+		go func() { seconds <- sending.resubmit(ctx) }()
+	}
+	reply.Answer, reply.Err = sending.run(ctx)
+	if arrival.Resubmit {
+		reply.Second = <-seconds
+	}
+	reply.Requests = int(sending.requests.Load())
+	return reply
+}
+
+// EntryOf returns the index of the entry VM that issues the job's ID.
+func (caller *Caller) EntryOf(arrival *workload.Arrival) int {
+	return int(arrival.Entry % uint64(len(caller.config.Entries)))
+}
+
+// sleep waits for duration or until ctx ends.
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/tanagerload/caller/probe.go
@@ -0,0 +1,48 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/shared/request/job"
+	"tanagerfall/tanagerload/experiment"
+)
+
+// probeTimeout bounds one probe.
+const probeTimeout = 3 * time.Second
+
+// ErrProbe is wrapped if a probe was not complete.
+var ErrProbe = eris.New("probe was not complete")
+
+// Probe runs a job of one task of 1 ms on one entry VM. The error wraps
+// ErrProbe.
+func (caller *Caller) Probe(ctx context.Context, entry int, workload *experiment.Workload) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	team := workload.Teams[0].Name
+	id, _, err := caller.takeID(ctx, entry, team)
+	if err != nil {
+		return eris.Wrap(ErrProbe, err.Error())
+	}
+	body, err := json.Marshal(job.Job{
+		Kind:       workload.Kinds[0].Name,
+		DeadlineMs: probeTimeout.Milliseconds(),
+		Tasks: []job.Task{{
+			RunMs: 1,
+		}},
+	})
+	if err != nil {
+		return eris.Wrap(ErrProbe, err.Error())
+	}
+	answer, err := caller.put(ctx, entry, id, team, body, false)
+	if err != nil {
+		return eris.Wrap(ErrProbe, err.Error())
+	}
+	if answer.Outcome != job.Complete {
+		return eris.Wrapf(ErrProbe, "%s: %s %s", answer.Outcome, answer.Reason, answer.Detail)
+	}
+	return nil
+}
--- /dev/null
+++ b/tanagerload/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart draws results of experiments as PNG and SVG.
+package chart
--- /dev/null
+++ b/tanagerload/load/ready.go
@@ -0,0 +1,34 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// readyPoll is the pause between two probes of an entry VM.
+const readyPoll = 100 * time.Millisecond
+
+// ErrNotReady is wrapped if an entry VM did not complete a probe in time.
+var ErrNotReady = eris.New("entry VM is not ready")
+
+// AwaitReady waits until every entry VM has completed a job of one short
+// task, which shows that it has a plan and upstreams.
+func (runner *Runner) AwaitReady(ctx context.Context, most time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	for entry := range runner.config.Experiment.Fleet.Entries {
+		for {
+			err := runner.caller.Probe(ctx, entry, &runner.config.Experiment.Workload)
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return eris.Wrapf(ErrNotReady, "%s: %v", runner.config.Experiment.Fleet.Entries[entry].CallerAddress, err)
+			}
+			wait(ctx, readyPoll)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/tanagerload/load/runner.go
@@ -0,0 +1,243 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerfall/tanagerload/caller"
+	"tanagerfall/tanagerload/check"
+	"tanagerfall/tanagerload/experiment"
+	"tanagerfall/tanagerload/result"
+	"tanagerfall/tanagerload/workload"
+)
+
+// Config is what a Runner needs.
+type Config struct {
+	Experiment experiment.Experiment
+	// Run tells this run apart from others against the same workers.
+	Run string
+	// Pids holds the processes whose CPU time counts.
+	Pids []int
+	// Transport replaces the HTTP transport in tests.
+	Transport http.RoundTripper
+	// Progress is told what is being done; nil means nobody.
+	Progress func(text string)
+}
+
+// Runner runs one experiment once.
+type Runner struct {
+	config   Config
+	caller   *caller.Caller
+	checker  *check.Checker
+	standins *standins
+	// capacities holds the capacity that the ideal of a job assumes, by entry
+	// VM.
+	capacities []workload.Capacity
+	total      workload.Capacity
+	meanWorkMs float64
+	// next is the number of the next job.
+	next int
+}
+
+// New returns a Runner.
+func New(config Config) *Runner {
+	if config.Progress == nil {
+		config.Progress = func(string) {}
+	}
+	described := &config.Experiment
+	runner := &Runner{
+		config:     config,
+		checker:    check.New(config.Run),
+		standins:   newStandins(&described.Fleet, config.Transport),
+		meanWorkMs: workload.MeanWorkMs(described.Workload),
+	}
+	vms := described.Fleet.Vms()
+	runner.total = workload.CapacityOf(vms, "")
+	var addresses []string
+	for _, entry := range described.Fleet.Entries {
+		addresses = append(addresses, entry.CallerAddress)
+		scope := entry.Domain
+		if described.IdealOver == experiment.OverAll {
+			scope = ""
+		}
+		runner.capacities = append(runner.capacities, workload.CapacityOf(vms, scope))
+	}
+	runner.caller = caller.New(caller.Config{
+		Entries:       addresses,
+		Callers:       described.Callers,
+		ResubmitAfter: time.Duration(described.Workload.ResubmitAfterMs) * time.Millisecond,
+		Transport:     config.Transport,
+	})
+	return runner
+}
+
+// Run runs all steps and the checker. It returns an error if ctx ends or a
+// process to be measured is gone.
+func (runner *Runner) Run(ctx context.Context) (result.Result, error) {
+	defer runner.caller.Close()
+	defer runner.standins.close()
+	described := &runner.config.Experiment
+	total := result.Result{
+		Format:     result.Format,
+		Experiment: described.Name,
+		Seed:       described.Seed,
+		Workers:    len(runner.standins.workers),
+		Slots:      runner.total.Slots,
+		EntryVms:   len(described.Fleet.Entries),
+	}
+	runner.caller.Prefetch(ctx, described.Workload.Teams)
+	before, _ := runner.standins.journals(ctx)
+	for i := range described.Steps {
+		step, err := runner.step(ctx, i)
+		if err != nil {
+			return total, err
+		}
+		after, incomplete := runner.standins.journals(ctx)
+		step.Messages.Starts = after.starts - before.starts
+		step.Messages.TaskRequests = after.requests.Tasks - before.requests.Tasks
+		step.Messages.LeaseRequests = after.requests.Leases - before.requests.Leases
+		step.Messages.ResultRequests = after.requests.Results - before.requests.Results
+		step.Finish()
+		if step.Messages.Starts > 0 {
+			step.CpuUsPerStart = round(step.CpuUsPerStart / float64(step.Messages.Starts))
+		}
+		before = after
+		total.Steps = append(total.Steps, step)
+		if i == len(described.Steps)-1 {
+			total.Check = runner.checker.Journals(after.journals, incomplete)
+		}
+	}
+	return total, nil
+}
+
+// step runs one step to the last answer and waits for the stand-ins to
+// settle. CpuUsPerStart of the result is still the CPU time in us.
+func (runner *Runner) step(ctx context.Context, index int) (result.Step, error) {
+	planned := runner.config.Experiment.Steps[index]
+	rate := planned.JobsPerSecond
+	capacityMs := runner.total.Total * float64(time.Second/time.Millisecond)
+	if rate == 0 {
+		rate = planned.Load * capacityMs / runner.meanWorkMs
+	}
+	step := result.Step{
+		Load:          round(rate * runner.meanWorkMs / capacityMs),
+		JobsPerSecond: round(rate),
+		DurationMs:    planned.DurationMs,
+		WarmUpMs:      planned.WarmUpMs,
+		Faults:        []result.Mark{},
+	}
+	runner.config.Progress(fmt.Sprintf("step %d: load %g, %g jobs/s, %d ms", index, step.Load, step.JobsPerSecond, step.DurationMs))
+	cpuBefore, err := cpuTime(runner.config.Pids)
+	if err != nil {
+		return step, err
+	}
+	faults := runner.startFaults(ctx, index)
+	samples, workMs := runner.submitAll(ctx, index, planned.Duration(), workload.Rate{
+		PerSecond: rate,
+		Factor:    planned.Burst.Factor,
+		From:      time.Duration(planned.Burst.AtMs) * time.Millisecond,
+		To:        time.Duration(planned.Burst.AtMs+planned.Burst.ForMs) * time.Millisecond,
+	})
+	step.DrawnLoad = round(workMs / capacityMs / planned.Duration().Seconds())
+	step.Faults = append(step.Faults, faults()...)
+	if ctx.Err() != nil {
+		return step, eris.Wrap(ctx.Err(), "experiment was stopped")
+	}
+	wait(ctx, time.Duration(runner.config.Experiment.SettleMs)*time.Millisecond)
+	cpuAfter, err := cpuTime(runner.config.Pids)
+	if err != nil {
+		return step, err
+	}
+	step.CpuUsPerStart = float64((cpuAfter - cpuBefore).Microseconds())
+	result.Summarize(&step, samples)
+	return step, nil
+}
+
+// submitAll submits the jobs of one step, each at its time, and returns their
+// samples and their work, in ms on speed 1, when all are answered.
+func (runner *Runner) submitAll(ctx context.Context, index int, duration time.Duration, rate workload.Rate) (samples []result.Sample, workMs float64) {
+	described := &runner.config.Experiment
+	generator := workload.New(described.Workload, described.Seed, uint64(index), runner.config.Run, runner.next, rate)
+	began := time.Now()
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	for ctx.Err() == nil {
+		arrival := generator.Next()
+		if arrival.At >= duration {
+			break
+		}
+		runner.next = arrival.Number + 1
+		for _, realMs := range arrival.RealMs {
+			workMs += realMs
+		}
+		scheduled := began.Add(arrival.At)
+		wait(ctx, time.Until(scheduled))
+		group.Go(func() {
+			sample := runner.submit(ctx, &arrival, scheduled)
+			mutex.Lock()
+			defer mutex.Unlock()
+			samples = append(samples, sample)
+		})
+	}
+	group.Wait()
+	return samples, workMs
+}
+
+// submit submits one job. Its response time counts from the scheduled time,
+// so that a slow load tool or a slow system shows in it.
+func (runner *Runner) submit(ctx context.Context, arrival *workload.Arrival, scheduled time.Time) result.Sample {
+	late := time.Since(scheduled)
+	reply := runner.caller.Submit(ctx, arrival)
+	sample := result.Sample{
+		Number:      arrival.Number,
+		At:          arrival.At,
+		Late:        late,
+		Response:    time.Since(scheduled),
+		Ideal:       arrival.Ideal(runner.capacities[runner.caller.EntryOf(arrival)], runner.config.Experiment.RoundTripMs),
+		Deadline:    time.Duration(arrival.Job.DeadlineMs) * time.Millisecond,
+		Tasks:       len(arrival.Job.Tasks),
+		NoAnswer:    reply.Err != nil,
+		Submissions: reply.Submissions,
+		Requests:    reply.Requests,
+	}
+	if reply.Err == nil {
+		sample.Outcome = reply.Answer.Outcome
+		sample.Started = reply.Answer.Started
+		sample.Reason = reply.Answer.Reason
+		runner.checker.Answered(arrival, &reply.Answer)
+	}
+	if reply.Second != nil {
+		runner.checker.Answered(arrival, reply.Second)
+	}
+	return sample
+}
+
+// wait waits for duration or until ctx ends.
+func wait(ctx context.Context, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// round rounds to three decimals.
+func round(value float64) float64 {
+	const unit = 1000
+	return float64(int64(value*unit+0.5)) / unit
+}
+
+// dialer of the requests to the stand-ins.
+var dialer = net.Dialer{
+	Timeout: time.Second,
+}
--- /dev/null
+++ b/tanagerload/plot.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"tanagerfall/tanagerload/chart"
+	"tanagerfall/tanagerload/result"
+)
+
+func newPlotCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "plot RESULT.json...",
+		Short:   "Draw results as PNG and SVG",
+		Example: "  tanagerload plot kestane.json regie.json --directory plots",
+		Args:    cobra.MinimumNArgs(1),
+	}
+	directory := command.Flags().StringP("directory", "d", ".", "directory for the charts")
+	command.RunE = func(_ *cobra.Command, files []string) error {
+		var results []result.Result
+		for _, file := range files {
+			read, err := readResult(file)
+			if err != nil {
+				return err
+			}
+			results = append(results, read)
+		}
+		const mode = 0o755
+		if err := os.MkdirAll(*directory, mode); err != nil {
+			return eris.Wrap(err, "making the directory of the charts")
+		}
+		drawn, err := chart.Draw(results, *directory)
+		for _, file := range drawn {
+			fmt.Println(file)
+		}
+		return err
+	}
+	return command
+}
+
+// readResult reads one result; the error names the file.
+func readResult(file string) (result.Result, error) {
+	var read result.Result
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return read, eris.Wrap(err, "reading a result")
+	}
+	if err := json.Unmarshal(data, &read); err != nil {
+		return read, eris.Wrapf(err, "%s is not a result", file)
+	}
+	if read.Format != result.Format {
+		return read, eris.Errorf("%s has format %d, this program reads %d", file, read.Format, result.Format)
+	}
+	return read, nil
+}
--- /dev/null
+++ b/tanagerload/settings.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"tanagerfall/shared/process/settings"
+	"tanagerfall/tanagerload/experiment"
+)
+
+// macSecret signs the submission IDs of experiments.
+const macSecret = "load experiment, not for production"
+
+func newSettingsCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "settings EXPERIMENT.yaml",
+		Short: "Write the settings of an experiment's entry VMs",
+		Long: "Write one settings file for each entry VM of an experiment's fleet, named entry-N.yaml.\n" +
+			"The operators' port is the one after the callers' port.",
+		Example: "  tanagerload settings tanagerload/experiments/kestane-load.yaml --directory run",
+		Args:    cobra.ExactArgs(1),
+	}
+	directory := command.Flags().StringP("directory", "d", ".", "directory for the files")
+	policy := command.Flags().String("policy", settings.DefaultEntry().Placement.Policy, "placement policy")
+	command.RunE = func(_ *cobra.Command, arguments []string) error {
+		described, err := experiment.Load(arguments[0])
+		if err != nil {
+			return err
+		}
+		return writeSettings(&described, *directory, *policy)
+	}
+	return command
+}
+
+func writeSettings(described *experiment.Experiment, directory, policy string) error {
+	const directoryMode, fileMode = 0o755, 0o600
+	if err := os.MkdirAll(directory, directoryMode); err != nil {
+		return eris.Wrap(err, "making the directory of the settings")
+	}
+	for i, entry := range described.Fleet.Entries {
+		operator, err := nextPort(entry.CallerAddress)
+		if err != nil {
+			return err
+		}
+		written := settings.DefaultEntry()
+		written.Format = settings.EntryFormat
+		written.Domain = entry.Domain
+		written.Size = max(entry.Size, 1)
+		written.CallerAddress = entry.CallerAddress
+		written.PeerAddress = entry.Address
+		written.OperatorAddress = operator
+		written.PlatformURL = "http://" + described.Fleet.Platform.Address
+		written.Placement.Policy = policy
+		written.MacKeys = []settings.MacKey{{
+			ID:     1,
+			Secret: base64.StdEncoding.EncodeToString([]byte(macSecret)),
+		}}
+		data, err := yaml.Marshal(written)
+		if err != nil {
+			return eris.Wrap(err, "encoding the settings")
+		}
+		file := filepath.Join(directory, fmt.Sprintf("entry-%d.yaml", i+1))
+		if err := os.WriteFile(file, data, fileMode); err != nil {
+			return eris.Wrap(err, "writing the settings")
+		}
+		fmt.Println(file)
+	}
+	return nil
+}
+
+// nextPort returns address with the next port.
+func nextPort(address string) (string, error) {
+	host, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", eris.Wrap(err, "caller-address")
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		return "", eris.Wrap(err, "caller-address")
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port+1)), nil
+}
