--- /dev/null
+++ b/tanagerload/caller/caller_test.go
@@ -0,0 +1,173 @@
+package caller_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/request/job"
+	"tanagerfall/tanagerload/caller"
+	"tanagerfall/tanagerload/experiment"
+	"tanagerfall/tanagerload/workload"
+)
+
+// reaction is what a VM does with one submission.
+type reaction string
+
+const (
+	complete     reaction = "complete"
+	refuseDial   reaction = "refuse-dial"
+	loseReply    reaction = "lose-reply"
+	cutBody      reaction = "cut-body"
+	notDelivered reaction = "not-delivered"
+	stopping     reaction = "stopping"
+)
+
+// script answers submissions with reactions, the last one for ever, and
+// records them as VM, ID and whether they were marked as retries.
+type script struct {
+	reactions []reaction
+	issued    int
+	sent      []string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (script *script) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.Method == http.MethodPost {
+		script.issued++
+		return respond(fmt.Sprintf(`{"submission-ids": ["%s-%d"]}`, request.URL.Host, script.issued), ""), nil
+	}
+	script.sent = append(script.sent, fmt.Sprintf("%s %s %s", request.URL.Host,
+		strings.TrimPrefix(request.URL.Path, "/v1/jobs/"), request.Header.Get("Tanager-Retry")))
+	next := script.reactions[0]
+	if len(script.reactions) > 1 {
+		script.reactions = script.reactions[1:]
+	}
+	if next == refuseDial {
+		return nil, errors.New("connection refused")
+	}
+	httptrace.ContextClientTrace(request.Context()).GotConn(httptrace.GotConnInfo{})
+	switch next {
+	case loseReply:
+		return nil, io.ErrUnexpectedEOF
+	case cutBody:
+		return respond(`{"outcome": "complete"}`, "sha-256=:AAAA:"), nil
+	case notDelivered, stopping:
+		return respond(`{"outcome": "failed", "started": "unknown", "reason": "`+string(next)+`"}`, ""), nil
+	case complete, refuseDial:
+	}
+	return respond(`{"outcome": "complete"}`, ""), nil
+}
+
+func respond(body, digest string) *http.Response {
+	response := &http.Response{
+		StatusCode: http.StatusOK,
+		Header:     http.Header{},
+		Body:       io.NopCloser(strings.NewReader(body)),
+	}
+	if digest != "" {
+		response.Header.Set("Repr-Digest", digest)
+	}
+	return response
+}
+
+// Guards against a job sent under a second ID although a VM may hold the
+// first, against one given up although it may be sent again, and against a
+// corrupt answer that is taken.
+func TestFailover(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		reactions []reaction
+		want      []string
+		requests  int
+	}{
+		{
+			name:      "dial refused: fresh ID of the next VM",
+			reactions: []reaction{refuseDial, complete},
+			want:      []string{"a a-1 ", "b b-2 "},
+			requests:  4,
+		},
+		{
+			name:      "reply lost: same ID",
+			reactions: []reaction{loseReply, refuseDial, complete},
+			want:      []string{"a a-1 ", "b a-1 true", "a a-1 true"},
+			requests:  4,
+		},
+		{
+			name:      "wrong digest: same ID",
+			reactions: []reaction{cutBody, complete},
+			want:      []string{"a a-1 ", "b a-1 true"},
+			requests:  3,
+		},
+		{
+			name:      "not delivered: fresh ID",
+			reactions: []reaction{notDelivered, complete},
+			want:      []string{"a a-1 ", "a a-2 "},
+			requests:  4,
+		},
+		{
+			name:      "not delivered after a lost reply: final",
+			reactions: []reaction{loseReply, notDelivered},
+			want:      []string{"a a-1 ", "b a-1 true"},
+			requests:  3,
+		},
+		{
+			name:      "stopping: same ID elsewhere",
+			reactions: []reaction{stopping, complete},
+			want:      []string{"a a-1 ", "b a-1 true"},
+			requests:  3,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				script := &script{
+					reactions: test.reactions,
+				}
+				reply := newCaller(script).Submit(t.Context(), arrival())
+				assert.NilError(t, reply.Err)
+				assert.DeepEqual(t, script.sent, test.want)
+				assert.Equal(t, reply.Requests, test.requests)
+			})
+		})
+	}
+}
+
+// Guards against a caller that waits for ever.
+func TestNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reply := newCaller(&script{
+			reactions: []reaction{loseReply},
+		}).Submit(t.Context(), arrival())
+		assert.Assert(t, eris.Is(reply.Err, caller.ErrNoAnswer))
+	})
+}
+
+func newCaller(script *script) *caller.Caller {
+	return caller.New(caller.Config{
+		Entries:   []string{"a", "b"},
+		Callers:   experiment.Default().Callers,
+		Transport: script,
+	})
+}
+
+func arrival() *workload.Arrival {
+	return &workload.Arrival{
+		Team: "oak",
+		Job: job.Job{
+			DeadlineMs: 1000,
+			Tasks: []job.Task{{
+				RunMs:   1,
+				Payload: json.RawMessage(`{}`),
+			}},
+		},
+	}
+}
