Draw just the load that an experiment asks for

Cause: job sizes have a heavy tail, so that a minute at the mean rate brought 72% of the workers' speed where the experiment said 80%.

Conclusion: results at a load can be compared with the targets.

--- a/tanagerload/load/runner.go
+++ b/tanagerload/load/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -120,31 +121,25 @@
 // settle. CpuUsPerStart of the result is still the CPU time in us.
 func (runner *Runner) step(ctx context.Context, index int) (result.Step, error) {
 	planned := runner.config.Experiment.Steps[index]
-	rate := planned.JobsPerSecond
-	capacityMs := runner.total.Total * float64(time.Second/time.Millisecond)
-	if rate == 0 {
-		rate = planned.Load * capacityMs / runner.meanWorkMs
-	}
+	rate := runner.rate(index)
 	step := result.Step{
-		Load:          round(rate * runner.meanWorkMs / capacityMs),
-		JobsPerSecond: round(rate),
+		Load:          round(rate.PerSecond * runner.meanWorkMs / runner.capacityMs()),
+		JobsPerSecond: round(rate.PerSecond),
 		DurationMs:    planned.DurationMs,
 		WarmUpMs:      planned.WarmUpMs,
 		Faults:        []result.Mark{},
 	}
+	if planned.Load > 0 {
+		step.Load = planned.Load
+	}
 	runner.config.Progress(fmt.Sprintf("step %d: load %g, %g jobs/s, %d ms", index, step.Load, step.JobsPerSecond, step.DurationMs))
 	cpuBefore, err := cpuTime(runner.config.Pids)
 	if err != nil {
 		return step, err
 	}
 	faults := runner.startFaults(ctx, index)
-	samples, workMs := runner.submitAll(ctx, index, planned.Duration(), workload.Rate{
-		PerSecond: rate,
-		Factor:    planned.Burst.Factor,
-		From:      time.Duration(planned.Burst.AtMs) * time.Millisecond,
-		To:        time.Duration(planned.Burst.AtMs+planned.Burst.ForMs) * time.Millisecond,
-	})
-	step.DrawnLoad = round(workMs / capacityMs / planned.Duration().Seconds())
+	samples, workMs := runner.submitAll(ctx, index, planned.Duration(), rate)
+	step.DrawnLoad = round(workMs / runner.capacityMs() / planned.Duration().Seconds())
 	step.Faults = append(step.Faults, faults()...)
 	if ctx.Err() != nil {
 		return step, eris.Wrap(ctx.Err(), "experiment was stopped")
@@ -159,11 +154,77 @@
 	return step, nil
 }
 
+// capacityMs returns the work that all workers do in a second, in ms on
+// speed 1.
+func (runner *Runner) capacityMs() float64 {
+	return runner.total.Total * float64(time.Second/time.Millisecond)
+}
+
+func (runner *Runner) generator(index int, rate workload.Rate) *workload.Generator {
+	described := &runner.config.Experiment
+	return workload.New(described.Workload, described.Seed, uint64(index), runner.config.Run, runner.next, rate)
+}
+
+const (
+	// calibrations bounds the rounds of rate, tolerance is the relative error
+	// of the load that is good enough.
+	calibrations = 20
+	tolerance    = 0.005
+)
+
+// rate returns the rate of a step. For a load it is chosen such that the jobs
+// that will be drawn bring just that work: the sizes have a heavy tail, and
+// at the mean rate the work of a minute is often off by a tenth.
+func (runner *Runner) rate(index int) workload.Rate {
+	planned := &runner.config.Experiment.Steps[index]
+	rate := workload.Rate{
+		PerSecond: planned.JobsPerSecond,
+		Factor:    planned.Burst.Factor,
+		From:      time.Duration(planned.Burst.AtMs) * time.Millisecond,
+		To:        time.Duration(planned.Burst.AtMs+planned.Burst.ForMs) * time.Millisecond,
+	}
+	if planned.Load == 0 {
+		return rate
+	}
+	rate.PerSecond = planned.Load * runner.capacityMs() / runner.meanWorkMs
+	if rate.Factor > 0 {
+		// The load is the one outside the burst.
+		return rate
+	}
+	wanted := planned.Load * runner.capacityMs() * planned.Duration().Seconds()
+	best, least := rate, math.Inf(1)
+	for range calibrations {
+		drawn := drawnWorkMs(runner.generator(index, rate), planned.Duration())
+		off := math.Abs(drawn/wanted - 1)
+		if off < least {
+			best, least = rate, off
+		}
+		if off < tolerance || drawn == 0 {
+			break
+		}
+		rate.PerSecond *= wanted / drawn
+	}
+	return best
+}
+
+// drawnWorkMs returns the work of the jobs that arrive within duration.
+func drawnWorkMs(generator *workload.Generator, duration time.Duration) float64 {
+	total := 0.0
+	for {
+		arrival := generator.Next()
+		if arrival.At >= duration {
+			return total
+		}
+		for _, realMs := range arrival.RealMs {
+			total += realMs
+		}
+	}
+}
+
 // submitAll submits the jobs of one step, each at its time, and returns their
 // samples and their work, in ms on speed 1, when all are answered.
 func (runner *Runner) submitAll(ctx context.Context, index int, duration time.Duration, rate workload.Rate) (samples []result.Sample, workMs float64) {
-	described := &runner.config.Experiment
-	generator := workload.New(described.Workload, described.Seed, uint64(index), runner.config.Run, runner.next, rate)
+	generator := runner.generator(index, rate)
 	began := time.Now()
 	var group sync.WaitGroup
 	var mutex sync.Mutex
