--- a/shared/request/dispatch/lending.go
+++ b/shared/request/dispatch/lending.go
@@ -67,12 +67,12 @@
 func (core *Core) Idle() []Idle {
 	var idle []Idle
 	for _, at := range core.order {
-		if !at.open || at.borrowed || at.slots <= at.used {
+		if !at.open || at.borrowed || at.slots <= len(at.active) {
 			continue
 		}
 		idle = append(idle, Idle{
 			Upstream: at.declared,
-			Slots:    at.slots - at.used,
+			Slots:    at.slots - len(at.active),
 		})
 	}
 	return idle
@@ -81,7 +81,7 @@
 // Used returns the number of this VM's tasks that may run on an upstream.
 func (core *Core) Used(upstream string) int {
 	if at, known := core.upstreams[upstream]; known {
-		return at.used
+		return len(at.active)
 	}
 	return 0
 }
