Add the hand-over of the ledger and make the ledger smaller

Cause: an entry VM that stops as planned gives its submissions to a successor, and no ID may be spent at two VMs, whatever gets lost. Remembered IDs and their expiry must stay cheap.

Change: Ledger.Freeze, Export in pieces and Import; package handover has the Sender and the Receiver as pure state machines. Pieces are held apart and imported with the commit; a commit names the successor's incarnation; a commit that is not taken is refused for good. After a commit that may have arrived, the Sender takes no other successor. The ledger keeps entries by incarnation in 16 bytes, and answers apart; expiry goes through buckets of 8 s, at most 4096 entries a call. Look tells a frozen ledger's unspent IDs as frozen. An ID has one text only: the base64 decoder accepted line breaks in it.

Shown to fail without the guard: TestHandOverUnderFaults (memory of a commit that may have arrived, missing pieces, refusal for good, incarnation in the commit, transfer number per attempt, repeated import, frozen claims), TestNextSuccessor, TestChainOfHandOvers, FuzzDecode's seeds. The property test found that all messages of a transfer, delivered again to a restarted successor, gave a second owner; the incarnation in the commit prevents it.

--- a/shared/connection/peer/messages.go
+++ b/shared/connection/peer/messages.go
@@ -252,6 +252,8 @@
 	Transfer uint64 `cbor:"1,keyasint"`
 	From     uint64 `cbor:"2,keyasint"`
 	Pieces   int    `cbor:"3,keyasint"`
+	// Successor is the incarnation that has the pieces. Any other refuses.
+	Successor uint64 `cbor:"4,keyasint"`
 }
 
 // HandOverResponse tells how far the receiver is.
--- /dev/null
+++ b/shared/request/handover/handover_test.go
@@ -0,0 +1,306 @@
+package handover_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"tanagerfall/shared/connection/peer"
+	"tanagerfall/shared/request/handover"
+	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/submission"
+)
+
+var start = time.Date(2026, 1, 1, 6, 0, 0, 0, time.UTC)
+
+const maxAnswerBytes = 1 << 20
+
+// vm is an entry VM that can receive a hand-over.
+type vm struct {
+	address  string
+	ledger   *submission.Ledger
+	receiver *handover.Receiver
+	willing  bool
+}
+
+func newVM(address string, incarnation uint64) *vm {
+	return &vm{
+		address: address,
+		ledger: submission.NewLedger(submission.Identity{
+			Address:     address,
+			Incarnation: incarnation,
+		}, maxAnswerBytes),
+		receiver: handover.NewReceiver(incarnation),
+		willing:  true,
+	}
+}
+
+// deliver passes a message through its encoding to the VM.
+func (vm *vm) deliver(now time.Time, message handover.Message) *peer.HandOverResponse {
+	switch message.Step {
+	case handover.StepBegin:
+		return vm.receiver.Begin(now, recode(message.Begin), vm.willing)
+	case handover.StepPiece:
+		return vm.receiver.Piece(now, recode(message.Piece))
+	case handover.StepCommit:
+		response, taken := vm.receiver.Commit(now, recode(message.Commit), vm.willing)
+		if taken != nil {
+			vm.ledger.Import(taken.Pieces)
+		}
+		return response
+	}
+	panic("unknown step")
+}
+
+func recode[Request any](request *Request) *Request {
+	data, err := peer.Encoding{}.Marshal(request)
+	if err != nil {
+		panic(err)
+	}
+	result := new(Request)
+	if err := (peer.Encoding{}).Unmarshal(data, result); err != nil {
+		panic(err)
+	}
+	return result
+}
+
+// fill issues IDs on a VM and spends a part of them: those of odd place are
+// answered, every fourth still runs.
+func fill(vm *vm, count int) (spent, unspent []submission.ID) {
+	for i, id := range vm.ledger.Issue(start, "team", count) {
+		if i%2 == 0 && i%4 != 0 {
+			unspent = append(unspent, id)
+			continue
+		}
+		spent = append(spent, id)
+		vm.ledger.Claim(start, id)
+		if i%2 == 1 {
+			vm.ledger.Finish(id.Key, job.Answer{Outcome: job.Complete, SubmissionID: id.Key.String()}, 100)
+		}
+	}
+	return spent, unspent
+}
+
+// run carries a hand-over without faults.
+func run(t assert.TestingT, from *vm, sender *handover.Sender, vms map[string]*vm) {
+	now := start
+	for range 1000 {
+		if outcome, _, _ := sender.Outcome(); outcome != handover.Open {
+			return
+		}
+		for _, message := range sender.Next(now) {
+			sender.Handle(now, handover.Result{
+				Message:  message,
+				Response: vms[message.Address].deliver(now, message),
+			})
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	assert.Assert(t, false, "hand-over of %s did not end", from.address)
+}
+
+// Guards against IDs that get lost in a chain of hand-overs, against spent IDs
+// that can be spent again, and against answers that are lost.
+func TestChainOfHandOvers(t *testing.T) {
+	a, b, c := newVM("a", 1), newVM("b", 2), newVM("c", 3)
+	vms := map[string]*vm{"b": b, "c": c}
+	spent, unspent := fill(a, 40)
+	moreSpent, moreUnspent := fill(b, 40)
+	for _, step := range []struct {
+		from *vm
+		id   uint64
+		to   string
+	}{{a, 1, "b"}, {b, 2, "c"}} {
+		step.from.ledger.Freeze()
+		sender := handover.NewSender(step.id, step.from.address, step.from.ledger.Export(start, 7), []string{step.to})
+		run(t, step.from, sender, vms)
+		outcome, address, _ := sender.Outcome()
+		assert.Equal(t, outcome, handover.Committed)
+		assert.Equal(t, address, step.to)
+	}
+	for _, id := range append(spent, moreSpent...) {
+		claim, ok := c.ledger.Claim(start, id).(submission.ClaimAnswered)
+		assert.Assert(t, ok, "%v", id.Key)
+		if id.Key.Counter%2 == 0 {
+			assert.Equal(t, claim.Answer.SubmissionID, id.Key.String())
+		} else {
+			assert.Equal(t, claim.Answer.Started, job.StartedUnknown)
+		}
+	}
+	for _, id := range append(unspent, moreUnspent...) {
+		assert.Equal(t, b.ledger.Claim(start, id), submission.Claim(submission.ClaimFrozen{}))
+		assert.Equal(t, c.ledger.Claim(start, id), submission.Claim(submission.ClaimNew{}))
+	}
+}
+
+// network delivers the messages of a hand-over with faults.
+type network struct {
+	now     time.Time
+	sender  *handover.Sender
+	vms     []*vm
+	started uint64
+	// dead has the VMs that died. They may have spent IDs before.
+	dead []*vm
+	// pending has messages without a result, late those that were given up
+	// but may still arrive.
+	pending []handover.Message
+	late    []handover.Message
+}
+
+func (network *network) target(message handover.Message) *vm {
+	for _, vm := range network.vms {
+		if vm.address == message.Address {
+			return vm
+		}
+	}
+	return nil
+}
+
+func (network *network) step(t *rapid.T) {
+	network.now = network.now.Add(time.Duration(rapid.IntRange(0, 150).Draw(t, "ms")) * time.Millisecond)
+	network.pending = append(network.pending, network.sender.Next(network.now)...)
+	switch rapid.IntRange(0, 11).Draw(t, "what") {
+	case 0:
+		if len(network.late) > 0 {
+			message := network.late[rapid.IntRange(0, len(network.late)-1).Draw(t, "late")]
+			network.target(message).deliver(network.now, message)
+		}
+		return
+	case 1:
+		if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+			index := rapid.IntRange(0, len(network.vms)-1).Draw(t, "vm")
+			network.started++
+			network.dead = append(network.dead, network.vms[index])
+			network.vms[index] = newVM(network.vms[index].address, network.started)
+		}
+		return
+	}
+	if len(network.pending) == 0 {
+		return
+	}
+	index := rapid.IntRange(0, len(network.pending)-1).Draw(t, "message")
+	message := network.pending[index]
+	network.pending = append(network.pending[:index:index], network.pending[index+1:]...)
+	result := handover.Result{Message: message}
+	switch rapid.SampledFrom([]string{"arrives", "arrives", "arrives", "lost", "response lost", "refused"}).Draw(t, "fate") {
+	case "arrives":
+		result.Response = network.target(message).deliver(network.now, message)
+		result.Delivered = true
+		network.late = append(network.late, message)
+	case "lost":
+		result.Delivered = true
+		network.late = append(network.late, message)
+	case "response lost":
+		network.target(message).deliver(network.now, message)
+		result.Delivered = true
+		network.late = append(network.late, message)
+	case "refused":
+	}
+	network.sender.Handle(network.now, result)
+}
+
+// Guards against an ID that two VMs can spend, and a spent ID that can be
+// spent again, under lost, repeated, late and reordered messages, a lost
+// commit, and successors that die or refuse at any time.
+func TestHandOverUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old := newVM("old", 1)
+		spent, unspent := fill(old, 24)
+		old.ledger.Freeze()
+		network := &network{
+			now:     start,
+			vms:     []*vm{newVM("b", 2), newVM("c", 3)},
+			started: 3,
+		}
+		network.vms[0].willing = rapid.Bool().Draw(t, "b is willing")
+		network.sender = handover.NewSender(1, "old", old.ledger.Export(start, 5), []string{"b", "c"})
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			network.step(t)
+		}
+		outcome := network.sender.GiveUp()
+		if outcome == handover.Abandoned {
+			old.ledger.Thaw()
+		}
+		// What was handed to the network before the end may still arrive.
+		network.late = append(network.late, network.pending...)
+		for range len(network.late) {
+			message := network.late[rapid.IntRange(0, len(network.late)-1).Draw(t, "late")]
+			network.target(message).deliver(network.now, message)
+		}
+		all := append(append([]*vm{old}, network.vms...), network.dead...)
+		for _, id := range spent {
+			for _, vm := range all {
+				if _, again := vm.ledger.Claim(start, id).(submission.ClaimNew); again {
+					t.Fatalf("%s spends %v again", vm.address, id.Key)
+				}
+			}
+		}
+		_, address, _ := network.sender.Outcome()
+		for _, id := range unspent {
+			var spenders []string
+			for _, vm := range all {
+				if _, spends := vm.ledger.Claim(start, id).(submission.ClaimNew); spends {
+					spenders = append(spenders, vm.address)
+				}
+			}
+			if len(spenders) > 1 {
+				t.Fatalf("%v is spent by %v, outcome %d to %s", id.Key, spenders, outcome, address)
+			}
+			if outcome == handover.Abandoned && fmt.Sprint(spenders) != "[old]" {
+				t.Fatalf("abandoned, but %v is spent by %v", id.Key, spenders)
+			}
+		}
+	})
+}
+
+// Guards against a hand-over that stops at the first successor that dies or
+// refuses, and against a second successor after a commit that may have
+// arrived.
+func TestNextSuccessor(t *testing.T) {
+	cases := []struct {
+		name   string
+		result handover.Result
+		step   handover.Step
+		want   handover.Outcome
+	}{
+		{name: "begin refused", step: handover.StepBegin, result: handover.Result{Response: &peer.HandOverResponse{}}, want: handover.Committed},
+		{name: "begin lost", step: handover.StepBegin, result: handover.Result{Delivered: true}, want: handover.Committed},
+		{name: "pieces lost", step: handover.StepPiece, result: handover.Result{Delivered: true}, want: handover.Committed},
+		{name: "commit refused for good", step: handover.StepCommit, result: handover.Result{Response: &peer.HandOverResponse{Successor: 2}}, want: handover.Committed},
+		{name: "commit not delivered", step: handover.StepCommit, result: handover.Result{}, want: handover.Committed},
+		{name: "commit lost", step: handover.StepCommit, result: handover.Result{Delivered: true}, want: handover.CommitLost},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			a, b, c := newVM("a", 1), newVM("b", 2), newVM("c", 3)
+			fill(a, 40)
+			a.ledger.Freeze()
+			sender := handover.NewSender(1, "a", a.ledger.Export(start, 7), []string{"b", "c"})
+			now := start
+			for range 100 {
+				now = now.Add(retryAfter)
+				for _, message := range sender.Next(now) {
+					result := test.result
+					switch {
+					case message.Address == "c":
+						result = handover.Result{Response: c.deliver(now, message)}
+					case message.Step != test.step:
+						result = handover.Result{Response: b.deliver(now, message)}
+					}
+					result.Message = message
+					sender.Handle(now, result)
+				}
+			}
+			outcome, address, _ := sender.Outcome()
+			assert.Equal(t, outcome, test.want)
+			if test.want == handover.Committed {
+				assert.Equal(t, address, "c")
+			}
+		})
+	}
+}
+
+const retryAfter = 100 * time.Millisecond
--- a/shared/request/submission/handover.go
+++ b/shared/request/submission/handover.go
@@ -1,20 +1,185 @@
 package submission
 
-// PieceEntry is one spent ID of a hand-over.
-type PieceEntry struct {
-	Key   Key   `cbor:"1,keyasint"`
-	Entry Entry `cbor:"2,keyasint"`
-}
+import (
+	"slices"
+	"time"
+
+	"tanagerfall/shared/request/job"
+)
+
+const (
+	// DefaultPieceEntries bounds the entries of a piece, pieceBytes the
+	// answers.
+	DefaultPieceEntries = 8192
+	pieceBytes          = 1 << 20
+	// entryBytes is the size for which an exported entry counts.
+	entryBytes = 16
+)
 
-// HeldIncarnation is an incarnation whose IDs are handed over.
-type HeldIncarnation struct {
+// Piece is a part of the ledger of one incarnation. Counters and Expiries
+// are columns of the same length.
+type Piece struct {
 	Incarnation uint64 `cbor:"1,keyasint"`
-	// Issued is the highest counter that was issued; 0 if it is not known.
+	// Issued is the highest counter that was issued. The counters up to it
+	// without an entry are unspent.
 	Issued uint64 `cbor:"2,keyasint"`
+	// Until is the time in Unix seconds from which no ID of the incarnation
+	// can be asked for.
+	Until    int64    `cbor:"3,keyasint"`
+	Counters []uint64 `cbor:"4,keyasint,omitempty"`
+	// Expiries are in Unix seconds.
+	Expiries []uint32 `cbor:"5,keyasint,omitempty"`
+	// Answers has the answers that are still kept. The other entries are
+	// tombstones.
+	Answers []PieceAnswer `cbor:"6,keyasint,omitempty"`
 }
 
-// Piece is a part of a ledger of bounded size.
-type Piece struct {
-	Held    []HeldIncarnation `cbor:"1,keyasint,omitempty"`
-	Entries []PieceEntry      `cbor:"2,keyasint,omitempty"`
+// Valid says whether a piece can be imported.
+func (piece *Piece) Valid() bool {
+	return piece.Until > 0 && len(piece.Counters) == len(piece.Expiries)
+}
+
+// PieceAnswer is the answer of one counter.
+type PieceAnswer struct {
+	Counter uint64     `cbor:"1,keyasint"`
+	Answer  job.Answer `cbor:"2,keyasint"`
+	// Bytes is the size that the answer counts for in the memory bound.
+	Bytes int `cbor:"3,keyasint"`
+}
+
+// Freeze ends the issuing and spending of IDs. Running jobs may still finish.
+func (ledger *Ledger) Freeze() { ledger.frozen = true }
+
+// Thaw undoes Freeze. It must only be called if no commit of a hand-over of
+// this ledger was sent.
+func (ledger *Ledger) Thaw() { ledger.frozen = false }
+
+// Running counts the jobs without an answer.
+func (ledger *Ledger) Running() int { return ledger.running }
+
+// Export returns the frozen ledger in pieces of at most maxEntries entries: everything that this incarnation
+// issued, and the incarnations taken over earlier. It panics if the ledger is
+// not frozen. A job that still runs is exported as failed, started unknown,
+// because its tasks may have started and only this process can tell.
+func (ledger *Ledger) Export(now time.Time, maxEntries int) []Piece {
+	if !ledger.frozen {
+		panic("submission: export of a ledger that is not frozen")
+	}
+	incarnations := make([]uint64, 0, len(ledger.held))
+	for incarnation := range ledger.held {
+		incarnations = append(incarnations, incarnation)
+	}
+	slices.Sort(incarnations)
+	var pieces []Piece
+	for _, incarnation := range incarnations {
+		pieces = append(pieces, ledger.exportHeld(now, incarnation, maxEntries)...)
+	}
+	return pieces
+}
+
+func (ledger *Ledger) exportHeld(now time.Time, incarnation uint64, maxEntries int) []Piece {
+	held := ledger.held[incarnation]
+	head := Piece{
+		Incarnation: incarnation,
+		Issued:      held.issued,
+		Until:       held.until,
+	}
+	if incarnation == ledger.identity.Incarnation {
+		head.Issued = ledger.next
+		head.Until = now.Add(Lifetime + retention).Unix()
+	}
+	counters := make([]uint64, 0, len(held.entries))
+	for counter := range held.entries {
+		counters = append(counters, counter)
+	}
+	slices.Sort(counters)
+	pieces := []Piece{head}
+	bytes := 0
+	for _, counter := range counters {
+		last := &pieces[len(pieces)-1]
+		if len(last.Counters) >= maxEntries || bytes >= pieceBytes {
+			pieces = append(pieces, head)
+			last = &pieces[len(pieces)-1]
+			bytes = 0
+		}
+		bytes += ledger.exportEntry(last, counter, held.entries[counter])
+	}
+	return pieces
+}
+
+// exportEntry appends an entry to a piece and returns the size it counts for.
+func (ledger *Ledger) exportEntry(piece *Piece, counter uint64, found entry) int {
+	key := Key{
+		Incarnation: piece.Incarnation,
+		Counter:     counter,
+	}
+	bytes := entryBytes
+	switch found.state {
+	case Running:
+		piece.Answers = append(piece.Answers, PieceAnswer{
+			Counter: counter,
+			Answer:  job.Failure(job.StartedUnknown, job.ReasonOwnerGone, "the owner stopped before the job ended"),
+		})
+	case Answered:
+		stored := ledger.answers[key]
+		piece.Answers = append(piece.Answers, PieceAnswer{
+			Counter: counter,
+			Answer:  *stored.answer,
+			Bytes:   stored.bytes,
+		})
+		bytes += stored.bytes
+	case Unspent, Tombstone:
+	}
+	piece.Counters = append(piece.Counters, counter)
+	piece.Expiries = append(piece.Expiries, found.expiry)
+	return bytes
+}
+
+// Import takes over the incarnations of a committed hand-over, whose pieces
+// are valid and in any order. An incarnation that the ledger holds already is
+// skipped, so that a repeated import changes nothing.
+func (ledger *Ledger) Import(pieces []Piece) {
+	fresh := make(map[uint64]*heldEntries)
+	for _, piece := range pieces {
+		held, started := fresh[piece.Incarnation]
+		if !started {
+			if _, holds := ledger.held[piece.Incarnation]; holds {
+				continue
+			}
+			held = newHeldEntries()
+			held.issued = piece.Issued
+			held.until = piece.Until
+			fresh[piece.Incarnation] = held
+		}
+		ledger.importPiece(held, piece)
+	}
+	for incarnation, held := range fresh {
+		ledger.held[incarnation] = held
+	}
+	ledger.evict()
+}
+
+func (ledger *Ledger) importPiece(held *heldEntries, piece Piece) {
+	answers := make(map[uint64]PieceAnswer, len(piece.Answers))
+	for _, answer := range piece.Answers {
+		answers[answer.Counter] = answer
+	}
+	for i, counter := range piece.Counters {
+		if _, repeated := held.entries[counter]; repeated {
+			continue
+		}
+		added := entry{
+			expiry: piece.Expiries[i],
+			state:  Tombstone,
+		}
+		if stored, has := answers[counter]; has {
+			added.state = Answered
+			key := Key{
+				Incarnation: piece.Incarnation,
+				Counter:     counter,
+			}
+			ledger.store(key, &stored.Answer, stored.Bytes)
+		}
+		held.add(counter, added)
+	}
 }
--- a/shared/request/submission/id.go
+++ b/shared/request/submission/id.go
@@ -106,7 +106,8 @@
 		return ID{}, eris.Wrapf(ErrMalformed, "%d bytes, at most %d are allowed", len(text), MaxTextBytes)
 	}
 	data, err := base64.RawURLEncoding.DecodeString(text)
-	if err != nil || len(data) <= macBytes {
+	// The decoder skips line breaks and ignores unused bits.
+	if err != nil || len(data) <= macBytes || base64.RawURLEncoding.EncodeToString(data) != text {
 		return ID{}, eris.Wrap(ErrMalformed, "not base64url or too short")
 	}
 	data, mac := data[:len(data)-macBytes], data[len(data)-macBytes:]
--- /dev/null
+++ b/shared/request/submission/ledger_test.go
@@ -0,0 +1,163 @@
+package submission_test
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/submission"
+)
+
+var start = time.Date(2026, 1, 1, 6, 0, 0, 0, time.UTC)
+
+func newLedger(maxAnswerBytes int) *submission.Ledger {
+	return submission.NewLedger(submission.Identity{
+		Domain:      "brest",
+		Address:     "10.0.0.1:7000",
+		Incarnation: 1,
+	}, maxAnswerBytes)
+}
+
+// Guards against an ID that can be spent twice before its expiry, whatever
+// happens in between, and against answers beyond the memory bound.
+func TestSpentIDsStaySpent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const maxBytes = 1000
+		ledger := newLedger(maxBytes)
+		now := start
+		var ids []submission.ID
+		spent := make(map[submission.Key]bool)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				ids = append(ids, ledger.Issue(now, "team", rapid.IntRange(0, 3).Draw(t, "count"))...)
+			case 1, 2:
+				if len(ids) == 0 {
+					continue
+				}
+				id := ids[rapid.IntRange(0, len(ids)-1).Draw(t, "id")]
+				_, again := ledger.Claim(now, id).(submission.ClaimNew)
+				if again && (spent[id.Key] || !now.Before(id.Expiry)) {
+					t.Fatalf("%v is spent again or after its expiry", id.Key)
+				}
+				spent[id.Key] = spent[id.Key] || again
+			case 3:
+				if len(ids) > 0 {
+					id := ids[rapid.IntRange(0, len(ids)-1).Draw(t, "id")]
+					ledger.Finish(id.Key, job.Answer{}, rapid.IntRange(0, 600).Draw(t, "bytes"))
+				}
+			case 4:
+				now = now.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "s")) * time.Second)
+				ledger.Expire(now)
+			}
+			if stats := ledger.Stats(); stats.AnswerBytes > maxBytes {
+				t.Fatalf("%d bytes of answers", stats.AnswerBytes)
+			}
+		}
+	})
+}
+
+// Guards against entries that are never forgotten, against a scan of the whole
+// ledger in one call, and against running jobs that are forgotten.
+func TestExpireInBatches(t *testing.T) {
+	const count = 10_000
+	ledger := newLedger(1 << 20)
+	for range count / submission.MaxBlock {
+		for i, id := range ledger.Issue(start, "team", submission.MaxBlock) {
+			ledger.Claim(start, id)
+			if i > 0 {
+				ledger.Finish(id.Key, job.Answer{}, 1)
+			}
+		}
+	}
+	held := ledger.Stats().Entries
+	assert.Assert(t, !ledger.Expire(start.Add(submission.Lifetime)))
+	assert.Equal(t, ledger.Stats().Entries, held, "forgotten before the retention ended")
+	late := start.Add(submission.Lifetime + 2*time.Minute)
+	for ledger.Expire(late) {
+		after := ledger.Stats().Entries
+		assert.Assert(t, held-after <= 5000, "%d entries in one call", held-after)
+		held = after
+	}
+	assert.Equal(t, ledger.Stats().Entries, ledger.Running())
+	assert.Equal(t, ledger.Stats().AnswerBytes, 0)
+}
+
+// Guards against an incarnation taken over that is held for ever, and against
+// one that is forgotten while its IDs can be spent.
+func TestTakenOverIncarnationExpires(t *testing.T) {
+	old := newLedger(1 << 20)
+	ids := old.Issue(start, "team", 2)
+	old.Claim(start, ids[0])
+	old.Finish(ids[0].Key, job.Answer{}, 1)
+	old.Freeze()
+	ledger := submission.NewLedger(submission.Identity{Incarnation: 2}, 1<<20)
+	ledger.Import(old.Export(start, submission.DefaultPieceEntries))
+	ledger.Expire(start.Add(submission.Lifetime - time.Second))
+	assert.Equal(t, ledger.Claim(start, ids[1]), submission.Claim(submission.ClaimNew{}))
+	ledger.Finish(ids[1].Key, job.Answer{}, 1)
+	for range 3 {
+		ledger.Expire(start.Add(submission.Lifetime + 3*time.Minute))
+	}
+	assert.Equal(t, ledger.Claim(start, ids[1]), submission.Claim(submission.ClaimForeign{}))
+	assert.Equal(t, ledger.Stats().Entries, 0)
+}
+
+const remembered = 100_000
+
+// spend returns a ledger that remembers IDs spent over the lifetime of an ID.
+func spend(maxAnswerBytes int) *submission.Ledger {
+	ledger := newLedger(maxAnswerBytes)
+	for i := 0; i < remembered; i += submission.MaxBlock {
+		now := start.Add(submission.Lifetime * time.Duration(i) / remembered)
+		for _, id := range ledger.Issue(now, "team", min(submission.MaxBlock, remembered-i)) {
+			ledger.Claim(now, id)
+			ledger.Finish(id.Key, job.Answer{Outcome: job.Complete}, 200)
+		}
+	}
+	return ledger
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// Guards against a ledger beyond the target of 16 MB of heap for 100,000
+// remembered IDs without answers.
+func TestHeapOfRememberedIDs(t *testing.T) {
+	before := heapInUse()
+	ledger := spend(0)
+	used := heapInUse() - before
+	assert.Equal(t, ledger.Stats().Entries, remembered)
+	t.Logf("%.2f MB of heap for %d remembered IDs", float64(used)/(1<<20), remembered)
+	assert.Assert(t, used <= 16<<20, "%d bytes", used)
+}
+
+func BenchmarkClaimAndFinish(b *testing.B) {
+	ledger := newLedger(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id := ledger.Issue(start, "team", 1)[0]
+		ledger.Claim(start, id)
+		ledger.Finish(id.Key, job.Answer{}, 1)
+	}
+}
+
+func BenchmarkExpire(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		ledger := spend(0)
+		b.StartTimer()
+		for ledger.Expire(start.Add(3 * submission.Lifetime)) {
+			continue
+		}
+	}
+}
--- a/shared/version/fleet/heartbeat.go
+++ b/shared/version/fleet/heartbeat.go
@@ -167,7 +167,11 @@
 
 func (view *View) learnRedirects(now time.Time, redirects []peer.Redirect) {
 	for _, redirect := range redirects {
-		if _, known := view.redirects[redirect.Incarnation]; known || now.Unix() >= redirect.ExpiryUnix {
+		// After a chain of hand-overs an incarnation may be told with an
+		// earlier and a later successor. Both resolve to the same VM; all VMs
+		// keep the same one, so that their digests become equal.
+		held, known := view.redirects[redirect.Incarnation]
+		if (known && held.Successor <= redirect.Successor) || now.Unix() >= redirect.ExpiryUnix {
 			continue
 		}
 		view.redirects[redirect.Incarnation] = redirect
--- a/shared/version/fleet/view_test.go
+++ b/shared/version/fleet/view_test.go
@@ -354,6 +354,9 @@
 		{Incarnation: 7, Successor: 8, Address: "b", ExpiryUnix: expiry},
 		{Incarnation: 8, Successor: 9, Address: "c", ExpiryUnix: expiry},
 	}})
+	mesh.handle(entryAddress(2, 0), fleet.RedirectsReceived{Redirects: []peer.Redirect{
+		{Incarnation: 7, Successor: 9, Address: "c", ExpiryUnix: expiry},
+	}})
 	mesh.run(4 * time.Second)
 	for _, address := range mesh.order {
 		redirect, found := mesh.views[address].Resolve(7)
