Hand the ledger of a stopping VM to a successor

Cause: a planned stop lost the answers and IDs of the VM and cut off requests; a dead worker of two used up the retry budget of its kind. Change: drain, freeze, hand-over, redirect and shutdown of an entry VM; submissions that arrive during the hand-over are passed on; one upstream of two may be ejected.

--- a/entry/callerapi/server.go
+++ b/entry/callerapi/server.go
@@ -92,7 +92,7 @@
 		return
 	}
 	ids, err := server.submissions.Issue(request.Context(), team, count)
-	if err != nil {
+	if err != nil || len(ids) == 0 {
 		server.answer(writer, http.StatusServiceUnavailable, job.Refusal(job.ReasonStopping, "the VM is stopping"))
 		return
 	}
@@ -159,7 +159,7 @@
 		return
 	}
 	ids, err := server.submissions.Issue(request.Context(), team, 1)
-	if err != nil {
+	if err != nil || len(ids) == 0 {
 		server.answer(writer, http.StatusServiceUnavailable, job.Refusal(job.ReasonStopping, "the VM is stopping"))
 		return
 	}
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -9,6 +9,7 @@
 
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/dispatch"
+	"tanagerfall/shared/request/handover"
 	"tanagerfall/shared/request/job"
 	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
@@ -72,7 +73,11 @@
 	waiters map[submission.Key][]waiter
 	stopped chan struct{}
 	lending *lending
-	ticked  time.Time
+	// stopping is about this VM's own planned stop, receiver about those of
+	// its peers.
+	stopping stopping
+	receiver *handover.Receiver
+	ticked   time.Time
 	// owns is set while a live VM of the failure domain owns slots.
 	owns atomic.Bool
 }
@@ -87,11 +92,12 @@
 // New returns a Loop that has not started.
 func New(config Config) *Loop {
 	return &Loop{
-		config:  config,
-		events:  make(chan event, eventBacklog),
-		waiters: make(map[submission.Key][]waiter),
-		stopped: make(chan struct{}),
-		lending: newLending(config.Self, config.View.SettlingTime()),
+		config:   config,
+		events:   make(chan event, eventBacklog),
+		waiters:  make(map[submission.Key][]waiter),
+		stopped:  make(chan struct{}),
+		lending:  newLending(config.Self, config.View.SettlingTime()),
+		receiver: handover.NewReceiver(config.Identity.Incarnation),
 	}
 }
 
@@ -152,7 +158,7 @@
 	now := loop.config.Now()
 	switch received := received.(type) {
 	case issue:
-		received.reply <- loop.config.Ledger.Issue(now, received.team, received.count)
+		received.reply <- loop.issue(now, received.team, received.count)
 	case submit:
 		loop.submit(now, received)
 	case look:
@@ -194,14 +200,28 @@
 	}
 }
 
+// issue returns fresh IDs, or none once the ledger is frozen.
+func (loop *Loop) issue(now time.Time, team string, count int) []submission.ID {
+	if loop.config.Ledger.Stats().Frozen {
+		return nil
+	}
+	return loop.config.Ledger.Issue(now, team, count)
+}
+
 func (loop *Loop) submit(now time.Time, received submit) {
+	if reply, over := loop.handedOver(received.id); over {
+		received.reply <- reply
+		return
+	}
 	switch claim := loop.config.Ledger.Claim(now, received.id).(type) {
 	case submission.ClaimNew:
 		loop.wait(received.id, received.reply)
 		loop.start(now, received)
 	case submission.ClaimRunning:
 		loop.wait(received.id, received.reply)
-	case submission.ClaimForeign, submission.ClaimAnswered, submission.ClaimGone, submission.ClaimExpired, submission.ClaimFrozen:
+	case submission.ClaimFrozen:
+		loop.stopping.parked = append(loop.stopping.parked, received)
+	case submission.ClaimForeign, submission.ClaimAnswered, submission.ClaimGone, submission.ClaimExpired:
 		received.reply <- loop.replyTo(now, received.id, claim)
 	}
 }
@@ -218,6 +238,10 @@
 		loop.finish(now, received.id.Key, *received.refusal)
 		return
 	}
+	if loop.stopping.refusing {
+		loop.finish(now, received.id.Key, job.Refusal(job.ReasonStopping, "the VM is stopping"))
+		return
+	}
 	if err := loop.Ready(); err != nil {
 		loop.finish(now, received.id.Key, job.Refusal(job.ReasonNotReady, err.Error()))
 		return
@@ -230,6 +254,10 @@
 }
 
 func (loop *Loop) look(now time.Time, received look) {
+	if reply, over := loop.handedOver(received.id); over {
+		received.reply <- reply
+		return
+	}
 	claim, spent := loop.config.Ledger.Look(now, received.id)
 	if !spent {
 		received.reply <- Reply{
@@ -241,7 +269,15 @@
 }
 
 func (loop *Loop) cancel(now time.Time, received cancel) {
+	if reply, over := loop.handedOver(received.id); over {
+		received.reply <- reply
+		return
+	}
 	claim, spent := loop.config.Ledger.Look(now, received.id)
+	if !spent && loop.config.Ledger.Stats().Frozen {
+		received.reply <- loop.replyTo(now, received.id, submission.ClaimFrozen{})
+		return
+	}
 	if !spent {
 		// Spends the ID, so that a copy of the submission that is still on its
 		// way does not run after the cancellation was confirmed.
@@ -264,7 +300,7 @@
 	case submission.ClaimAnswered:
 		return Reply{
 			Answer: claim.Answer,
-			Fresh:  loop.config.Ledger.Issue(now, id.Team, 1),
+			Fresh:  loop.issue(now, id.Team, 1),
 		}
 	case submission.ClaimGone:
 		return Reply{
@@ -332,7 +368,7 @@
 	for _, waiter := range waiting {
 		waiter.reply <- Reply{
 			Answer: answer,
-			Fresh:  loop.config.Ledger.Issue(now, waiter.team, 1),
+			Fresh:  loop.issue(now, waiter.team, 1),
 		}
 	}
 }
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -73,6 +73,7 @@
 	draining    atomic.Bool
 	drain       chan struct{}
 	drainOnce   sync.Once
+	callerHTTP  *http.Server
 	platformWeb *http.Client
 }
 
@@ -179,9 +180,10 @@
 	process.group.Go(process.servePeers)
 	process.group.Go(process.followVms)
 	process.group.Go(process.followPlan)
-	process.group.Go(process.awaitDrain)
-	process.group.ServeHTTP(process.caller, process.callerServer(), shutdownTimeout)
+	process.callerHTTP = process.callerServer()
+	process.group.ServeHTTP(process.caller, process.callerHTTP, shutdownTimeout)
 	process.group.ServeHTTP(process.operator, process.operatorServer(), time.Second)
+	process.group.Go(process.awaitDrain)
 	err := process.group.Wait()
 	process.carrier.Abort()
 	process.carrier.Wait()
@@ -200,7 +202,7 @@
 
 func (process *Process) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           callerapi.New(process.router, process.keyring.Load).Handler(),
+		Handler:           process.closeWhileDraining(callerapi.New(process.router, process.keyring.Load).Handler()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
@@ -208,6 +210,16 @@
 	}
 }
 
+// closeWhileDraining lets callers move to other VMs after their next answer.
+func (process *Process) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if process.draining.Load() {
+			writer.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
 func (process *Process) operatorServer() *http.Server {
 	return &http.Server{
 		Handler:           operatorapi.New(process, process.set).Handler(),
@@ -239,17 +251,6 @@
 	})
 }
 
-func (process *Process) awaitDrain(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-process.drain:
-	}
-	process.logger.Log(logevent.ProcessStopping)
-	process.group.Stop()
-	return nil
-}
-
 // LogDump writes the state dump to the log.
 func (process *Process) LogDump() {
 	dump, err := process.loop.Dump(context.Background())
--- a/shared/request/dispatch/health.go
+++ b/shared/request/dispatch/health.go
@@ -142,7 +142,7 @@
 		return
 	}
 	limits := &core.config.Limits
-	if float64(core.health.ejected+1) > limits.MaxEjectedShare*float64(core.listed()) {
+	if core.health.ejected+1 > core.mayEject() {
 		return
 	}
 	length := min(limits.EjectFor<<min(at.health.ejections, 10), limits.EjectForMax)
@@ -156,6 +156,14 @@
 	core.rearm(at)
 }
 
+// mayEject returns how many upstreams may be ejected at a time. Of two or
+// more, one may always be: a third of two would be none, and a dead upstream
+// would then draw starts until the retry budget is used up.
+func (core *Core) mayEject() int {
+	listed := core.listed()
+	return max(int(core.config.Limits.MaxEjectedShare*float64(listed)), min(listed-1, 1))
+}
+
 // listed returns the number of upstreams that are listed and not leaving.
 func (core *Core) listed() int {
 	count := 0
--- a/shared/request/submission/handover.go
+++ b/shared/request/submission/handover.go
@@ -54,6 +54,12 @@
 // this ledger was sent.
 func (ledger *Ledger) Thaw() { ledger.frozen = false }
 
+// Holds reports whether the ledger holds the IDs of an incarnation.
+func (ledger *Ledger) Holds(incarnation uint64) bool {
+	_, held := ledger.held[incarnation]
+	return held
+}
+
 // Running counts the jobs without an answer.
 func (ledger *Ledger) Running() int { return ledger.running }
 
