Finish tasks by name, keep speeds over ejections

Cause: the scheduler's Finish keeps the teams' caps exact where Release guesses; closing an idle upstream made the estimator forget its speed; a loan that became ownership skipped the occupancy check, because the check still saw the loan. Change: settle calls Finish; the core restores the speed when it reopens an upstream; changeUpstream sets the loan before it checks. Conclusion: cause removed; the loan path has no test of the core yet.

--- a/shared/request/dispatch/admission.go
+++ b/shared/request/dispatch/admission.go
@@ -53,7 +53,7 @@
 		at: core.now,
 	}
 	for _, at := range core.order {
-		speed := core.config.Estimator.Speed(at.declared.ID)
+		speed := core.speedOf(at)
 		if at.open {
 			cached.speed += float64(at.slots) * speed
 		}
@@ -65,6 +65,14 @@
 	return cached
 }
 
+// speedOf returns the estimated speed of an upstream, open or not.
+func (core *Core) speedOf(at *upstreamState) float64 {
+	if !at.open && at.speed > 0 {
+		return at.speed
+	}
+	return core.config.Estimator.Speed(at.declared.ID)
+}
+
 // ideal returns the ideal response time of a job: the larger of its longest
 // task on the fastest fitting slot and its work divided by the total speed,
 // plus the round trip.
@@ -91,7 +99,7 @@
 	} else {
 		for _, at := range core.order {
 			if at.fits(need) {
-				fastest = max(fastest, core.config.Estimator.Speed(at.declared.ID))
+				fastest = max(fastest, core.speedOf(at))
 			}
 		}
 	}
--- a/shared/request/dispatch/dump.go
+++ b/shared/request/dispatch/dump.go
@@ -114,7 +114,7 @@
 			Ejected:      at.health.ejected(),
 			ProbeSlots:   at.health.probeSlots,
 			FailureShare: at.health.share,
-			Speed:        core.config.Estimator.Speed(id),
+			Speed:        core.speedOf(at),
 		})
 	}
 	slices.SortFunc(dumps, func(a, b UpstreamDump) int { return strings.Compare(a.ID, b.ID) })
--- a/shared/request/dispatch/tasks.go
+++ b/shared/request/dispatch/tasks.go
@@ -308,7 +308,7 @@
 
 // settle frees the slot of an attempt whose fate is known.
 func (core *Core) settle(settled *task) {
-	core.config.Scheduler.Release(settled.at.declared.ID, settled.need())
+	core.config.Scheduler.Finish(settled.at.declared.ID, settled.owner.key, settled.index)
 	core.placeable = true
 	core.load.active--
 	core.load.workMs -= settled.workMs
--- a/shared/request/dispatch/upstreams.go
+++ b/shared/request/dispatch/upstreams.go
@@ -36,6 +36,9 @@
 	// open and slots are what the scheduler was told last.
 	open  bool
 	slots int
+	// speed is the estimate at the latest closing; the estimator forgets an
+	// upstream that is closed and idle.
+	speed float64
 
 	// asks and list are the questions collected until askAt.
 	asks     []*task
@@ -84,16 +87,7 @@
 func (core *Core) listUpstream(declared placement.Upstream, borrowed bool) {
 	at, known := core.upstreams[declared.ID]
 	if known && !at.gone {
-		changed := at.declared != declared || at.borrowed != borrowed
-		at.declared = declared
-		if at.borrowed && !borrowed {
-			core.checkOccupancy(at)
-		}
-		at.borrowed = borrowed
-		if changed {
-			at.slots = 0
-			core.sync(at)
-		}
+		core.changeUpstream(at, declared, borrowed)
 		return
 	}
 	if !known {
@@ -113,6 +107,22 @@
 	core.sync(at)
 }
 
+// changeUpstream applies a changed listing. A loan that became ownership needs
+// the occupancy, which only an owner asks for.
+func (core *Core) changeUpstream(at *upstreamState, declared placement.Upstream, borrowed bool) {
+	if at.declared == declared && at.borrowed == borrowed {
+		return
+	}
+	owned := at.borrowed && !borrowed
+	at.declared = declared
+	at.borrowed = borrowed
+	if owned {
+		core.checkOccupancy(at)
+	}
+	at.slots = 0
+	core.sync(at)
+}
+
 func (core *Core) removeUpstream(at *upstreamState) {
 	at.gone = true
 	core.restore(at)
@@ -165,9 +175,13 @@
 	at.slots = slots
 	core.capacity.stale = true
 	if !open {
+		at.speed = core.config.Estimator.Speed(at.declared.ID)
 		core.config.Scheduler.CloseUpstream(at.declared.ID)
 		return
 	}
+	if at.speed > 0 {
+		core.config.Estimator.Declare(at.declared.ID, at.speed)
+	}
 	offered := at.declared
 	offered.Slots = slots
 	core.config.Scheduler.SetUpstream(offered)
