Bound and measure the control traffic

Cause: heartbeats must stay within 10 messages/s a VM at the current size and within 18 KB/s and 1.2% of a core a node at 12 domains of 20 entry VMs.

Change: the view chooses its links once per period or after a change, sorts its members and computes the period once, and tells at most 8 quota counts per heartbeat. Benchmarks tell messages, bytes and CPU on virtual time (3, 9, 30, 240 entry VMs), on loopback (3, 9, 30), and the spread of a plan by pull and by push gossip.

--- a/shared/version/fleet/events.go
+++ b/shared/version/fleet/events.go
@@ -71,8 +71,10 @@
 	PlanVersion int64
 	PlanDigest  uint64
 	Load        peer.Load
-	Wants       []peer.QuotaCount
-	Spares      []peer.QuotaCount
+	// Wants and Spares have the most urgent first: a heartbeat tells at most
+	// eight of them.
+	Wants  []peer.QuotaCount
+	Spares []peer.QuotaCount
 }
 
 // Decision is something the View wants done.
--- a/shared/version/fleet/heartbeat.go
+++ b/shared/version/fleet/heartbeat.go
@@ -17,11 +17,13 @@
 		view.earlyDue = false
 		view.earlyAt = now
 	}
-	contacts := view.contacts(now)
+	if now.Sub(view.linksAt) >= linkPeriod {
+		view.links = view.contacts(now)
+		view.linksAt = now
+	}
 	var decisions []Decision
-	for _, address := range view.sortedMembers() {
-		member := view.members[address]
-		period, initiates := view.schedule(now, member, contacts)
+	for _, member := range view.sortedMembers() {
+		period, initiates := view.schedule(now, member)
 		if early && member.domain == view.self.Domain && member.live {
 			initiates = true
 			member.nextAt = now
@@ -38,7 +40,7 @@
 		member.sentAt = now
 		member.nextAt = now.Add(period)
 		decisions = append(decisions, SendHeartbeat{
-			Address: address,
+			Address: member.address,
 			Message: view.message(now, member),
 			Timeout: period,
 		})
@@ -49,9 +51,9 @@
 // schedule returns the period of the exchanges with a member and whether this
 // VM starts them. In a domain the smaller address starts them, so that a pair
 // has one exchange a period; the other side does so while it hears nothing.
-func (view *View) schedule(now time.Time, member *member, contacts map[string]bool) (time.Duration, bool) {
+func (view *View) schedule(now time.Time, member *member) (time.Duration, bool) {
 	if member.domain != view.self.Domain {
-		return linkPeriod, contacts[member.address]
+		return linkPeriod, view.links[member.address]
 	}
 	period := view.period()
 	unheard := now.Sub(member.heardAt) > period*3/2
@@ -116,8 +118,9 @@
 	}
 	if member != nil && member.domain == view.self.Domain {
 		message.Drains = view.drainsToTell()
-		message.Wants = view.status.Wants
-		message.Spares = view.status.Spares
+		message.Wants = view.status.Wants[:min(len(view.status.Wants), maxQuotasTold)]
+		spares := min(len(view.status.Spares), maxQuotasTold-len(message.Wants))
+		message.Spares = view.status.Spares[:spares]
 	}
 	return message
 }
@@ -229,8 +232,7 @@
 		return nil
 	}
 	var best *member
-	for _, address := range view.sortedMembers() {
-		member := view.members[address]
+	for _, member := range view.sortedMembers() {
 		if member.heardAt.IsZero() || !member.live || member.last.PlanVersion <= view.status.PlanVersion {
 			continue
 		}
@@ -258,10 +260,9 @@
 // Behind lists the peers whose plan is older than this VM's.
 func (view *View) Behind() []string {
 	var behind []string
-	for _, address := range view.sortedMembers() {
-		member := view.members[address]
+	for _, member := range view.sortedMembers() {
 		if !member.heardAt.IsZero() && member.live && member.last.PlanVersion < view.status.PlanVersion {
-			behind = append(behind, address)
+			behind = append(behind, member.address)
 		}
 	}
 	return behind
--- /dev/null
+++ b/shared/version/fleet/traffic_test.go
@@ -0,0 +1,332 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/connection/peer"
+	"tanagerfall/shared/version/fleet"
+)
+
+// sizes are the deployments at which control traffic is measured.
+var sizes = []struct{ domains, entries int }{{1, 3}, {3, 3}, {3, 10}, {12, 20}}
+
+// busy is the status of a VM in a loaded domain: every field is in use, and more
+// quotas are short than a heartbeat tells.
+func busy() fleet.Event {
+	status := fleet.Status{
+		PlanVersion: 1 << 40,
+		PlanDigest:  1 << 60,
+		Load: peer.Load{
+			Slots:    1000,
+			Used:     900,
+			Lent:     50,
+			Borrowed: 50,
+			Waiting:  2000,
+		},
+	}
+	for i := range uint32(16) {
+		status.Wants = append(status.Wants, peer.QuotaCount{
+			Quota: 1<<30 + i,
+			Slots: 300,
+		})
+	}
+	return fleet.StatusChanged{Status: status}
+}
+
+// BenchmarkMeshOnVirtualTime tells the messages and encoded bytes per VM and
+// second, sent and received together, and the CPU time of View and encoding.
+func BenchmarkMeshOnVirtualTime(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("vms=%d", size.domains*size.entries), func(b *testing.B) {
+			mesh := newMesh(size.domains, size.entries, 210)
+			mesh.all(busy())
+			mesh.run(5 * time.Second)
+			clear(mesh.messages)
+			clear(mesh.bytes)
+			seconds := 0
+			for b.Loop() {
+				mesh.run(time.Second)
+				seconds++
+			}
+			var messages, most, bytes int
+			for _, address := range mesh.order {
+				messages += mesh.messages[address]
+				bytes += mesh.bytes[address]
+				most = max(most, mesh.messages[address])
+			}
+			perVM := float64(seconds * len(mesh.order))
+			b.ReportMetric(float64(messages)/perVM, "messages/s/VM")
+			b.ReportMetric(float64(most)/float64(seconds), "messages/s/busiest-VM")
+			b.ReportMetric(float64(bytes)/perVM, "encoded-B/s/VM")
+			b.ReportMetric(b.Elapsed().Seconds()/perVM*1e6, "cpu-us/s/VM")
+		})
+	}
+}
+
+// node is an entry VM that exchanges heartbeats over loopback.
+type node struct {
+	peer.Handlers
+	mutex   sync.Mutex
+	view    *fleet.View
+	pool    *peer.Pool
+	ctx     context.Context
+	pending sync.WaitGroup
+}
+
+func (node *node) Heartbeat(_ context.Context, request *peer.HeartbeatMessage) (*peer.HeartbeatMessage, error) {
+	node.mutex.Lock()
+	response, decisions := node.view.Answer(time.Now(), *request)
+	node.mutex.Unlock()
+	node.act(decisions)
+	return &response, nil
+}
+
+func (node *node) handle(event fleet.Event) {
+	node.mutex.Lock()
+	decisions := node.view.Handle(time.Now(), event)
+	node.mutex.Unlock()
+	node.act(decisions)
+}
+
+func (node *node) act(decisions []fleet.Decision) {
+	for _, decision := range decisions {
+		if send, ok := decision.(fleet.SendHeartbeat); ok {
+			node.pending.Go(func() { node.exchange(send) })
+		}
+	}
+}
+
+func (node *node) exchange(send fleet.SendHeartbeat) {
+	ctx, cancel := context.WithTimeout(node.ctx, send.Timeout)
+	defer cancel()
+	response, err := peer.Heartbeat.Call(ctx, node.pool, send.Address, &send.Message)
+	if err != nil {
+		node.handle(fleet.HeartbeatFailed{Address: send.Address})
+		return
+	}
+	node.handle(fleet.HeartbeatReceived{Message: *response})
+}
+
+// meter counts what passes through the connections of all nodes.
+type meter struct {
+	bytes  atomic.Int64
+	writes atomic.Int64
+}
+
+type meteredConn struct {
+	net.Conn
+	meter *meter
+}
+
+func (conn meteredConn) Write(data []byte) (int, error) {
+	conn.meter.bytes.Add(int64(len(data)))
+	conn.meter.writes.Add(1)
+	return conn.Conn.Write(data)
+}
+
+type meteredListener struct {
+	net.Listener
+	meter *meter
+}
+
+func (listener meteredListener) Accept() (net.Conn, error) {
+	conn, err := listener.Listener.Accept()
+	return meteredConn{Conn: conn, meter: listener.meter}, err
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkHeartbeatsOnLoopback runs real heartbeats for 10 s a size and tells
+// the bytes and writes per VM and second, sent and received together, and the
+// share of a core that each VM uses, the ticks of its control loop included.
+// It is meant for -benchtime 1x.
+func BenchmarkHeartbeatsOnLoopback(b *testing.B) {
+	const settling, measured = 4 * time.Second, 10 * time.Second
+	for _, size := range sizes[:3] {
+		vms := size.domains * size.entries
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			for b.Loop() {
+				meter := &meter{}
+				stop := startNodes(b, size.domains, size.entries, meter)
+				time.Sleep(settling)
+				bytes, writes, cpu, begin := meter.bytes.Load(), meter.writes.Load(), cpuTime(b), time.Now()
+				time.Sleep(measured)
+				seconds := time.Since(begin).Seconds() * float64(vms)
+				// Each byte is sent by one VM and received by another.
+				b.ReportMetric(2*float64(meter.bytes.Load()-bytes)/seconds, "B/s/VM")
+				b.ReportMetric(2*float64(meter.writes.Load()-writes)/seconds, "writes/s/VM")
+				b.ReportMetric(100*(cpuTime(b)-cpu).Seconds()/seconds, "%core/VM")
+				stop()
+			}
+		})
+	}
+}
+
+// startNodes runs the nodes of a deployment and returns the function that
+// stops them.
+func startNodes(b *testing.B, domains, entries int, meter *meter) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	list := vmList(1, domains, entries, 210)
+	addresses := make(map[string]string)
+	var listeners []net.Listener
+	for range domains * entries {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(b, err)
+		listeners = append(listeners, listener)
+	}
+	for i := range list.Vms {
+		if index := len(addresses); list.Vms[i].Size > 0 {
+			addresses[list.Vms[i].Address] = listeners[index].Addr().String()
+			list.Vms[i].Address = listeners[index].Addr().String()
+		}
+	}
+	for domain := range domains {
+		for i := range entries {
+			listener := listeners[domain*entries+i]
+			node := &node{
+				ctx: ctx,
+				view: fleet.New(time.Now(), fleet.Self{
+					Address:     listener.Addr().String(),
+					Domain:      domainName(domain),
+					Size:        1,
+					Incarnation: uint64(domain*1000 + i + 1),
+					Started:     time.Now(),
+				}),
+				pool: peer.NewPool(peer.PoolOptions{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+					var dialer net.Dialer
+					conn, err := dialer.DialContext(ctx, "tcp", address)
+					return meteredConn{Conn: conn, meter: meter}, err
+				}}),
+			}
+			group.Go(func() {
+				_ = peer.Serve(ctx, meteredListener{Listener: listener, meter: meter}, node, peer.ServerOptions{})
+			})
+			group.Go(func() {
+				ticker := time.NewTicker(100 * time.Millisecond)
+				defer ticker.Stop()
+				node.handle(fleet.ListReceived{List: list})
+				node.handle(busy())
+				for ctx.Err() == nil {
+					<-ticker.C
+					node.handle(fleet.Tick{})
+				}
+				node.pending.Wait()
+				node.pool.Close()
+			})
+		}
+	}
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+// BenchmarkPlanSpread compares, in a domain that is cut off from the log, the
+// pull of a plan after a heartbeat with push gossip in bounded rounds. Both
+// tell the messages for a whole spread, responses included, and the time until
+// the last VM has the plan. The heartbeats themselves are sent in any case and
+// are not counted. A gossip push is a call with a response; a VM that gets the
+// plan pushes it to fanout peers in each of the rounds.
+func BenchmarkPlanSpread(b *testing.B) {
+	for _, vms := range []int{3, 20} {
+		b.Run(fmt.Sprintf("vms=%d/heartbeat-pull", vms), func(b *testing.B) {
+			var messages, delay, runs float64
+			for b.Loop() {
+				count, took := pullSpread(vms, 1+int(runs))
+				messages += float64(count)
+				delay += took.Seconds()
+				runs++
+			}
+			b.ReportMetric(messages/runs, "messages")
+			b.ReportMetric(1000*delay/runs, "delay-ms")
+		})
+		for _, gossip := range []struct{ fanout, rounds int }{{1, 4}, {1, 6}, {2, 3}, {2, 4}, {3, 3}} {
+			b.Run(fmt.Sprintf("vms=%d/gossip/fanout=%d/rounds=%d", vms, gossip.fanout, gossip.rounds), func(b *testing.B) {
+				random := rand.New(rand.NewPCG(1, 2))
+				var messages, depth, missed, runs float64
+				for b.Loop() {
+					count, last, without := pushSpread(random, vms, gossip.fanout, gossip.rounds)
+					messages += float64(count)
+					depth += float64(last)
+					missed += float64(without)
+					runs++
+				}
+				b.ReportMetric(messages/runs, "messages")
+				b.ReportMetric(depth/runs, "rounds-until-last")
+				b.ReportMetric(missed/runs, "VMs-missed")
+			})
+		}
+	}
+}
+
+// pullSpread returns the messages of the pulls and the time until all VMs have
+// the plan. phase varies the time of the new version.
+func pullSpread(vms, phase int) (int, time.Duration) {
+	mesh := newMesh(1, vms, 0)
+	mesh.run(3*time.Second + time.Duration(phase%10)*100*time.Millisecond)
+	begin := mesh.now
+	newer := mesh.order[phase%vms]
+	mesh.handle(newer, fleet.StatusChanged{Status: fleet.Status{PlanVersion: 5}})
+	clear(mesh.events)
+	messages, have := 0, map[string]bool{newer: true}
+	for len(have) < vms && mesh.now.Sub(begin) < time.Minute {
+		mesh.run(100 * time.Millisecond)
+		for _, address := range mesh.order {
+			for _, decision := range mesh.events[address] {
+				if _, pulls := decision.(fleet.PullPlan); pulls && !have[address] {
+					have[address] = true
+					messages += 2
+					mesh.handle(address, fleet.StatusChanged{Status: fleet.Status{PlanVersion: 5}})
+					mesh.handle(address, fleet.PlanPullEnded{})
+				}
+			}
+		}
+	}
+	return messages, mesh.now.Sub(begin)
+}
+
+// pushSpread returns the messages, the round in which the last VM got the plan
+// and the number of VMs that did not get it.
+func pushSpread(random *rand.Rand, vms, fanout, rounds int) (messages, last, missed int) {
+	got := make([]int, vms)
+	for i := 1; i < vms; i++ {
+		got[i] = -1
+	}
+	reached := 1
+	for round := 0; ; round++ {
+		pushed := false
+		for i := range vms {
+			if got[i] < 0 || got[i] > round || round >= got[i]+rounds {
+				continue
+			}
+			pushed = true
+			for _, step := range random.Perm(vms - 1)[:min(fanout, vms-1)] {
+				target := (i + 1 + step) % vms
+				messages += 2
+				if got[target] < 0 {
+					got[target] = round + 1
+					last = round + 1
+					reached++
+				}
+			}
+		}
+		if !pushed {
+			return messages, last, vms - reached
+		}
+	}
+}
--- a/shared/version/fleet/view.go
+++ b/shared/version/fleet/view.go
@@ -44,7 +44,11 @@
 	strayDrainMemory = 10 * time.Minute
 	maxDrainsTold    = 64
 	maxRedirectsTold = 64
-	pullRetry        = time.Second
+	// maxQuotasTold bounds the quota counts in a heartbeat, wants and spares
+	// together. 16 of them would take 19 KB/s at 20 VMs in a domain, headers
+	// included.
+	maxQuotasTold = 8
+	pullRetry     = time.Second
 )
 
 // Self is what this VM is.
@@ -67,7 +71,15 @@
 	sequence    uint64
 	listVersion int64
 	members     map[string]*member
-	workers     map[string]*worker
+	// order has the members by address; nil after a change of members.
+	order []*member
+	// interval is the period of the exchanges within the domain.
+	interval time.Duration
+	// links are the contacts as of linksAt; the zero time has them chosen
+	// anew.
+	links   map[string]bool
+	linksAt time.Time
+	workers map[string]*worker
 	// strayDrains holds the drain signals of upstreams that are not listed.
 	strayDrains map[string]time.Time
 	redirects   map[uint64]peer.Redirect
@@ -137,6 +149,7 @@
 		redirects:   make(map[uint64]peer.Redirect),
 		owned:       make(map[string]bool),
 		handledAt:   now,
+		interval:    minPeriod,
 		ownsFrom:    now.Add(minPeriod),
 	}
 }
@@ -227,6 +240,7 @@
 	for address, member := range view.members {
 		if !member.listed && !member.live && now.Sub(member.heardAt) > view.failAfter() {
 			delete(view.members, address)
+			view.membersChanged()
 		}
 	}
 }
@@ -243,8 +257,10 @@
 	return count
 }
 
-func (view *View) period() time.Duration {
-	return max(minPeriod, time.Duration(view.peersOfDomain())*periodPerPeer)
+func (view *View) period() time.Duration { return view.interval }
+
+func (view *View) updatePeriod() {
+	view.interval = max(minPeriod, time.Duration(view.peersOfDomain())*periodPerPeer)
 }
 
 func (view *View) failAfter() time.Duration {
@@ -268,41 +284,51 @@
 }
 
 func (view *View) updateLive(now time.Time) []Decision {
+	view.updatePeriod()
 	var decisions []Decision
-	for _, address := range view.sortedMembers() {
-		member := view.members[address]
+	for _, member := range view.sortedMembers() {
 		live := view.isLive(now, member)
 		if live == member.live {
 			continue
 		}
 		member.live = live
+		view.linksAt = time.Time{}
 		if member.domain != view.self.Domain {
 			continue
 		}
 		view.dirty = true
 		if live {
 			decisions = append(decisions, MemberJoined{
-				Address:     address,
+				Address:     member.address,
 				Incarnation: member.last.Incarnation,
 			})
 			continue
 		}
 		view.lostAt = now
 		decisions = append(decisions, MemberLost{
-			Address:     address,
+			Address:     member.address,
 			Incarnation: member.last.Incarnation,
 		})
 	}
 	return decisions
 }
 
-func (view *View) sortedMembers() []string {
-	addresses := make([]string, 0, len(view.members))
-	for address := range view.members {
-		addresses = append(addresses, address)
+// sortedMembers returns the members by address. The result is valid until the
+// next change of members.
+func (view *View) sortedMembers() []*member {
+	if view.order == nil {
+		view.order = make([]*member, 0, len(view.members))
+		for _, member := range view.members {
+			view.order = append(view.order, member)
+		}
+		sort.Slice(view.order, func(i, j int) bool { return view.order[i].address < view.order[j].address })
 	}
-	sort.Strings(addresses)
-	return addresses
+	return view.order
+}
+
+func (view *View) membersChanged() {
+	view.order = nil
+	view.linksAt = time.Time{}
 }
 
 func (view *View) member(now time.Time, address, domain string) *member {
@@ -315,6 +341,7 @@
 			nextAt:  now,
 		}
 		view.members[address] = held
+		view.membersChanged()
 	}
 	return held
 }
@@ -368,6 +395,7 @@
 	member.inFlight = false
 	if member.domain != view.self.Domain {
 		member.avoidUntil = now.Add(avoidLink)
+		view.linksAt = time.Time{}
 		return
 	}
 	if event.Refused && member.live {
@@ -606,13 +634,12 @@
 // what their heartbeats told.
 func (view *View) Lendings() []Lending {
 	var lendings []Lending
-	for _, address := range view.sortedMembers() {
-		member := view.members[address]
+	for _, member := range view.sortedMembers() {
 		if !view.isOwner(member) || member.leaving || member.heardAt.IsZero() {
 			continue
 		}
 		lendings = append(lendings, Lending{
-			Address: address,
+			Address: member.address,
 			Load:    member.last.Load,
 			Spares:  member.last.Spares,
 		})
@@ -651,14 +678,13 @@
 func (view *View) Members(now time.Time) []MemberState {
 	digest := view.fleetDigest(now)
 	states := make([]MemberState, 0, len(view.members))
-	for _, address := range view.sortedMembers() {
-		member := view.members[address]
+	for _, member := range view.sortedMembers() {
 		heardAgo := int64(-1)
 		if !member.heardAt.IsZero() {
 			heardAgo = now.Sub(member.heardAt).Milliseconds()
 		}
 		states = append(states, MemberState{
-			Address:     address,
+			Address:     member.address,
 			Domain:      member.domain,
 			Incarnation: member.last.Incarnation,
 			Live:        member.live,
