Count the starts at the workers of a fault

Callers chose entry VMs without regard to their size.

Conclusion: go test -race of load, caller and experiment passes.

--- a/tanagerload/caller/caller.go
+++ b/tanagerload/caller/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -29,6 +30,9 @@
 type Config struct {
 	// Entries holds the callers' addresses of the entry VMs.
 	Entries []string
+	// Sizes holds the declared sizes of the entry VMs, by which the balancer
+	// divides the jobs; 0, or none at all, stands for 1.
+	Sizes   []float64
 	Callers experiment.Callers
 	// ResubmitAfter is the time after which a job is sent a second time.
 	ResubmitAfter time.Duration
@@ -138,7 +142,31 @@
 
 // EntryOf returns the index of the entry VM that issues the job's ID.
 func (caller *Caller) EntryOf(arrival *workload.Arrival) int {
-	return int(arrival.Entry % uint64(len(caller.config.Entries)))
+	return caller.choose(arrival.Entry & math.MaxUint32)
+}
+
+// choose returns the index of an entry VM by its size for a random number
+// below 1<<32.
+func (caller *Caller) choose(random uint64) int {
+	total := 0.0
+	for i := range caller.config.Entries {
+		total += caller.size(i)
+	}
+	left := float64(random) / (1 << 32) * total
+	for i := range caller.config.Entries {
+		left -= caller.size(i)
+		if left < 0 {
+			return i
+		}
+	}
+	return len(caller.config.Entries) - 1
+}
+
+func (caller *Caller) size(entry int) float64 {
+	if entry >= len(caller.config.Sizes) || caller.config.Sizes[entry] <= 0 {
+		return 1
+	}
+	return caller.config.Sizes[entry]
 }
 
 // sleep waits for duration or until ctx ends.
--- a/tanagerload/caller/sending.go
+++ b/tanagerload/caller/sending.go
@@ -76,7 +76,7 @@
 	sending.id = id
 	sending.target = sending.entry
 	if caller.config.Callers.Routing == experiment.RouteAny {
-		sending.target = int(sending.apart % uint64(len(caller.config.Entries)))
+		sending.target = caller.choose(sending.apart)
 	}
 	return true
 }
@@ -139,7 +139,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	target := int(sending.apart % uint64(len(caller.config.Entries)))
+	target := caller.choose(sending.apart)
 	sending.requests.Add(1)
 	answer, err := caller.put(ctx, target, id, sending.team, sending.body, true)
 	if err != nil {
--- a/tanagerload/load/runner.go
+++ b/tanagerload/load/runner.go
@@ -61,8 +61,10 @@
 	vms := described.Fleet.Vms()
 	runner.total = workload.CapacityOf(vms, "")
 	var addresses []string
+	var sizes []float64
 	for _, entry := range described.Fleet.Entries {
 		addresses = append(addresses, entry.CallerAddress)
+		sizes = append(sizes, max(entry.Size, 0))
 		scope := entry.Domain
 		if described.IdealOver == experiment.OverAll {
 			scope = ""
@@ -71,6 +73,7 @@
 	}
 	runner.caller = caller.New(caller.Config{
 		Entries:       addresses,
+		Sizes:         sizes,
 		Callers:       described.Callers,
 		ResubmitAfter: time.Duration(described.Workload.ResubmitAfterMs) * time.Millisecond,
 		Transport:     config.Transport,
@@ -95,11 +98,15 @@
 	runner.caller.Prefetch(ctx, described.Workload.Teams)
 	before, _ := runner.standins.journals(ctx)
 	for i := range described.Steps {
-		step, err := runner.step(ctx, i)
+		step, faults, err := runner.step(ctx, i)
 		if err != nil {
 			return total, err
 		}
 		after, incomplete := runner.standins.journals(ctx)
+		for j := range faults {
+			faults[j].count(after.journals)
+			step.Faults = append(step.Faults, faults[j].mark)
+		}
 		step.Messages.Starts = after.starts - before.starts
 		step.Messages.TaskRequests = after.requests.Tasks - before.requests.Tasks
 		step.Messages.LeaseRequests = after.requests.Leases - before.requests.Leases
@@ -119,7 +126,7 @@
 
 // step runs one step to the last answer and waits for the stand-ins to
 // settle. CpuUsPerStart of the result is still the CPU time in us.
-func (runner *Runner) step(ctx context.Context, index int) (result.Step, error) {
+func (runner *Runner) step(ctx context.Context, index int) (result.Step, []commanded, error) {
 	planned := runner.config.Experiment.Steps[index]
 	rate := runner.rate(index)
 	step := result.Step{
@@ -135,23 +142,23 @@
 	runner.config.Progress(fmt.Sprintf("step %d: load %g, %g jobs/s, %d ms", index, step.Load, step.JobsPerSecond, step.DurationMs))
 	cpuBefore, err := cpuTime(runner.config.Pids)
 	if err != nil {
-		return step, err
+		return step, nil, err
 	}
-	faults := runner.startFaults(ctx, index)
+	awaitFaults := runner.startFaults(ctx, index)
 	samples, workMs := runner.submitAll(ctx, index, planned.Duration(), rate)
 	step.DrawnLoad = round(workMs / runner.capacityMs() / planned.Duration().Seconds())
-	step.Faults = append(step.Faults, faults()...)
+	faults := awaitFaults()
 	if ctx.Err() != nil {
-		return step, eris.Wrap(ctx.Err(), "experiment was stopped")
+		return step, nil, eris.Wrap(ctx.Err(), "experiment was stopped")
 	}
 	wait(ctx, time.Duration(runner.config.Experiment.SettleMs)*time.Millisecond)
 	cpuAfter, err := cpuTime(runner.config.Pids)
 	if err != nil {
-		return step, err
+		return step, nil, err
 	}
 	step.CpuUsPerStart = float64((cpuAfter - cpuBefore).Microseconds())
 	result.Summarize(&step, samples)
-	return step, nil
+	return step, faults, nil
 }
 
 // capacityMs returns the work that all workers do in a second, in ms on
--- a/tanagerload/load/standins.go
+++ b/tanagerload/load/standins.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -136,8 +137,8 @@
 
 // startFaults commands the faults of a step at their times. The returned
 // function waits for the last one and returns their marks.
-func (runner *Runner) startFaults(ctx context.Context, step int) func() []result.Mark {
-	done := make(chan []result.Mark, 1)
+func (runner *Runner) startFaults(ctx context.Context, step int) func() []commanded {
+	done := make(chan []commanded, 1)
 	began := time.Now()
 	var planned []*experiment.Fault
 	for i := range runner.config.Experiment.Faults {
@@ -146,7 +147,7 @@
 		}
 	}
 	go func() {
-		var marks []result.Mark
+		var marks []commanded
 		for _, planned := range planned {
 			wait(ctx, time.Until(began.Add(time.Duration(planned.AtMs)*time.Millisecond)))
 			if ctx.Err() != nil {
@@ -156,26 +157,79 @@
 		}
 		done <- marks
 	}()
-	return func() []result.Mark { return <-done }
+	return func() []commanded { return <-done }
 }
 
-// carryOut commands one fault and returns its mark.
-func (runner *Runner) carryOut(ctx context.Context, planned *experiment.Fault) result.Mark {
+// commanded is a fault that was commanded.
+type commanded struct {
+	mark    result.Mark
+	at      time.Time
+	until   time.Time
+	workers []string
+}
+
+// settling is the time that a fault may take to show in the starts.
+const settling = 2 * time.Second
+
+// count counts the starts at the workers of the fault.
+func (commanded *commanded) count(journals []worker.JournalResponse) {
+	if len(commanded.workers) == 0 {
+		return
+	}
+	counted := &result.TargetStarts{}
+	at, until := commanded.at.UnixMilli(), commanded.until.UnixMilli()
+	settled := commanded.at.Add(settling).UnixMilli()
+	here, everywhere := 0, 0
+	for i := range journals {
+		isTarget := slices.Contains(commanded.workers, journals[i].Worker)
+		for _, start := range journals[i].Entries {
+			if start.AtMs < at || start.AtMs >= until {
+				continue
+			}
+			if isTarget {
+				counted.LastMs = max(counted.LastMs, start.AtMs-at)
+			}
+			if start.AtMs < settled {
+				continue
+			}
+			everywhere++
+			if isTarget {
+				here++
+			}
+		}
+	}
+	if everywhere > 0 {
+		counted.ShareAfter2s = round(float64(here) / float64(everywhere))
+	}
+	commanded.mark.At = counted
+}
+
+// carryOut commands one fault.
+func (runner *Runner) carryOut(ctx context.Context, planned *experiment.Fault) commanded {
 	mark := result.Mark{
 		AtMs:   planned.AtMs,
 		Fault:  planned.Command.Fault,
 		Target: string(planned.Target),
 		Note:   planned.Note,
 	}
+	now := time.Now()
+	left := time.Duration(runner.config.Experiment.Steps[planned.Step].DurationMs-planned.AtMs) * time.Millisecond
+	if lasts := planned.Command.For(); lasts > 0 {
+		left = min(left, lasts)
+	}
+	done := commanded{
+		at:    now,
+		until: now.Add(left),
+	}
 	runner.config.Progress(fmt.Sprintf("at %d ms: %s %s %s", mark.AtMs, mark.Target, mark.Fault, mark.Note))
 	var prefixes []string
 	switch planned.Target {
 	case experiment.TargetNote:
-		return mark
 	case experiment.TargetPlatform:
 		prefixes = []string{fleet.PlatformPrefix}
 	case experiment.TargetWorker, experiment.TargetWorkers, experiment.TargetRack:
-		for _, address := range planned.Workers(&runner.config.Experiment.Fleet) {
+		done.workers = planned.Workers(&runner.config.Experiment.Fleet)
+		for _, address := range done.workers {
 			prefixes = append(prefixes, fleet.WorkerPrefix(address))
 		}
 		mark.Target = fmt.Sprintf("%d workers", len(prefixes))
@@ -185,5 +239,6 @@
 			mark.Error = err.Error()
 		}
 	}
-	return mark
+	done.mark = mark
+	return done
 }
--- a/tanagerload/result/result.go
+++ b/tanagerload/result/result.go
@@ -123,6 +123,19 @@
 	Note   string     `json:"note,omitempty"`
 	// Error tells that the command was not carried out.
 	Error string `json:"error,omitempty"`
+	// At counts the starts at the workers that the fault went to.
+	At *TargetStarts `json:"starts-at-target,omitempty"`
+}
+
+// TargetStarts counts starts at the workers that a fault went to, by the
+// journals' clock. The fault lasts to its end or to the end of the step.
+type TargetStarts struct {
+	// LastMs is the time from the command to the last start at the workers
+	// while the fault lasted; 0 means that there was none.
+	LastMs int64 `json:"last-ms"`
+	// ShareAfter2s is the share of the starts at all workers that went to
+	// them from 2 s after the command to the end of the fault.
+	ShareAfter2s float64 `json:"share-after-2s"`
 }
 
 // Check is the result of the checker over the whole experiment.
