Look again at jobs that fitted no open upstream

Cause: a job that came while no upstream was open waited an hour for its next look, so slots that opened later stayed idle. Ruled out: a wrong count of idle slots, a lost loan. Change: such a job is looked at again after 100 ms.

--- a/local/scenario/scenario_test.go
+++ b/local/scenario/scenario_test.go
@@ -50,6 +50,7 @@
 			"check":    check,
 			"sleep":    sleep,
 			"starts":   countStarts,
+			"state":    printState,
 		},
 	})
 }
@@ -312,3 +313,13 @@
 	script.Check(err)
 	fmt.Fprintf(script.Stdout(), "%d\n", len(worker.Journal()))
 }
+
+// printState: state VM prints the state dump of an entry VM.
+func printState(script *testscript.TestScript, _ bool, args []string) {
+	run := stateOf(script).run
+	entry, err := run.System.Entry(args[0])
+	script.Check(err)
+	data, err := run.do("GET", entry.OperatorURL()+"/state", nil)
+	script.Check(err)
+	fmt.Fprintf(script.Stdout(), "%s\n", data)
+}
--- a/shared/request/placement/target.go
+++ b/shared/request/placement/target.go
@@ -15,7 +15,12 @@
 	step:  1.1,
 }
 
-const defaultTheta = 1.2
+const (
+	defaultTheta = 1.2
+	// unfitRecheck is when a job is looked at again whose next task fits no
+	// open upstream. The wait must be short: slots may be borrowed meanwhile.
+	unfitRecheck = 100 * time.Millisecond
+)
 
 func (target Target) theta() float64 {
 	if target.Theta < 1 {
@@ -110,7 +115,7 @@
 	workMs := scheduler.estimator.WorkMs(held.job.Kind, longest.tasks[0].DeclaredMs)
 	speed := scheduler.index.topSpeedFor(longest.need)
 	if speed == 0 {
-		return scheduler.now.Add(time.Hour)
+		return scheduler.now.Add(unfitRecheck)
 	}
 	return held.target.Add(-milliseconds(workMs / speed))
 }
