--- a/shared/version/plan/bench_test.go
+++ b/shared/version/plan/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -9,29 +10,31 @@
 	"tanagerfall/shared/version/plan"
 )
 
-// largePlan is a plan of 180 teams and 12 failure domains.
+// largePlan is a plan of 180 teams and 12 failure domains. Its values are
+// random, so that they compress no better than those of real sheets.
 func largePlan(kinds int) *plan.Plan {
 	content := &plan.Plan{
 		Format: plan.Format,
 	}
+	random := rand.New(rand.NewPCG(1, 2))
 	for domain := range 12 {
 		content.Domains = append(content.Domains, fmt.Sprintf("region-domain-%02d", domain))
 	}
 	for team := range 180 {
 		for kind := range kinds {
-			for domain, name := range content.Domains {
+			for _, name := range content.Domains {
 				content.Rules = append(content.Rules, plan.Rule{
 					Team:       fmt.Sprintf("team-%03d", team),
 					Kind:       fmt.Sprintf("kind-%02d", kind),
 					Domain:     name,
-					Share:      float64(1 + team%7),
-					Cap:        1 + (team*31+kind*17+domain*13)%400,
-					Cores:      1 + kind%4,
-					MemoryMb:   512 * (1 + kind%8),
+					Share:      float64(1+random.IntN(400)) / 10,
+					Cap:        1 + random.IntN(400),
+					Cores:      1 + random.IntN(8),
+					MemoryMb:   512 * (1 + random.IntN(16)),
 					Idempotent: kind%3 != 0,
-					DeadlineMs: int64(1000 * (1 + (team+kind)%30)),
-					Priority:   team % 5,
-					Spill:      kind%2 == 0,
+					DeadlineMs: int64(500 * (1 + random.IntN(60))),
+					Priority:   random.IntN(5),
+					Spill:      random.IntN(2) == 0,
 				})
 			}
 		}
--- a/shared/version/plan/follower.go
+++ b/shared/version/plan/follower.go
@@ -179,35 +179,60 @@
 	follower.next = max(follower.next, follower.first)
 }
 
-// Read applies what a read of the stream brought at the time now: one verdict
+// DecodedRead is what a read of the stream brought. Decoding a large snapshot
+// takes tens of milliseconds, which belong on another goroutine than the one
+// that owns the Follower.
+type DecodedRead struct {
+	response platform.ReadResponse
+	records  []decodedRecord
+}
+
+type decodedRecord struct {
+	record Record
+	err    error
+}
+
+// DecodeRead decodes the records of a read.
+func DecodeRead(response platform.ReadResponse) DecodedRead {
+	read := DecodedRead{
+		response: response,
+		records:  make([]decodedRecord, 0, len(response.Records)),
+	}
+	for _, record := range response.Records {
+		var decoded decodedRecord
+		decoded.record, decoded.err = Decode(record.Data)
+		read.records = append(read.records, decoded)
+	}
+	return read
+}
+
+// Read applies what a read of the stream brought: one verdict
 // for each record. The reader goes on at Next.
 func (follower *Follower) Read(now time.Time, response platform.ReadResponse) []Verdict {
-	verdicts := make([]Verdict, 0, len(response.Records))
-	for _, record := range response.Records {
-		verdicts = append(verdicts, follower.Apply(now, record))
+	return follower.ReadDecoded(now, DecodeRead(response))
+}
+
+// ReadDecoded is Read for records that were decoded before.
+func (follower *Follower) ReadDecoded(_ time.Time, read DecodedRead) []Verdict {
+	verdicts := make([]Verdict, 0, len(read.records))
+	for i, decoded := range read.records {
+		verdicts = append(verdicts, follower.apply(read.response.Records[i], decoded))
 	}
-	follower.retention = time.Duration(response.RetentionMs) * time.Millisecond
-	follower.logNext = response.NextOffset
-	follower.Trimmed(response.FirstOffset)
+	follower.retention = time.Duration(read.response.RetentionMs) * time.Millisecond
+	follower.logNext = read.response.NextOffset
+	follower.Trimmed(read.response.FirstOffset)
 	return verdicts
 }
 
-// Apply applies one record at the time now. The record's offset must be Next;
+// Apply applies one record. The record's offset must be Next;
 // it is ignored otherwise.
-func (follower *Follower) Apply(now time.Time, record platform.Record) Verdict {
-	if record.Offset < follower.next {
-		return follower.ignored(record.Offset, Seen)
-	}
-	if record.Offset > follower.next {
-		return follower.ignored(record.Offset, Gap)
-	}
-	decoded, err := Decode(record.Data)
-	return follower.ApplyDecoded(now, record, decoded, err)
+func (follower *Follower) Apply(_ time.Time, record platform.Record) Verdict {
+	var decoded decodedRecord
+	decoded.record, decoded.err = Decode(record.Data)
+	return follower.apply(record, decoded)
 }
 
-// ApplyDecoded is Apply for a record that another goroutine has decoded
-// already. decoded and err are the results of Decode.
-func (follower *Follower) ApplyDecoded(now time.Time, record platform.Record, decoded Record, err error) Verdict {
+func (follower *Follower) apply(record platform.Record, decoded decodedRecord) Verdict {
 	if record.Offset < follower.next {
 		return follower.ignored(record.Offset, Seen)
 	}
@@ -219,10 +244,10 @@
 	if synced {
 		follower.known = follower.next
 	}
-	if err != nil {
-		return follower.invalid(record.Offset, err)
+	if decoded.err != nil {
+		return follower.invalid(record.Offset, decoded.err)
 	}
-	switch decoded := decoded.(type) {
+	switch decoded := decoded.record.(type) {
 	case *Publication:
 		if !synced {
 			return follower.ignored(record.Offset, Unsynced)
--- a/shared/version/plan/record.go
+++ b/shared/version/plan/record.go
@@ -17,8 +17,8 @@
 
 const (
 	recordName = "tanagerfall-plan-record"
-	// MaxRecordBytes bounds an encoded record.
-	MaxRecordBytes = 8 << 20
+	// MaxRecordBytes bounds an encoded record, as the log does.
+	MaxRecordBytes = 1 << 20
 	// maxBodyBytes bounds a decompressed body, against records that
 	// decompress to many times their size.
 	maxBodyBytes = 64 << 20
--- a/tanagerctl/command/root.go
+++ b/tanagerctl/command/root.go
@@ -36,7 +36,7 @@
 
 // Run runs the command line and returns the exit code.
 func Run(ctx context.Context, arguments []string, output, messages io.Writer) int {
-	root := newRoot()
+	root := New()
 	root.SetArgs(arguments)
 	root.SetOut(output)
 	root.SetErr(messages)
@@ -56,7 +56,8 @@
 	return strings.TrimSuffix(err.Error(), ": "+errUsage.Error())
 }
 
-func newRoot() *cobra.Command {
+// New returns the command tree.
+func New() *cobra.Command {
 	flags := &flags{}
 	root := &cobra.Command{
 		Use:           "tanagerctl",
--- a/tanagerctl/publication/publish.go
+++ b/tanagerctl/publication/publish.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -38,6 +39,8 @@
 		"or use --recover if no VM has a plan any more")
 	// ErrGuard means that a guard's name is unknown.
 	ErrGuard = eris.New("unknown guard")
+	// ErrTooLarge means that a VM could not write the plan's snapshot.
+	ErrTooLarge = eris.New("the plan is too large for one record of the log")
 	// ErrRejected means that readers refuse the record.
 	ErrRejected = eris.New("the record is invalid for its readers")
 )
@@ -153,7 +156,7 @@
 // record was read from the log at its offset as the winner on its base. It
 // repeats what failed until ctx ends. The errors are *ConflictError,
 // *ReplacedError, or wrap ErrLogUnavailable, ErrUnknown, ErrNoBase,
-// ErrRejected, ErrGuard or the platform's ErrRefused.
+// ErrRejected, ErrGuard, ErrTooLarge or the platform's ErrRefused.
 func (publisher *Publisher) Publish(ctx context.Context, request Request) (Result, error) {
 	history, err := publisher.read(ctx)
 	if err != nil {
@@ -273,6 +276,10 @@
 	}
 	changed := *target
 	changed.Guards = guards
+	err = checkSnapshot(&changed, request)
+	if err != nil {
+		return attempt{}, err
+	}
 	prepared := attempt{
 		target: &changed,
 		result: Result{
@@ -315,6 +322,24 @@
 	return prepared, nil
 }
 
+// checkSnapshot refuses a plan that fits the log as a change, but whose
+// snapshot would not: it would be lost when the change is trimmed.
+func checkSnapshot(target *plan.Plan, request *Request) error {
+	_, err := plan.Encode(&plan.Snapshot{
+		Version:   math.MaxInt64 - 1,
+		ReadUpTo:  math.MaxInt64,
+		PublishID: request.ID(math.MaxInt64),
+		Author:    request.Author,
+		Writer:    strings.Repeat("x", plan.MaxAuthorBytes),
+		Digest:    plan.DigestOf(target),
+		Plan:      target,
+	})
+	if err != nil {
+		return eris.Wrap(ErrTooLarge, err.Error())
+	}
+	return nil
+}
+
 func (history *History) conflict(base int64, target *plan.Plan) *ConflictError {
 	version, _, content, _ := history.Current()
 	return &ConflictError{
