--- a/shared/version/plan/follower_test.go
+++ b/shared/version/plan/follower_test.go
@@ -166,7 +166,6 @@
 	for i := range 240 {
 		live = append(live, fmt.Sprintf("10.0.0.%d:7400", i))
 	}
-	const retention = 60 * time.Second
 	written := epoch.Add(time.Millisecond)
 	due := make(map[time.Time]int)
 	early := 0
@@ -183,6 +182,97 @@
 	assert.Assert(t, plan.New().SnapshotAt(live[0], live).IsZero(), "nothing to write without a plan")
 }
 
+// Guards against a log that a new VM can't start from: at any time in four
+// retentions, with changes of the plan, an outage of the log for a sixth of
+// the retention, and VMs that are gone but still counted on, the retained
+// records must give a new reader the current version. Also guards against VMs
+// that write far more snapshots than needed.
+func TestLogAlwaysHoldsSnapshotForNewReader(t *testing.T) {
+	for _, vms := range []struct{ count, lost int }{{1, 0}, {3, 1}, {3, 2}, {9, 0}, {9, 8}} {
+		for outage := 50 * time.Second; outage < 130*time.Second; outage += 16 * time.Second {
+			t.Run(fmt.Sprintf("vms=%d/lost=%d/outage=%s", vms.count, vms.lost, outage), func(t *testing.T) {
+				run := newDeployment(t, vms.count, vms.lost)
+				for at := time.Duration(0); at < 4*retention; at += time.Second {
+					run.trim(at)
+					if at < outage || at >= outage+retention/6 {
+						run.step(t, at)
+					}
+				}
+				assert.Assert(t, run.written >= 8 && run.written <= 16, "%d snapshots in 4 retentions", run.written)
+			})
+		}
+	}
+}
+
+const retention = time.Minute
+
+// deployment is a number of VMs that follow one log; the first of them are
+// gone.
+type deployment struct {
+	stream  *streamLog
+	readers []*plan.Follower
+	writers []*plan.SnapshotWriter
+	live    []string
+	lost    int
+	written int
+	limit   int
+}
+
+func newDeployment(t *testing.T, count, lost int) *deployment {
+	run := &deployment{
+		stream: newLog(),
+		lost:   lost,
+	}
+	run.append(t, 0, publication("publish-0", 0, plan.Empty(), planOf(rule("a", 0))))
+	for i := range count {
+		run.live = append(run.live, fmt.Sprintf("10.0.0.%d:7400", i))
+		run.readers = append(run.readers, plan.New())
+		run.writers = append(run.writers, plan.NewSnapshotWriter(run.live[i]))
+	}
+	return run
+}
+
+func (run *deployment) append(t *testing.T, at time.Duration, record plan.Record) {
+	offset := run.stream.append(encoded(t, record))
+	run.stream.records[offset-1].AtMs = epoch.Add(at).UnixMilli()
+}
+
+func (run *deployment) trim(at time.Duration) {
+	oldest := epoch.Add(at - retention).UnixMilli()
+	for run.stream.first < run.stream.next() && run.stream.records[run.stream.first-1].AtMs < oldest {
+		run.stream.first++
+	}
+}
+
+// step lets every VM read and write, publishes now and then, and starts a new
+// reader.
+func (run *deployment) step(t *testing.T, at time.Duration) {
+	now := epoch.Add(at)
+	for i := run.lost; i < len(run.readers); i++ {
+		run.stream.feed(run.readers[i], 100)
+		snapshot, due := run.writers[i].Due(now, run.readers[i], run.live)
+		if due {
+			run.append(t, at, snapshot)
+			run.writers[i].Ended(now, run.readers[i])
+			run.written++
+		}
+	}
+	last := run.readers[len(run.readers)-1]
+	version, _, content := last.Current()
+	if at%(7*time.Second) == 0 {
+		run.limit++
+		run.append(t, at, publication(fmt.Sprintf("publish-%d", run.limit), version, content, planOf(rule("a", run.limit))))
+		run.stream.feed(last, 100)
+		version, _, _ = last.Current()
+	}
+	started := plan.New()
+	for range 4 {
+		run.stream.feed(started, 100)
+	}
+	got, _, _ := started.Current()
+	assert.Assert(t, started.Synced() && got == version, "at %s a new reader has version %d, current is %d", at, got, version)
+}
+
 // Guards against a rule order that binary search and merge don't expect, and
 // values that the daemon can't work with.
 func TestValidate(t *testing.T) {
@@ -208,3 +298,24 @@
 		})
 	}
 }
+
+// Guards against a VM that appends a snapshot again and again while its own
+// one is on its way, or while the log refuses it.
+func TestSnapshotWriterSpacesItsAttempts(t *testing.T) {
+	stream, follower := newLog(), plan.New()
+	stream.append(encoded(t, publication("publish-1", 0, plan.Empty(), planOf(rule("a", 1)))))
+	stream.feed(follower, 10)
+	const self = "10.0.0.1:7400"
+	writer := plan.NewSnapshotWriter(self)
+	now := follower.SnapshotAt(self, nil)
+	due := func(after time.Duration) bool {
+		_, due := writer.Due(now.Add(after), follower, nil)
+		return due
+	}
+	assert.Assert(t, !due(-time.Millisecond), "not due yet")
+	assert.Assert(t, due(0))
+	assert.Assert(t, !due(time.Second), "an append is under way")
+	writer.Ended(now.Add(time.Second), follower)
+	assert.Assert(t, !due(time.Second), "the snapshot has not been read back")
+	assert.Assert(t, due(2*time.Second), "the append failed, since no snapshot was read")
+}
--- a/shared/version/plan/snapshot.go
+++ b/shared/version/plan/snapshot.go
@@ -57,6 +57,48 @@
 	return time.UnixMilli(follower.anchorMs).Add(delay)
 }
 
+// SnapshotWriter decides when this VM appends a snapshot, and spaces its
+// attempts. It belongs to the goroutine that owns the Follower.
+type SnapshotWriter struct {
+	self    string
+	writing bool
+	// restUntil keeps the writer from appending again before its own snapshot
+	// was read back.
+	restUntil time.Time
+}
+
+// NewSnapshotWriter returns a SnapshotWriter for the VM with the peer address
+// self.
+func NewSnapshotWriter(self string) *SnapshotWriter {
+	return &SnapshotWriter{
+		self: self,
+	}
+}
+
+// Due returns the snapshot to be encoded and appended now, on another
+// goroutine. live lists the peer addresses of the live entry VMs. The caller
+// reports the end of the append to Ended.
+func (writer *SnapshotWriter) Due(now time.Time, follower *Follower, live []string) (*Snapshot, bool) {
+	if writer.writing || now.Before(writer.restUntil) {
+		return nil, false
+	}
+	at := follower.SnapshotAt(writer.self, live)
+	if at.IsZero() || now.Before(at) {
+		return nil, false
+	}
+	snapshot, known := follower.Snapshot(writer.self)
+	writer.writing = known
+	return snapshot, known
+}
+
+// Ended tells that the append ended, well or not. The next attempt follows
+// after a part of the retention: a failed one is repeated, and one whose reply
+// was lost has been read back by then.
+func (writer *SnapshotWriter) Ended(now time.Time, follower *Follower) {
+	writer.writing = false
+	writer.restUntil = now.Add(follower.retention / rankDivisor)
+}
+
 func digestFault(actual, named Digest) error {
 	return eris.Wrapf(ErrInvalid, "the changed plan's digest is %s, the record names %s", actual, named)
 }
