--- a/shared/request/dispatch/config.go
+++ b/shared/request/dispatch/config.go
@@ -160,6 +160,7 @@
 	orDefault(&limits.Linger, defaults.Linger)
 	orDefault(&limits.RetryShare, defaults.RetryShare)
 	orDefault(&limits.RetryBurst, defaults.RetryBurst)
+	orDefault(&limits.RetryEvery, defaults.RetryEvery)
 	orDefault(&limits.RetryBackoff, defaults.RetryBackoff)
 	orDefault(&limits.MaxEjectedShare, defaults.MaxEjectedShare)
 	orDefault(&limits.EjectAfter, defaults.EjectAfter)
