Count a broken connection once in a hand-over and close silent peers

Cause: four pieces that failed together used up all attempts, so that a short break of the connection moved the hand-over to another successor. Accepted connections had the default keep-alive of minutes.

Change: failures that come together count as one attempt; the attempts cover about a second. The unused list of missing pieces is gone from the response. Serve sets the same keep-alive as the pool. Tests for TLS and for the backoff, on virtual time.

Conclusion: a hand-over survives a break of about a second without a restart.

--- a/shared/connection/peer/messages.go
+++ b/shared/connection/peer/messages.go
@@ -256,14 +256,12 @@
 	Successor uint64 `cbor:"4,keyasint"`
 }
 
-// HandOverResponse tells how far the receiver is.
+// HandOverResponse is the answer to each message of a hand-over.
 type HandOverResponse struct {
 	// Accepted is false where the receiver can't take the ledger.
 	Accepted bool `cbor:"1,keyasint"`
-	// Missing lists pieces that the receiver lacks, at most 64 of them.
-	Missing []int `cbor:"2,keyasint,omitempty"`
 	// Successor is the receiver's incarnation.
-	Successor uint64 `cbor:"3,keyasint"`
+	Successor uint64 `cbor:"2,keyasint"`
 }
 
 // RedirectRequest announces redirects at once, ahead of the next heartbeat.
--- a/shared/connection/peer/peer_test.go
+++ b/shared/connection/peer/peer_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -33,12 +37,17 @@
 
 // serve starts a server for stub and returns its address.
 func serve(t *testing.T, stub *stub) string {
+	t.Helper()
+	return serveWith(t, stub, peer.ServerOptions{})
+}
+
+func serveWith(t *testing.T, stub *stub, options peer.ServerOptions) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- peer.Serve(ctx, listener, stub, peer.ServerOptions{}) }()
+	go func() { done <- peer.Serve(ctx, listener, stub, options) }()
 	t.Cleanup(func() {
 		cancel()
 		assert.NilError(t, <-done)
@@ -182,3 +191,37 @@
 	assert.Equal(t, most.Load(), int64(limit))
 	assert.Equal(t, dials.Load(), int64(limit+1))
 }
+
+// Guards against a peer that is down and gets a connection attempt for each
+// call, and against one that is not tried again.
+func TestBackoffBoundsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		attempts := 0
+		pool := newPool(t, peer.PoolOptions{Dial: func(context.Context, string) (net.Conn, error) {
+			attempts++
+			return nil, errors.New("connection refused")
+		}})
+		for range 2000 {
+			_, err := peer.Heartbeat.Call(context.Background(), pool, "10.0.0.1:7000", &peer.HeartbeatMessage{})
+			assert.ErrorIs(t, err, peer.ErrNotDelivered)
+			time.Sleep(10 * time.Millisecond)
+		}
+		// The backoff grows from 25 ms to between 1 and 2 s.
+		assert.Assert(t, attempts >= 10 && attempts <= 30, "%d attempts in 20 s", attempts)
+	})
+}
+
+// Guards against TLS settings that are not used, on either side.
+func TestTLS(t *testing.T) {
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	trusting := certified.Client().Transport.(*http.Transport).TLSClientConfig
+	address := serveWith(t, &stub{}, peer.ServerOptions{TLS: &tls.Config{Certificates: certified.TLS.Certificates}})
+	call := func(config *tls.Config) error {
+		_, err := peer.Heartbeat.Call(context.Background(), newPool(t, peer.PoolOptions{TLS: config}), address, &peer.HeartbeatMessage{})
+		return err
+	}
+	assert.NilError(t, call(&tls.Config{RootCAs: trusting.RootCAs}))
+	assert.ErrorIs(t, call(&tls.Config{}), peer.ErrNotDelivered)
+	assert.ErrorIs(t, call(nil), peer.ErrLost)
+}
--- a/shared/connection/peer/server.go
+++ b/shared/connection/peer/server.go
@@ -53,6 +53,9 @@
 	if err := mux.Register(handlers, describe(handlers)); err != nil {
 		return eris.Wrap(err, "registering the peer messages")
 	}
+	listener = keepAliveListener{
+		Listener: listener,
+	}
 	if options.TLS != nil {
 		listener = tls.NewListener(listener, options.TLS)
 	}
@@ -79,6 +82,22 @@
 	Count:    3,
 }
 
+// keepAliveListener applies keepAlive to the connections that it accepts, so
+// that the calls of a peer that went silent end.
+type keepAliveListener struct {
+	net.Listener
+}
+
+// Accept returns the next connection. A connection that can't have the option
+// is served without it.
+func (listener keepAliveListener) Accept() (net.Conn, error) {
+	conn, err := listener.Listener.Accept()
+	if accepted, ok := conn.(*net.TCPConn); ok {
+		_ = accepted.SetKeepAliveConfig(keepAlive)
+	}
+	return conn, err
+}
+
 type description []handled
 
 type handled struct {
--- a/shared/request/handover/handover_test.go
+++ b/shared/request/handover/handover_test.go
@@ -281,7 +281,7 @@
 			sender := handover.NewSender(1, "a", a.ledger.Export(start, 7), []string{"b", "c"})
 			now := start
 			for range 100 {
-				now = now.Add(retryAfter)
+				now = now.Add(100 * time.Millisecond)
 				for _, message := range sender.Next(now) {
 					result := test.result
 					switch {
@@ -303,4 +303,34 @@
 	}
 }
 
-const retryAfter = 100 * time.Millisecond
+// Guards against a hand-over that starts anew, or with another successor,
+// because the connection broke for a moment.
+func TestHandOverResumes(t *testing.T) {
+	a, b, c := newVM("a", 1), newVM("b", 2), newVM("c", 3)
+	fill(a, 80)
+	a.ledger.Freeze()
+	sender := handover.NewSender(1, "a", a.ledger.Export(start, 5), []string{"b", "c"})
+	now, sent := start, make(map[int]int)
+	for round := 0; ; round++ {
+		now = now.Add(50 * time.Millisecond)
+		if outcome, address, _ := sender.Outcome(); outcome != handover.Open {
+			assert.Equal(t, outcome, handover.Committed)
+			assert.Equal(t, address, "b")
+			break
+		}
+		for _, message := range sender.Next(now) {
+			result := handover.Result{Message: message, Delivered: true}
+			if round < 3 || round >= 12 {
+				result.Response = b.deliver(now, message)
+				if message.Piece != nil {
+					sent[message.Piece.Index]++
+				}
+			}
+			sender.Handle(now, result)
+		}
+	}
+	for index, times := range sent {
+		assert.Equal(t, times, 1, "piece %d", index)
+	}
+	assert.Equal(t, c.ledger.Stats().Incarnations, 1)
+}
--- a/shared/request/handover/receiver.go
+++ b/shared/request/handover/receiver.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"slices"
 	"time"
 
 	"tanagerfall/shared/connection/peer"
@@ -18,7 +19,6 @@
 	// settledMemory is how long the outcome of a transfer is remembered for
 	// repeated messages. It is longer than any sender retries.
 	settledMemory = 20 * time.Minute
-	maxMissing    = 64
 )
 
 // Taken is a committed hand-over: the ledger must import the pieces and the
@@ -85,9 +85,7 @@
 		receiver.staged[key] = held
 	}
 	held.usedAt = now
-	response := receiver.response(true)
-	response.Missing = held.missing()
-	return response
+	return receiver.response(true)
 }
 
 // Piece takes one piece. Pieces may arrive repeatedly and in any order.
@@ -130,7 +128,7 @@
 		return receiver.response(false), nil
 	}
 	held, known := receiver.staged[key]
-	complete := known && len(held.pieces) == request.Pieces && len(held.missing()) == 0
+	complete := known && len(held.pieces) == request.Pieces && !slices.Contains(held.arrived, false)
 	delete(receiver.staged, key)
 	receiver.settled[key] = settlement{
 		committed: complete && willing,
@@ -152,16 +150,6 @@
 	}
 }
 
-func (held *staging) missing() []int {
-	var missing []int
-	for index, arrived := range held.arrived {
-		if !arrived && len(missing) < maxMissing {
-			missing = append(missing, index)
-		}
-	}
-	return missing
-}
-
 func (receiver *Receiver) expire(now time.Time) {
 	for key, held := range receiver.staged {
 		if now.Sub(held.usedAt) > stagingLimit {
--- a/shared/request/handover/sender.go
+++ b/shared/request/handover/sender.go
@@ -11,9 +11,10 @@
 	// window is the number of pieces sent at the same time.
 	window = 4
 	// retryAfter is the wait after a message that got no response.
-	retryAfter = 100 * time.Millisecond
-	// maxTries is the number of times a message is sent to one successor.
-	maxTries = 4
+	retryAfter = 200 * time.Millisecond
+	// maxTries is the number of attempts in a row without a response after
+	// which the next successor is taken.
+	maxTries = 6
 )
 
 // Step names a message of a hand-over.
@@ -255,7 +256,12 @@
 	return true
 }
 
+// failed counts an attempt without a response. Pieces that were sent at the
+// same time fail together and count once.
 func (sender *Sender) failed(now time.Time) {
+	if now.Before(sender.retryAt) {
+		return
+	}
 	sender.tries++
 	if sender.tries >= maxTries {
 		sender.next()
