--- a/shared/version/fleet/view.go
+++ b/shared/version/fleet/view.go
@@ -30,8 +30,9 @@
 	// regard it as dead. Its last heartbeat may be one period older than the
 	// pause, so it is one less than failPeriods.
 	lapsePeriods = failPeriods - 1
-	// refusalsUntilDead is the number of refused exchanges in a row that
-	// prove a peer's process dead without waiting for failPeriods.
+	// refusalsUntilDead is the number of undelivered exchanges in a row after
+	// which a VM that was silent for one period counts as dead, without
+	// waiting for failPeriods. A killed process refuses connections at once.
 	refusalsUntilDead = 2
 	refusalRetry      = 200 * time.Millisecond
 	// earlyGap is the shortest time between two early rounds of heartbeats.
