Count goodput by the time of the answer

Cause: at twice the capacity the result showed a goodput above the capacity (1567 of about 1010 tasks/s), because jobs answered after the end of the step counted.

Conclusion: goodput can be compared with the capacity.

--- a/tanagerload/result/result.go
+++ b/tanagerload/result/result.go
@@ -43,8 +43,10 @@
 	RefusalMs Quantiles `json:"refusal-ms"`
 	// LateMs is how late the load tool itself sent the jobs.
 	LateMs Quantiles `json:"late-ms"`
-	// GoodputJobs and GoodputTasks are complete within the deadline, per
-	// second of the step.
+	// GoodputJobs and GoodputTasks are answered complete and within their
+	// deadline, per second. They count by the time of the answer, between the
+	// warm-up and the end of the step, so that a queue left over at the end
+	// does not count.
 	GoodputJobs  float64  `json:"goodput-jobs-per-second"`
 	GoodputTasks float64  `json:"goodput-tasks-per-second"`
 	Messages     Messages `json:"messages"`
--- a/tanagerload/result/summary.go
+++ b/tanagerload/result/summary.go
@@ -47,6 +47,7 @@
 func Summarize(step *Step, samples []Sample) {
 	slices.SortFunc(samples, func(a, b Sample) int { return cmp.Compare(a.Number, b.Number) })
 	warmUp := time.Duration(step.WarmUpMs) * time.Millisecond
+	end := time.Duration(step.DurationMs) * time.Millisecond
 	measured := newTally()
 	timeline := newTimeline(step.DurationMs)
 	for i := range samples {
@@ -57,6 +58,9 @@
 		if sample.At >= warmUp {
 			measured.add(sample)
 		}
+		if answered := sample.At + sample.Response; answered >= warmUp && answered < end {
+			measured.addGood(sample)
+		}
 	}
 	measured.fill(step)
 	for _, interval := range timeline {
@@ -121,10 +125,16 @@
 	tally.complete++
 	record(tally.response, sample.Response.Microseconds())
 	record(tally.ratio, int64(float64(sample.Response)/float64(sample.Ideal)*scale))
-	if sample.Response <= sample.Deadline {
-		tally.inTime++
-		tally.tasksInTime += sample.Tasks
+}
+
+// addGood counts a job that was answered within the step, if it is complete
+// and in time.
+func (tally *tally) addGood(sample *Sample) {
+	if sample.NoAnswer || sample.Outcome != job.Complete || sample.Response > sample.Deadline {
+		return
 	}
+	tally.inTime++
+	tally.tasksInTime += sample.Tasks
 }
 
 // count adds one to the count of the sample's reason.
