--- a/shared/request/job/answer.go
+++ b/shared/request/job/answer.go
@@ -67,9 +67,9 @@
 	RetryAfterMs int64    `json:"retry-after-ms,omitempty"`
 	Results      []Result `json:"results,omitempty"`
 	// ElapsedMs is the time from the job's arrival at its owner to its end.
-	ElapsedMs int64 `json:"elapsed-ms,omitempty"`
+	ElapsedMs int64 `json:"elapsed-ms"`
 	// IdealMs is the response time that the owner regards as ideal.
-	IdealMs int64 `json:"ideal-ms,omitempty"`
+	IdealMs int64 `json:"ideal-ms"`
 	// Messages counts the messages exchanged with upstreams for this job.
 	Messages int64 `json:"messages,omitempty"`
 }
