--- a/shared/request/dispatch/faults_test.go
+++ b/shared/request/dispatch/faults_test.go
@@ -212,6 +212,31 @@
 	world.finish(t)
 }
 
+// Guards against using a loan that became ownership without knowing what the
+// former owner runs there, and against asking about the slots of a loan.
+func TestLoanBecomesOwnership(t *testing.T) {
+	workers := newWorkers(2, 2, 1)
+	workers[1].running[upstream.Task{Index: 1}] = &execution{}
+	world := newWorld(1, workers[0])
+	world.workers = workers
+	asks := len(world.asks)
+	world.tell(dispatch.FleetChanged{
+		Upstreams: []placement.Upstream{workers[0].Upstream},
+		Borrowed:  []placement.Upstream{workers[1].Upstream},
+	})
+	if dump := world.core.Dump().Upstreams[1]; !dump.Open || len(world.asks) != asks {
+		t.Errorf("%d asks about a loan: %+v", len(world.asks)-asks, dump)
+	}
+	world.fleet()
+	if world.core.Dump().Upstreams[1].Open {
+		t.Error("used before its occupancy is known")
+	}
+	world.run(world.now.Add(10 * time.Millisecond))
+	if dump := world.core.Dump().Upstreams[1]; dump.Foreign != 1 || dump.Slots != 1 {
+		t.Errorf("the other VM's task is not counted: %+v", dump)
+	}
+}
+
 // Guards against jobs that wait for what can't happen, and against refusals
 // without advice.
 func TestAdmission(t *testing.T) {
@@ -288,6 +313,20 @@
 	}
 }
 
+// Guards against a switch of the plan that leaves upstreams ejected.
+func TestNoEjectionGuardRestores(t *testing.T) {
+	workers := newWorkers(9, 8, 1)
+	world := newWorld(1, workers...)
+	workers[0].fast = true
+	world.offer(rand.New(rand.NewPCG(3, 3)), 0.5, 0, world.now.Add(2*time.Second))
+	world.run(world.now.Add(time.Second))
+	ejected := world.core.Dump().Ejected
+	world.tell(dispatch.PlanChanged{Plan: &plan.Plan{Guards: plan.Guards{NoEjection: true}}})
+	if after := world.core.Dump(); ejected != 1 || after.Ejected != 0 || !after.Upstreams[0].Open {
+		t.Errorf("%d ejected before the switch and %d after: %+v", ejected, after.Ejected, after.Upstreams[0])
+	}
+}
+
 // Guards against ejecting healthy upstreams for jobs that fail anywhere.
 func TestFailingJobsEjectNobody(t *testing.T) {
 	world := newWorldOf(dispatch.Config{}, placement.Random{}, 1, newWorkers(9, 8, 1)...)
