Draw vanishing upstreams and guard switches in the property test

Cause: the property test neither removed and relisted upstreams nor switched guards, and no test failed when a drain outlived a relisting. Change: two more kinds of steps; the leaving test relists while a task runs and after a drain. The core's sum of speeds is refreshed every 500 ms instead of 100 ms.

--- a/shared/request/dispatch/admission.go
+++ b/shared/request/dispatch/admission.go
@@ -9,9 +9,9 @@
 )
 
 // capacityAge bounds the age of the cached capacity: speeds change with each
-// observation, and their sum over thousands of upstreams is not needed afresh
-// for each job.
-const capacityAge = 100 * time.Millisecond
+// observation, but slowly, and their sum reads every upstream. Upstreams that
+// open or close refresh it at once.
+const capacityAge = 500 * time.Millisecond
 
 // longestWait bounds a predicted waiting time, above every deadline, so that
 // the arithmetic on it does not overflow.
--- a/shared/request/dispatch/fake_test.go
+++ b/shared/request/dispatch/fake_test.go
@@ -101,6 +101,7 @@
 	order       int
 	workers     []*worker
 	closed      map[string]bool
+	absent      map[string]bool
 	fate        func() fate
 	jobs        map[submission.Key]job.Job
 	answers     map[submission.Key]job.Answer
@@ -127,6 +128,7 @@
 		now:     epoch,
 		workers: workers,
 		closed:  make(map[string]bool),
+		absent:  make(map[string]bool),
 		fate:    func() fate { return fateNone },
 		jobs:    make(map[submission.Key]job.Job),
 		answers: make(map[submission.Key]job.Answer),
@@ -160,7 +162,9 @@
 func (world *world) fleet(leaving ...string) {
 	event := dispatch.FleetChanged{Leaving: leaving}
 	for _, worker := range world.workers {
-		event.Upstreams = append(event.Upstreams, worker.Upstream)
+		if !world.absent[worker.ID] {
+			event.Upstreams = append(event.Upstreams, worker.Upstream)
+		}
 	}
 	for _, id := range leaving {
 		world.closed[id] = true
--- a/shared/request/dispatch/faults_test.go
+++ b/shared/request/dispatch/faults_test.go
@@ -395,14 +395,14 @@
 	if answer := world.answers[world.submit(jobOf(0, 300))]; answer.Outcome != job.Refused {
 		t.Errorf("a job was admitted without an open upstream: %+v", answer)
 	}
+	world.tell(dispatch.UpstreamDraining{Upstream: "w00"})
 	world.tell(dispatch.FleetChanged{})
 	delete(world.closed, "w00")
+	world.fleet()
 	world.run(world.now.Add(time.Second))
 	if answer := world.answers[running]; answer.Outcome != job.Complete {
 		t.Errorf("the running task was not finished: %+v", answer)
 	}
-	world.fleet()
-	world.run(world.now.Add(time.Second))
 	again := world.submit(jobOf(0, 300))
 	world.finish(t)
 	if answer := world.answers[again]; answer.Outcome != job.Complete {
--- a/shared/request/dispatch/invariants_test.go
+++ b/shared/request/dispatch/invariants_test.go
@@ -11,6 +11,7 @@
 	"tanagerfall/shared/request/job"
 	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/plan"
 )
 
 // Guards against a second start of a task, a partial answer, a false "not
@@ -60,7 +61,7 @@
 func step(t *rapid.T, world *world, keys *[]submission.Key) {
 	worker := rapid.SampledFrom(world.workers).Draw(t, "worker")
 	switch rapid.SampledFrom([]string{
-		"submit", "submit", "submit", "cancel", "kill", "restart", "unanswered", "answered", "pause", "drain", "leave",
+		"submit", "submit", "submit", "cancel", "kill", "restart", "unanswered", "answered", "pause", "drain", "leave", "vanish", "guards",
 	}).Draw(t, "step") {
 	case "submit":
 		spec := job.Job{Kind: "bench", DeadlineMs: rapid.SampledFrom([]int64{0, 300, 8000}).Draw(t, "deadline")}
@@ -90,10 +91,26 @@
 			world.closed[worker.ID] = true
 		}
 	case "leave":
-		if world.now.Before(world.pausedUntil) {
-			return
+		if !world.now.Before(world.pausedUntil) {
+			world.fleet(worker.ID)
+			world.fleet()
+		}
+	case "vanish":
+		if !world.now.Before(world.pausedUntil) {
+			world.absent[worker.ID] = !world.absent[worker.ID]
+			world.closed[worker.ID] = world.absent[worker.ID]
+			world.fleet()
 		}
-		world.fleet(worker.ID)
-		world.fleet()
+	case "guards":
+		bits := rapid.IntRange(0, 15).Draw(t, "guards")
+		world.tell(dispatch.PlanChanged{Plan: &plan.Plan{
+			Rules: []plan.Rule{{Kind: "bench"}},
+			Guards: plan.Guards{
+				NoAdmission:      bits&1 > 0,
+				NoRetryBudget:    bits&2 > 0,
+				NoEjection:       bits&4 > 0,
+				NoOccupancyCheck: bits&8 > 0,
+			},
+		}})
 	}
 }
