Test that links between domains move to live VMs

Cause: the choice of another contact after a failed exchange was not covered. Change: TestLinksMoveToLiveVMs; it fails without avoidUntil. Conclusion: no change of code.

--- a/shared/version/fleet/view_test.go
+++ b/shared/version/fleet/view_test.go
@@ -408,3 +408,24 @@
 		assert.Assert(t, messages <= 10*seconds, "%s: %d messages in %d s", address, messages, seconds)
 	}
 }
+
+// Guards against two domains that lose touch because the VMs that linked them
+// died: the plan would not spread between them during a log outage.
+func TestLinksMoveToLiveVMs(t *testing.T) {
+	for survivor := range 3 {
+		mesh := newMesh(2, 3, 0)
+		mesh.run(3 * time.Second)
+		for i := range 3 {
+			mesh.down[entryAddress(1, i)] = i != survivor
+		}
+		mesh.run(10 * time.Second)
+		heard := false
+		for i := range 3 {
+			for _, member := range mesh.views[entryAddress(0, i)].Members(mesh.now) {
+				recent := member.HeardAgoMs >= 0 && member.HeardAgoMs < 2000
+				heard = heard || member.Address == entryAddress(1, survivor) && recent
+			}
+		}
+		assert.Assert(t, heard, "nobody hears %s", entryAddress(1, survivor))
+	}
+}
