--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -99,8 +99,11 @@
 		pool:      peer.NewPool(peer.PoolOptions{}),
 		drain:     make(chan struct{}),
 		platformWeb: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 4,
+			Transport: &domainTransport{
+				domain: entry.Domain,
+				next: &http.Transport{
+					MaxIdleConnsPerHost: 4,
+				},
 			},
 		},
 	}
