Serve callers, operators and peers over TLS; ask operators for a token

Cause: traffic was in clear text, and anyone who reached the operator address could stop a VM. Settings without TLS or token are refused unless the addresses are on loopback. Conclusion: a deployment can run on an open network, but for the connections to workers and the platform, which are still in clear text.

--- a/client/client.go
+++ b/client/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
@@ -38,6 +39,8 @@
 	// URL is the base URL of the balancer or of one entry VM.
 	URL  string
 	Team string
+	// TLS is for a URL with https; nil means the system's authorities.
+	TLS *tls.Config
 	// Connections bounds the connections; 0 means 16.
 	Connections int
 }
@@ -209,6 +212,7 @@
 		http: &http.Client{
 			Transport: &http.Transport{
 				DialContext:         dialer.DialContext,
+				TLSClientConfig:     client.config.TLS,
 				MaxConnsPerHost:     1,
 				MaxIdleConnsPerHost: 1,
 				DisableCompression:  true,
--- a/entry/command/command.go
+++ b/entry/command/command.go
@@ -54,12 +54,12 @@
 		if err != nil || *check {
 			return err
 		}
-		return serve(command.Context(), entry)
+		return serve(command.Context(), *file, entry)
 	}
 	return command
 }
 
-func serve(ctx context.Context, entry settings.Entry) error {
+func serve(ctx context.Context, file string, entry settings.Entry) error {
 	level, err := log.ParseLevel(entry.LogLevel)
 	if err != nil {
 		return err
@@ -71,6 +71,8 @@
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	dump := make(chan os.Signal, 1)
 	signal.Notify(dump, syscall.SIGUSR1)
 	go func() {
@@ -80,6 +82,8 @@
 				served.Drain()
 			case <-dump:
 				served.LogDump()
+			case <-reload:
+				served.ReloadFile(file)
 			}
 		}
 	}()
--- a/entry/operatorapi/server.go
+++ b/entry/operatorapi/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 
@@ -25,13 +26,16 @@
 type Server struct {
 	process Process
 	set     *metrics.Set
+	token   string
 }
 
-// New returns a Server.
-func New(process Process, set *metrics.Set) *Server {
+// New returns a Server. Unless token is empty, all requests but those for
+// health and readiness must carry it as a bearer token.
+func New(process Process, set *metrics.Set, token string) *Server {
 	return &Server{
 		process: process,
 		set:     set,
+		token:   token,
 	}
 }
 
@@ -40,12 +44,24 @@
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Get("/healthz"), server.health)
 	mux.HandleFunc(pat.Get("/readyz"), server.ready)
-	mux.HandleFunc(pat.Get("/metrics"), server.metrics)
-	mux.HandleFunc(pat.Get("/state"), server.state)
-	mux.HandleFunc(pat.Post("/drain"), server.drain)
+	mux.HandleFunc(pat.Get("/metrics"), server.authorized(server.metrics))
+	mux.HandleFunc(pat.Get("/state"), server.authorized(server.state))
+	mux.HandleFunc(pat.Post("/drain"), server.authorized(server.drain))
 	return mux
 }
 
+func (server *Server) authorized(next http.HandlerFunc) http.HandlerFunc {
+	wanted := []byte("Bearer " + server.token)
+	return func(writer http.ResponseWriter, request *http.Request) {
+		given := []byte(request.Header.Get("Authorization"))
+		if server.token != "" && subtle.ConstantTimeCompare(given, wanted) != 1 {
+			http.Error(writer, "the operator token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next(writer, request)
+	}
+}
+
 func (server *Server) health(writer http.ResponseWriter, _ *http.Request) {
 	_, _ = writer.Write([]byte("ok\n"))
 }
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"encoding/json"
 	"math/rand/v2"
@@ -22,6 +23,7 @@
 	"tanagerfall/entry/peerapi"
 	"tanagerfall/entry/route"
 	"tanagerfall/entry/traffic"
+	"tanagerfall/shared/connection/certificate"
 	"tanagerfall/shared/connection/peer"
 	"tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/connection/upstream"
@@ -53,8 +55,10 @@
 
 // Process is one entry VM's process.
 type Process struct {
-	settings    settings.Entry
-	identity    submission.Identity
+	settings settings.Entry
+	identity submission.Identity
+	// store is nil without TLS.
+	store       *certificate.Store
 	keyring     atomic.Pointer[submission.Keyring]
 	logger      *logevent.Logger
 	set         *metrics.Set
@@ -79,6 +83,14 @@
 
 // New opens the listeners of an entry VM. The error wraps ErrListen.
 func New(entry settings.Entry, logger *logevent.Logger) (*Process, error) {
+	var store *certificate.Store
+	if entry.TLS.Enabled() {
+		loaded, err := certificate.New(certificate.Files(entry.TLS))
+		if err != nil {
+			return nil, eris.Wrap(err, "loading TLS files")
+		}
+		store = loaded
+	}
 	listeners, err := listen(entry.CallerAddress, entry.PeerAddress, entry.OperatorAddress)
 	if err != nil {
 		return nil, err
@@ -93,10 +105,11 @@
 		logger:    logger,
 		set:       metrics.NewSet(),
 		upstreams: upstream.NewClient(),
+		store:     store,
 		caller:    listeners[0],
 		peers:     listeners[1],
 		operator:  listeners[2],
-		pool:      peer.NewPool(peer.PoolOptions{}),
+		pool:      peer.NewPool(poolOptions(store)),
 		drain:     make(chan struct{}),
 		platformWeb: &http.Client{
 			Transport: &domainTransport{
@@ -117,6 +130,48 @@
 	return process, nil
 }
 
+func poolOptions(store *certificate.Store) peer.PoolOptions {
+	if store == nil {
+		return peer.PoolOptions{}
+	}
+	return peer.PoolOptions{
+		TLS: store.Client(),
+	}
+}
+
+// secured adds TLS to a listener where it is configured.
+func (process *Process) secured(listener net.Listener) net.Listener {
+	if process.store == nil {
+		return listener
+	}
+	return tls.NewListener(listener, process.store.Server(false))
+}
+
+// Reload takes the MAC keys of the settings and the TLS files as they are now.
+// All else of the settings needs a restart. After an error the earlier keys
+// stay in use.
+func (process *Process) Reload(entry settings.Entry) error {
+	if process.store != nil {
+		if err := process.store.Reload(); err != nil {
+			process.logger.Log(logevent.KeysRejected, "cause", err.Error())
+			return err
+		}
+	}
+	process.keyring.Store(entry.Keyring())
+	process.logger.Log(logevent.KeysReloaded)
+	return nil
+}
+
+// ReloadFile is Reload with the settings in file.
+func (process *Process) ReloadFile(file string) {
+	entry, err := settings.Load(file, settings.DefaultEntry())
+	if err != nil {
+		process.logger.Log(logevent.KeysRejected, "cause", err.Error())
+		return
+	}
+	_ = process.Reload(entry)
+}
+
 func listen(addresses ...string) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, address := range addresses {
@@ -185,8 +240,8 @@
 	process.group.Go(process.followVms)
 	process.group.Go(process.followPlan)
 	process.callerHTTP = process.callerServer()
-	process.group.ServeHTTP(process.caller, process.callerHTTP, shutdownTimeout)
-	process.group.ServeHTTP(process.operator, process.operatorServer(), time.Second)
+	process.group.ServeHTTP(process.secured(process.caller), process.callerHTTP, shutdownTimeout)
+	process.group.ServeHTTP(process.secured(process.operator), process.operatorServer(), time.Second)
 	process.group.Go(process.awaitDrain)
 	err := process.group.Wait()
 	process.carrier.Abort()
@@ -201,7 +256,11 @@
 
 func (process *Process) servePeers(ctx context.Context) error {
 	handlers := peerapi.New(process.router, process.loop, process.keyring.Load)
-	return peer.Serve(ctx, process.peers, handlers, peer.ServerOptions{})
+	options := peer.ServerOptions{}
+	if process.store != nil {
+		options.TLS = process.store.Server(true)
+	}
+	return peer.Serve(ctx, process.peers, handlers, options)
 }
 
 func (process *Process) callerServer() *http.Server {
@@ -226,7 +285,7 @@
 
 func (process *Process) operatorServer() *http.Server {
 	return &http.Server{
-		Handler:           operatorapi.New(process, process.set).Handler(),
+		Handler:           operatorapi.New(process, process.set, process.settings.OperatorToken).Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
--- a/shared/process/settings/entry.go
+++ b/shared/process/settings/entry.go
@@ -40,12 +40,28 @@
 	// platform can't be reached.
 	Peers   []string `yaml:"peers"`
 	MacKeys []MacKey `yaml:"mac-keys"`
+	// TLS is required unless all addresses are on loopback.
+	TLS TLS `yaml:"tls"`
+	// OperatorToken is the bearer token of operators; required unless the
+	// operator address is on loopback.
+	OperatorToken string `yaml:"operator-token"`
 	// AnswerMemoryMb bounds the answers kept for repeated submissions.
 	AnswerMemoryMb int       `yaml:"answer-memory-mb"`
 	LogLevel       string    `yaml:"log-level"`
 	Placement      Placement `yaml:"placement"`
 }
 
+// TLS names PEM files. Callers and operators get the certificate; entry VMs
+// show it to each other and check it against the authorities in CA.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	CA          string `yaml:"ca"`
+}
+
+// Enabled reports whether TLS is configured.
+func (files TLS) Enabled() bool { return files != TLS{} }
+
 // MacKey is a secret for submission IDs, base64 in the file. The first key
 // signs, all verify.
 type MacKey struct {
@@ -86,6 +102,7 @@
 		entry.checkAddresses,
 		entry.checkPlatform,
 		entry.checkKeys,
+		entry.checkTLS,
 		entry.checkRest,
 	}
 	for _, check := range checks {
@@ -186,6 +203,44 @@
 	return nil
 }
 
+func (entry *Entry) checkTLS() *Fault {
+	named := []struct{ key, address string }{
+		{key: "caller-address", address: entry.CallerAddress},
+		{key: "peer-address", address: entry.PeerAddress},
+		{key: "operator-address", address: entry.OperatorAddress},
+	}
+	for _, row := range named {
+		if !entry.TLS.Enabled() && !onLoopback(row.address) {
+			return fault("tls", "is missing; the %s %s is not on loopback", row.key, row.address)
+		}
+	}
+	if entry.OperatorToken == "" && !onLoopback(entry.OperatorAddress) {
+		return fault("operator-token", "is missing; the operator-address is not on loopback")
+	}
+	if entry.OperatorToken != "" && len(entry.OperatorToken) < minSecretBytes {
+		return fault("operator-token", "has %d bytes, at least %d are needed", len(entry.OperatorToken), minSecretBytes)
+	}
+	if !entry.TLS.Enabled() {
+		return nil
+	}
+	files := []struct{ key, path string }{
+		{key: "tls.certificate", path: entry.TLS.Certificate},
+		{key: "tls.key", path: entry.TLS.Key},
+		{key: "tls.ca", path: entry.TLS.CA},
+	}
+	for _, row := range files {
+		if row.path == "" {
+			return fault(row.key, "is missing")
+		}
+	}
+	return nil
+}
+
+func onLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host).IsLoopback()
+}
+
 func (entry *Entry) checkRest() *Fault {
 	if entry.AnswerMemoryMb < 1 || entry.AnswerMemoryMb > maxAnswersMb {
 		return fault("answer-memory-mb", "is %d, allowed are 1 to %d", entry.AnswerMemoryMb, maxAnswersMb)
--- a/shared/process/settings/entry_test.go
+++ b/shared/process/settings/entry_test.go
@@ -37,6 +37,9 @@
 		{name: "short secret", old: "MDEyMzQ1Njc4OWFiY2RlZg==", new: "MDEy", want: "entry.yaml:9: mac-keys[0].secret: has 3 bytes, at least 16 are needed"},
 		{name: "no secret", old: "    secret: MDEyMzQ1Njc4OWFiY2RlZg==\n", new: "", want: "entry.yaml:8: mac-keys[0].secret: has 0 bytes"},
 		{name: "wrong type", old: "format: 1", new: "format: one", want: "entry.yaml:1: "},
+		{name: "no TLS off loopback", old: "127.0.0.1:7001", new: "10.0.0.1:7001", want: "entry.yaml:1: tls: is missing; the caller-address 10.0.0.1:7001 is not on loopback"},
+		{name: "TLS without key", old: "format: 1\n", new: "format: 1\ntls:\n  certificate: a.pem\n  ca: b.pem\n", want: "entry.yaml:3: tls.key: is missing"},
+		{name: "short token", old: "format: 1\n", new: "format: 1\noperator-token: short\n", want: "entry.yaml:2: operator-token: has 5 bytes"},
 		{name: "bad policy", old: "format: 1\n", new: "format: 1\nplacement:\n  policy: best\n", want: `entry.yaml:3: placement.policy: "best" is unknown`},
 	}
 	for _, row := range cases {
