--- a/shared/version/plan/record.go
+++ b/shared/version/plan/record.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"io"
 	"regexp"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -251,13 +252,23 @@
 	return nil
 }
 
+// deflaters keeps compressors, which take several hundred KB each.
+var deflaters = sync.Pool{
+	New: func() any {
+		writer, err := flate.NewWriter(nil, flate.DefaultCompression)
+		if err != nil {
+			panic(err)
+		}
+		return writer
+	},
+}
+
 func deflate(plain []byte) ([]byte, error) {
 	var buffer bytes.Buffer
-	writer, err := flate.NewWriter(&buffer, flate.DefaultCompression)
-	if err != nil {
-		return nil, err
-	}
-	_, err = writer.Write(plain)
+	writer := deflaters.Get().(*flate.Writer)
+	defer deflaters.Put(writer)
+	writer.Reset(&buffer)
+	_, err := writer.Write(plain)
 	if err != nil {
 		return nil, err
 	}
