Close idle connections to the platform after a failed request

Cause: after all open connections went silent, a failed poll was followed by one on the next silent connection of the pool.

Change: a failed request closes the idle connections.

--- a/shared/connection/platform/client.go
+++ b/shared/connection/platform/client.go
@@ -60,7 +60,7 @@
 		return 0, eris.Wrapf(ErrRefused, "append to stream %s: %v", stream, err)
 	}
 	request.Header.Set("Content-Type", "application/octet-stream")
-	response, err := client.http.Do(request)
+	response, err := client.do(request)
 	if err != nil {
 		return 0, eris.Wrapf(appendFailure(sent.Load()), "append to stream %s: %v", stream, err)
 	}
@@ -81,6 +81,17 @@
 	return *reply.Offset, nil
 }
 
+// do makes one request. After a failure the idle connections are closed: those
+// to a host whose connections went silent would each cost the next request
+// its whole time.
+func (client *Client) do(request *http.Request) (*http.Response, error) {
+	response, err := client.http.Do(request)
+	if err != nil {
+		client.http.CloseIdleConnections()
+	}
+	return response, err
+}
+
 // appendFailure classifies an append without a reply. Once a connection was
 // assigned, bytes may have reached the platform.
 func appendFailure(sent bool) error {
@@ -163,7 +174,7 @@
 	if err != nil {
 		return eris.Wrapf(ErrRefused, "%v", err)
 	}
-	response, err := client.http.Do(request)
+	response, err := client.do(request)
 	if err != nil {
 		return eris.Wrapf(ErrUnavailable, "%v", err)
 	}
--- a/shared/connection/platform/client_test.go
+++ b/shared/connection/platform/client_test.go
@@ -128,6 +128,31 @@
 	}, nil
 }
 
+// pooled is a transport that counts how often its idle connections are closed.
+type pooled struct {
+	transport
+	closed int
+}
+
+func (transport *pooled) CloseIdleConnections() { transport.closed++ }
+
+// Guards against a failed request that is followed by one on another
+// connection of the same silent pool.
+func TestFailureClosesIdleConnections(t *testing.T) {
+	failing := &pooled{
+		transport: func(*http.Request) (string, error) { return "", io.ErrUnexpectedEOF },
+	}
+	client := platform.NewClient("http://platform", &http.Client{
+		Transport: failing,
+	})
+	_, err := client.Read(t.Context(), "plan", 1, 1, 0)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Equal(t, failing.closed, 1)
+	_, err = client.Append(t.Context(), "plan", nil)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Equal(t, failing.closed, 2)
+}
+
 func virtual(answer transport) *platform.Client {
 	return platform.NewClient("http://platform", &http.Client{
 		Transport: answer,
