Measure the response to the first submission only

Cause: the response of a resubmitted job contained the wait for its second answer, at least 200 ms. With 2% of the jobs resubmitted this set the p99 of response/ideal for short jobs, and the p99 of refusals (201 ms).

--- a/tanagerload/caller/caller.go
+++ b/tanagerload/caller/caller.go
@@ -52,6 +52,9 @@
 	// Answer is valid if Err is nil.
 	Answer job.Answer
 	Err    error
+	// EndedAt is when the first submission was answered or given up; Submit
+	// may return later because of the resubmission.
+	EndedAt time.Time
 	// Second is the answer to the resubmission, if there was one.
 	Second *job.Answer
 	// Submissions counts the submissions that were meant to be made: 1, or 2
@@ -110,7 +113,8 @@
 	body, err := json.Marshal(arrival.Job)
 	if err != nil {
 		return Reply{
-			Err: eris.Wrap(err, "encoding the job"),
+			EndedAt: time.Now(),
+			Err:     eris.Wrap(err, "encoding the job"),
 		}
 	}
 	wait := time.Duration(arrival.Job.DeadlineMs+caller.config.Callers.AnswerSlackMs) * time.Millisecond
@@ -133,6 +137,7 @@
 		go func() { seconds <- sending.resubmit(ctx) }()
 	}
 	reply.Answer, reply.Err = sending.run(ctx)
+	reply.EndedAt = time.Now()
 	if arrival.Resubmit {
 		reply.Second = <-seconds
 	}
--- a/tanagerload/load/runner.go
+++ b/tanagerload/load/runner.go
@@ -266,7 +266,7 @@
 		Number:      arrival.Number,
 		At:          arrival.At,
 		Late:        late,
-		Response:    time.Since(scheduled),
+		Response:    reply.EndedAt.Sub(scheduled),
 		Ideal:       arrival.Ideal(runner.capacities[runner.caller.EntryOf(arrival)], runner.config.Experiment.RoundTripMs),
 		Deadline:    time.Duration(arrival.Job.DeadlineMs) * time.Millisecond,
 		Tasks:       len(arrival.Job.Tasks),
--- a/tanagerload/load/runner_test.go
+++ b/tanagerload/load/runner_test.go
@@ -267,6 +267,23 @@
 	})
 }
 
+// Guards against responses that contain the wait for the resubmission.
+func TestResubmissionDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planned := described()
+		planned.Faults = nil
+		planned.Workload.ResubmitShare = 1
+		planned.Workload.ResubmitAfterMs = 20_000
+		measured, err := load.New(load.Config{
+			Experiment: planned,
+			Run:        runID,
+			Transport:  &deployment{},
+		}).Run(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, measured.Steps[0].ResponseMs.Max < 6000)
+	})
+}
+
 // stalled holds all jobs until a time.
 type stalled struct {
 	http.RoundTripper
