--- a/shared/request/placement/index.go
+++ b/shared/request/placement/index.go
@@ -111,7 +111,8 @@
 	running []*running
 	// viewed is the occupancy in the view of LeastLoaded.
 	viewed float64
-	name   int
+	// rackPlace counts the upstreams of the same class and rack before this one.
+	rackPlace int
 }
 
 func (host *host) occupancy() float64 {
@@ -212,13 +213,13 @@
 	// Within a class the first upstreams of all racks come first, then the
 	// second ones, and so on.
 	for i, host := range index.leaves {
-		host.name = 0
+		host.rackPlace = 0
 		if i > 0 && index.leaves[i-1].class == host.class && index.leaves[i-1].upstream.Rack == host.upstream.Rack {
-			host.name = index.leaves[i-1].name + 1
+			host.rackPlace = index.leaves[i-1].rackPlace + 1
 		}
 	}
 	slices.SortStableFunc(index.leaves, func(a, b *host) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.rackPlace, b.rackPlace))
 	})
 	index.width = 1
 	for index.width < len(index.leaves) {
--- a/shared/request/placement/scheduler.go
+++ b/shared/request/placement/scheduler.go
@@ -586,6 +586,9 @@
 		return Assignment{}, false
 	}
 	scheduler.index.refresh(now, scheduler.estimator)
+	if scheduler.index.idleClass(classCount-1) < 0 {
+		return Assignment{}, false
+	}
 	scheduler.relax(now)
 	for {
 		group, class := scheduler.first()
