Bound the bodies in progress and the callers' connections

Cause: a hostile caller could hold 12 MiB for each slow request, on any number of connections. Figures: TestBodiesInProgressAreBounded and TestBodiesThatAreNotWhole pass; the heap under such a caller was not measured. Conclusion: bounded by construction, to be measured.

--- a/entry/callerapi/server.go
+++ b/entry/callerapi/server.go
@@ -7,12 +7,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
-	"github.com/rotisserie/eris"
 	"goji.io"
 	"goji.io/pat"
 
@@ -35,12 +33,6 @@
 	HeaderDigest = "Repr-Digest"
 )
 
-// MaxBodyBytes bounds the body of a job.
-const MaxBodyBytes = 12 << 20
-
-// errDigest means that the body was changed on its way.
-var errDigest = eris.New("body does not match its digest")
-
 // Submissions is what the server needs: a route.Router.
 type Submissions interface {
 	Issue(ctx context.Context, team string, count int) ([]submission.ID, error)
@@ -53,6 +45,7 @@
 type Server struct {
 	submissions Submissions
 	keyring     func() *submission.Keyring
+	memory      *memory
 }
 
 // New returns a Server. keyring returns the keyring in force.
@@ -60,6 +53,7 @@
 	return &Server{
 		submissions: submissions,
 		keyring:     keyring,
+		memory:      newMemory(BodyMemoryBytes),
 	}
 }
 
@@ -107,10 +101,11 @@
 		server.answer(writer, problem.status, problem.answer)
 		return
 	}
-	data, err := readBody(request)
+	data, release, err := server.memory.read(request)
+	defer release()
 	if err != nil {
-		// The body was cut, so nothing says that no other copy of it arrives.
-		server.answer(writer, http.StatusBadRequest, job.Failure(job.StartedUnknown, job.ReasonInvalid, err.Error()))
+		failed := unread(err)
+		server.answer(writer, failed.status, failed.answer)
 		return
 	}
 	body := parseBody(data, request.Header.Get(HeaderDigest), id.Team)
@@ -139,9 +134,15 @@
 // request runs a single task under an ID that this VM issues for it.
 func (server *Server) request(writer http.ResponseWriter, request *http.Request) {
 	team := request.Header.Get(HeaderTeam)
-	body, err := readBody(request)
-	if err != nil || team == "" {
-		server.answer(writer, http.StatusBadRequest, job.Refusal(job.ReasonInvalid, "team is missing or body is cut or too long"))
+	if team == "" {
+		server.answer(writer, http.StatusBadRequest, job.Refusal(job.ReasonInvalid, "header "+HeaderTeam+" is missing"))
+		return
+	}
+	body, release, err := server.memory.read(request)
+	defer release()
+	if err != nil {
+		failed := unread(err)
+		server.answer(writer, failed.status, failed.answer)
 		return
 	}
 	var task job.Task
@@ -198,31 +199,6 @@
 	return id, nil
 }
 
-func readBody(request *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(request.Body, MaxBodyBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("body was cut: %w", err)
-	}
-	if len(body) > MaxBodyBytes {
-		return nil, fmt.Errorf("body has more than %d bytes", MaxBodyBytes)
-	}
-	return body, nil
-}
-
-func parseBody(data []byte, digest, team string) route.Body {
-	if digest != "" && digest != Digest(data) {
-		return route.Body{
-			Invalid: errDigest,
-		}
-	}
-	parsed, err := job.Parse(data, team)
-	return route.Body{
-		Raw:     data,
-		Job:     parsed,
-		Invalid: err,
-	}
-}
-
 // Digest returns the value of HeaderDigest for a body.
 func Digest(body []byte) string {
 	sum := sha256.Sum256(body)
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -16,6 +16,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/netutil"
 
 	"tanagerfall/entry/callerapi"
 	"tanagerfall/entry/control"
@@ -43,6 +44,9 @@
 	readTimeout       = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
+	// maxCallers bounds the callers' connections; further ones wait to be
+	// accepted, so that idle callers take bounded memory.
+	maxCallers = 8192
 	// shutdownTimeout bounds the wait for open requests after the drain.
 	shutdownTimeout = 5 * time.Second
 )
@@ -215,7 +219,10 @@
 			Domain:    process.settings.Domain,
 			Scheduler: scheduler,
 			Estimator: estimator,
-			Random:    random,
+			Capabilities: func(string) upstream.Capabilities {
+				return process.upstreams.Capabilities()
+			},
+			Random: random,
 		}),
 		Scheduler:      scheduler,
 		Identity:       process.identity,
@@ -240,7 +247,8 @@
 	process.group.Go(process.followVms)
 	process.group.Go(process.followPlan)
 	process.callerHTTP = process.callerServer()
-	process.group.ServeHTTP(process.secured(process.caller), process.callerHTTP, shutdownTimeout)
+	callers := netutil.LimitListener(process.caller, maxCallers)
+	process.group.ServeHTTP(process.secured(callers), process.callerHTTP, shutdownTimeout)
 	process.group.ServeHTTP(process.secured(process.operator), process.operatorServer(), time.Second)
 	process.group.Go(process.awaitDrain)
 	err := process.group.Wait()
