--- a/shared/request/placement/fair.go
+++ b/shared/request/placement/fair.go
@@ -2,8 +2,9 @@
 
 // debtQuantumMs is the work, in milliseconds of the whole capacity at weight
 // 1, by which a team may be ahead of the others before they go first. Within
-// it the jobs of all teams are ordered as if they were of one team.
-const debtQuantumMs = 500
+// it the jobs of all teams are ordered as if they were of one team. At 500, 20
+// teams of equal weight had a p99 of 4.3 instead of 1.9 at 95% load.
+const debtQuantumMs = 4000
 
 // team is the share of one team in the fair queue.
 type team struct {
--- a/shared/request/placement/policy.go
+++ b/shared/request/placement/policy.go
@@ -6,7 +6,8 @@
 // The policies. All but Target are baselines for measurements.
 type (
 	// Target gives each job a finish target of Theta times its ideal and
-	// saves fast slots for the tasks that need them.
+	// saves fast slots for the tasks that need them. A Theta below 1 stands
+	// for the default of 1.3.
 	Target struct {
 		Theta float64
 	}
