--- a/entry/callerapi/server.go
+++ b/entry/callerapi/server.go
@@ -62,8 +62,8 @@
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Post("/v1/submission-ids"), server.issue)
 	mux.HandleFunc(pat.Put("/v1/jobs/:id"), server.submit)
-	mux.HandleFunc(pat.Get("/v1/jobs/:id"), server.look)
-	mux.HandleFunc(pat.Delete("/v1/jobs/:id"), server.cancel)
+	mux.HandleFunc(pat.Get("/v1/jobs/:id"), server.onID(server.submissions.Look))
+	mux.HandleFunc(pat.Delete("/v1/jobs/:id"), server.onID(server.submissions.Cancel))
 	mux.HandleFunc(pat.Post("/v1/requests/:kind"), server.request)
 	return mux
 }
@@ -113,22 +113,16 @@
 	server.reply(writer, id)(server.submissions.Submit(request.Context(), id, body, 0))
 }
 
-func (server *Server) look(writer http.ResponseWriter, request *http.Request) {
-	id, problem := server.identify(request)
-	if problem != nil {
-		server.answer(writer, problem.status, problem.answer)
-		return
-	}
-	server.reply(writer, id)(server.submissions.Look(request.Context(), id, 0))
-}
-
-func (server *Server) cancel(writer http.ResponseWriter, request *http.Request) {
-	id, problem := server.identify(request)
-	if problem != nil {
-		server.answer(writer, problem.status, problem.answer)
-		return
+// onID handles a request without a body about one submission ID.
+func (server *Server) onID(act func(context.Context, submission.ID, int) (control.Reply, error)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		id, problem := server.identify(request)
+		if problem != nil {
+			server.answer(writer, problem.status, problem.answer)
+			return
+		}
+		server.reply(writer, id)(act(request.Context(), id, 0))
 	}
-	server.reply(writer, id)(server.submissions.Cancel(request.Context(), id, 0))
 }
 
 // request runs a single task under an ID that this VM issues for it.
--- a/entry/control/requests.go
+++ b/entry/control/requests.go
@@ -16,16 +16,13 @@
 // Issue returns count fresh IDs for a team. The error is ErrStopped or the
 // context's.
 func (loop *Loop) Issue(ctx context.Context, team string, count int) ([]submission.ID, error) {
-	reply := make(chan []submission.ID, 1)
-	err := loop.send(ctx, issue{
-		team:  team,
-		count: count,
-		reply: reply,
+	return ask(ctx, loop, func(reply chan<- []submission.ID) event {
+		return issue{
+			team:  team,
+			count: count,
+			reply: reply,
+		}
 	})
-	if err != nil {
-		return nil, err
-	}
-	return receive(ctx, loop, reply)
 }
 
 // Submit runs a job under id, or attaches to the run that is under way, and
@@ -89,42 +86,33 @@
 // ReadRecords passes on what a read of the plan stream brought and returns
 // the offset to read next.
 func (loop *Loop) ReadRecords(ctx context.Context, response platform.ReadResponse) (int64, error) {
-	reply := make(chan int64, 1)
-	err := loop.send(ctx, recordsRead{
-		response: response,
-		reply:    reply,
+	return ask(ctx, loop, func(reply chan<- int64) event {
+		return recordsRead{
+			response: response,
+			reply:    reply,
+		}
 	})
-	if err != nil {
-		return 0, err
-	}
-	return receive(ctx, loop, reply)
 }
 
 // TrimRecords tells that the plan stream now begins at first and returns the
 // offset to read next.
 func (loop *Loop) TrimRecords(ctx context.Context, first int64) (int64, error) {
-	reply := make(chan int64, 1)
-	err := loop.send(ctx, recordsTrimmed{
-		first: first,
-		reply: reply,
+	return ask(ctx, loop, func(reply chan<- int64) event {
+		return recordsTrimmed{
+			first: first,
+			reply: reply,
+		}
 	})
-	if err != nil {
-		return 0, err
-	}
-	return receive(ctx, loop, reply)
 }
 
 // Heartbeat takes in a peer's heartbeat and returns this VM's.
 func (loop *Loop) Heartbeat(ctx context.Context, message peer.HeartbeatMessage) (peer.HeartbeatMessage, error) {
-	reply := make(chan peer.HeartbeatMessage, 1)
-	err := loop.send(ctx, heartbeat{
-		message: message,
-		reply:   reply,
+	return ask(ctx, loop, func(reply chan<- peer.HeartbeatMessage) event {
+		return heartbeat{
+			message: message,
+			reply:   reply,
+		}
 	})
-	if err != nil {
-		return peer.HeartbeatMessage{}, err
-	}
-	return receive(ctx, loop, reply)
 }
 
 // TellFleet passes an event to the fleet's view.
@@ -136,15 +124,12 @@
 
 // PullPlan returns the plan known if its version is above after.
 func (loop *Loop) PullPlan(ctx context.Context, after int64) (peer.PullPlanResponse, error) {
-	reply := make(chan peer.PullPlanResponse, 1)
-	err := loop.send(ctx, pull{
-		after: after,
-		reply: reply,
+	return ask(ctx, loop, func(reply chan<- peer.PullPlanResponse) event {
+		return pull{
+			after: after,
+			reply: reply,
+		}
 	})
-	if err != nil {
-		return peer.PullPlanResponse{}, err
-	}
-	return receive(ctx, loop, reply)
 }
 
 // EndSnapshot tells that the append of a snapshot ended, well or not.
@@ -161,15 +146,12 @@
 
 // Lend answers a peer that is short of slots.
 func (loop *Loop) Lend(ctx context.Context, request *peer.BorrowSlotsRequest) (peer.BorrowSlotsResponse, error) {
-	reply := make(chan peer.BorrowSlotsResponse, 1)
-	err := loop.send(ctx, borrow{
-		request: request,
-		reply:   reply,
+	return ask(ctx, loop, func(reply chan<- peer.BorrowSlotsResponse) event {
+		return borrow{
+			request: request,
+			reply:   reply,
+		}
 	})
-	if err != nil {
-		return peer.BorrowSlotsResponse{}, err
-	}
-	return receive(ctx, loop, reply)
 }
 
 // TakeBack takes slots back that were lent to a peer.
@@ -198,11 +180,11 @@
 
 // Dump returns a copy of the control state.
 func (loop *Loop) Dump(ctx context.Context) (Dump, error) {
-	reply := make(chan Dump, 1)
-	if err := loop.send(ctx, dump{reply: reply}); err != nil {
-		return Dump{}, err
-	}
-	return receive(ctx, loop, reply)
+	return ask(ctx, loop, func(reply chan<- Dump) event {
+		return dump{
+			reply: reply,
+		}
+	})
 }
 
 // Do runs a function on the control goroutine and waits for its end.
@@ -234,6 +216,17 @@
 	return answered, err
 }
 
+// ask sends an event that build makes and waits for its reply. The channel has
+// room for the reply, so that the Loop never blocks on it.
+func ask[Value any](ctx context.Context, loop *Loop, build func(chan<- Value) event) (Value, error) {
+	reply := make(chan Value, 1)
+	if err := loop.send(ctx, build(reply)); err != nil {
+		var none Value
+		return none, err
+	}
+	return receive(ctx, loop, reply)
+}
+
 func (loop *Loop) send(ctx context.Context, event event) error {
 	select {
 	case loop.events <- event:
