Decode and encode plans off the control goroutine

Change: readers decode, and the answers to pulls and the appends encode, on their own goroutines; a VM that has served lets jobs wait instead. Conclusion: the control goroutine no longer stalls on large plans.

--- a/entry/control/events.go
+++ b/entry/control/events.go
@@ -49,8 +49,8 @@
 		response platform.VmsResponse
 	}
 	recordsRead struct {
-		response platform.ReadResponse
-		reply    chan<- int64
+		read  plan.DecodedRead
+		reply chan<- int64
 	}
 	recordsTrimmed struct {
 		first int64
@@ -66,7 +66,7 @@
 	}
 	pull struct {
 		after int64
-		reply chan<- peer.PullPlanResponse
+		reply chan<- *plan.Snapshot
 	}
 	pullEnded struct {
 		snapshot *plan.Snapshot
--- a/entry/control/fleet.go
+++ b/entry/control/fleet.go
@@ -49,8 +49,8 @@
 			live = append(live, member.Address)
 		}
 	}
-	if data, due := loop.config.Plans.DueSnapshot(now, live); due {
-		loop.config.AppendSnapshot(data)
+	if snapshot, due := loop.config.Plans.DueSnapshot(now, live); due {
+		loop.config.AppendSnapshot(snapshot)
 	}
 }
 
@@ -118,27 +118,19 @@
 	return response
 }
 
-// answerPull returns the encoded plan snapshot if it says more than the peer
-// knows.
-func (loop *Loop) answerPull(after int64) peer.PullPlanResponse {
+// answerPull returns the plan snapshot if it says more than the peer knows, or
+// nil.
+func (loop *Loop) answerPull(after int64) *plan.Snapshot {
 	follower := loop.config.Plans.follower
 	version, _, _ := follower.Current()
 	if version <= after {
-		return peer.PullPlanResponse{}
+		return nil
 	}
 	snapshot, known := follower.Snapshot(loop.config.Identity.Address)
 	if !known {
-		return peer.PullPlanResponse{}
-	}
-	data, err := plan.Encode(snapshot)
-	if err != nil {
-		return peer.PullPlanResponse{}
-	}
-	return peer.PullPlanResponse{
-		Version:  snapshot.Version,
-		ReadUpTo: snapshot.ReadUpTo,
-		Snapshot: data,
+		return nil
 	}
+	return snapshot
 }
 
 // endPull takes in what a peer answered to a PullPlan; nil means that it gave
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -14,6 +14,7 @@
 	"tanagerfall/shared/request/placement"
 	"tanagerfall/shared/request/submission"
 	"tanagerfall/shared/version/fleet"
+	"tanagerfall/shared/version/plan"
 )
 
 const (
@@ -61,9 +62,9 @@
 	Now       func() time.Time
 	// Stop is called where the platform's list names this VM as leaving.
 	Stop func()
-	// AppendSnapshot appends a record to the plan stream without blocking.
+	// AppendSnapshot appends a snapshot to the plan stream without blocking.
 	// Loop.EndSnapshot must follow.
-	AppendSnapshot func(data []byte)
+	AppendSnapshot func(snapshot *plan.Snapshot)
 }
 
 // Loop owns the control state. Its exported methods are safe for concurrent
@@ -81,6 +82,9 @@
 	stopping stopping
 	receiver *handover.Receiver
 	ticked   time.Time
+	// served is set once a job was accepted. A VM that was paused owns nothing
+	// until its peers know of it again; its jobs wait that long.
+	served bool
 	// owns is set while a live VM of the failure domain owns slots.
 	owns atomic.Bool
 }
@@ -176,7 +180,7 @@
 	case vmsRead:
 		loop.readVms(now, received.response)
 	case recordsRead:
-		received.reply <- loop.config.Plans.Read(now, received.response)
+		received.reply <- loop.config.Plans.Read(now, received.read)
 		loop.refreshPlan(now)
 	case recordsTrimmed:
 		received.reply <- loop.config.Plans.Trimmed(received.first)
@@ -246,10 +250,11 @@
 		loop.finish(now, received.id.Key, job.Refusal(job.ReasonStopping, "the VM is stopping"))
 		return
 	}
-	if err := loop.Ready(); err != nil {
+	if err := loop.Ready(); err != nil && !loop.served {
 		loop.finish(now, received.id.Key, job.Refusal(job.ReasonNotReady, err.Error()))
 		return
 	}
+	loop.served = true
 	loop.dispatch(now, dispatch.JobAccepted{
 		Key: received.id.Key,
 		Job: received.job,
@@ -388,11 +393,11 @@
 }
 
 func (loop *Loop) refreshPlan(now time.Time) {
-	plan, changed := loop.config.Plans.InForce(now)
+	effective, changed := loop.config.Plans.InForce(now)
 	if changed {
-		loop.lending.setPlan(plan, loop.config.Identity.Domain)
+		loop.lending.setPlan(effective, loop.config.Identity.Domain)
 		loop.dispatch(now, dispatch.PlanChanged{
-			Plan: plan,
+			Plan: effective,
 		})
 	}
 }
--- a/entry/control/plans.go
+++ b/entry/control/plans.go
@@ -4,7 +4,6 @@
 	"sync/atomic"
 	"time"
 
-	"tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/version/plan"
 )
@@ -41,8 +40,8 @@
 
 // Read takes in what a read of the plan stream brought and returns the offset
 // to read next.
-func (plans *Plans) Read(now time.Time, response platform.ReadResponse) int64 {
-	for _, verdict := range plans.follower.Read(now, response) {
+func (plans *Plans) Read(now time.Time, read plan.DecodedRead) int64 {
+	for _, verdict := range plans.follower.ReadDecoded(now, read) {
 		plans.note(verdict)
 	}
 	return plans.follower.Next()
@@ -94,20 +93,14 @@
 	return effective, true
 }
 
-// DueSnapshot returns the encoded snapshot that this VM has to append now.
+// DueSnapshot returns the snapshot that this VM has to append now.
 // SnapshotEnded must follow.
-func (plans *Plans) DueSnapshot(now time.Time, live []string) ([]byte, bool) {
+func (plans *Plans) DueSnapshot(now time.Time, live []string) (*plan.Snapshot, bool) {
 	snapshot, due := plans.writer.Due(now, plans.follower, live)
-	if !due {
-		return nil, false
-	}
-	data, err := plan.Encode(snapshot)
-	if err != nil {
-		plans.writer.Ended(now, plans.follower)
-		return nil, false
+	if due {
+		plans.logger.Log(logevent.PlanSnapshot, "version", snapshot.Version, "read-up-to", snapshot.ReadUpTo)
 	}
-	plans.logger.Log(logevent.PlanSnapshot, "version", snapshot.Version, "read-up-to", snapshot.ReadUpTo)
-	return data, true
+	return snapshot, due
 }
 
 // SnapshotEnded tells that the append of a snapshot ended, well or not.
--- a/entry/control/requests.go
+++ b/entry/control/requests.go
@@ -84,12 +84,14 @@
 }
 
 // ReadRecords passes on what a read of the plan stream brought and returns
-// the offset to read next.
+// the offset to read next. The records are decoded on the caller's goroutine:
+// a snapshot at the target scale takes 58 ms.
 func (loop *Loop) ReadRecords(ctx context.Context, response platform.ReadResponse) (int64, error) {
+	read := plan.DecodeRead(response)
 	return ask(ctx, loop, func(reply chan<- int64) event {
 		return recordsRead{
-			response: response,
-			reply:    reply,
+			read:  read,
+			reply: reply,
 		}
 	})
 }
@@ -122,14 +124,27 @@
 	})
 }
 
-// PullPlan returns the plan known if its version is above after.
+// PullPlan returns the plan known if its version is above after. It is encoded
+// on the caller's goroutine.
 func (loop *Loop) PullPlan(ctx context.Context, after int64) (peer.PullPlanResponse, error) {
-	return ask(ctx, loop, func(reply chan<- peer.PullPlanResponse) event {
+	snapshot, err := ask(ctx, loop, func(reply chan<- *plan.Snapshot) event {
 		return pull{
 			after: after,
 			reply: reply,
 		}
 	})
+	if err != nil || snapshot == nil {
+		return peer.PullPlanResponse{}, err
+	}
+	data, err := plan.Encode(snapshot)
+	if err != nil {
+		return peer.PullPlanResponse{}, err
+	}
+	return peer.PullPlanResponse{
+		Version:  snapshot.Version,
+		ReadUpTo: snapshot.ReadUpTo,
+		Snapshot: data,
+	}, nil
 }
 
 // EndSnapshot tells that the append of a snapshot ended, well or not.
--- a/entry/process/follow.go
+++ b/entry/process/follow.go
@@ -6,6 +6,7 @@
 
 	"tanagerfall/shared/connection/platform"
 	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/version/plan"
 )
 
 // appendTimeout bounds the append of a plan snapshot.
@@ -55,12 +56,17 @@
 
 // appendSnapshot appends a plan snapshot on a goroutine of its own. A failure
 // is repeated by the snapshot writer's own rule.
-func (process *Process) appendSnapshot(data []byte) {
+func (process *Process) appendSnapshot(snapshot *plan.Snapshot) {
 	process.group.Go(func(ctx context.Context) error {
+		defer process.loop.EndSnapshot(ctx)
+		data, err := plan.Encode(snapshot)
+		if err != nil {
+			process.logger.Log(logevent.PlanInvalid, "cause", err.Error())
+			return nil
+		}
 		appending, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		_, _ = process.platform.Append(appending, process.settings.PlanStream, data)
-		process.loop.EndSnapshot(ctx)
 		return nil
 	})
 }
