Keep the times in the heap of targets

With 20,000 waiting jobs each comparison in the heap of target times read two jobs that were in no cache.

The heap now holds the times itself. The growth from 400 to 40,000 slots is still above log(slots) for single tasks and with a long queue.

--- a/shared/request/placement/queue.go
+++ b/shared/request/placement/queue.go
@@ -223,35 +223,45 @@
 	return best
 }
 
-// timers is a heap of jobs by the time at which their targets are given up.
+// timers is a heap of jobs by their relaxAt. The times lie in the heap itself,
+// so that comparisons read no job.
 type timers struct {
-	entries []*entry
+	entries []timer
+}
+
+type timer struct {
+	// at is relaxAt in Unix nanoseconds.
+	at    int64
+	entry *entry
 }
 
 func (timers *timers) Len() int { return len(timers.entries) }
 
 func (timers *timers) Less(i, j int) bool {
-	return timers.entries[i].relaxAt.Before(timers.entries[j].relaxAt)
+	return timers.entries[i].at < timers.entries[j].at
 }
 
 func (timers *timers) Swap(i, j int) {
 	timers.entries[i], timers.entries[j] = timers.entries[j], timers.entries[i]
-	timers.entries[i].timer = i
-	timers.entries[j].timer = j
+	timers.entries[i].entry.timer = i
+	timers.entries[j].entry.timer = j
 }
 
 // Push is called by container/heap.
 func (timers *timers) Push(added any) {
 	held := added.(*entry)
 	held.timer = len(timers.entries)
-	timers.entries = append(timers.entries, held)
+	timers.entries = append(timers.entries, timer{
+		at:    held.relaxAt.UnixNano(),
+		entry: held,
+	})
 }
 
 // Pop is called by container/heap.
 func (timers *timers) Pop() any {
 	last := len(timers.entries) - 1
-	held := timers.entries[last]
-	timers.entries[last] = nil
+	held := timers.entries[last].entry
+	timers.entries[last] = timer{}
 	timers.entries = timers.entries[:last]
 	held.timer = -1
 	return held
--- a/shared/request/placement/scheduler.go
+++ b/shared/request/placement/scheduler.go
@@ -786,13 +786,13 @@
 	if len(scheduler.timers.entries) == 0 || scheduler.index.idle == 0 {
 		return time.Time{}, false
 	}
-	return scheduler.timers.entries[0].relaxAt, true
+	return scheduler.timers.entries[0].entry.relaxAt, true
 }
 
 // relax gives up the targets that can't be met any more for later ones.
 func (scheduler *Scheduler) relax(now time.Time) {
 	for len(scheduler.timers.entries) > 0 {
-		held := scheduler.timers.entries[0]
+		held := scheduler.timers.entries[0].entry
 		if held.relaxAt.After(now) {
 			return
 		}
@@ -839,5 +839,6 @@
 		heap.Push(&scheduler.timers, held)
 		return
 	}
+	scheduler.timers.entries[held.timer].at = held.relaxAt.UnixNano()
 	heap.Fix(&scheduler.timers, held.timer)
 }
