Call entry VMs over TLS and with a token from tanagerctl

Cause: entry VMs ask operators for a token and may serve TLS; tanagerctl could do neither. Conclusion: secured VMs can be operated.

--- a/tanagerctl/command/command_test.go
+++ b/tanagerctl/command/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/pem"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -49,6 +50,19 @@
 	}
 }
 
+// secured is an entry VM that asks for the operator token.
+type secured struct {
+	fixture *fixture
+}
+
+func (secured *secured) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.Header.Get("Authorization") != "Bearer operator-token-1" {
+		writer.WriteHeader(http.StatusUnauthorized)
+		return
+	}
+	secured.fixture.ServeHTTP(writer, request)
+}
+
 func setup(env *testscript.Env) error {
 	fixture := &fixture{
 		platform: platform.New(platform.Config{}),
@@ -61,6 +75,11 @@
 	env.Values[fixtureKey{}] = fixture
 	address := strings.TrimPrefix(vm.URL, "http://")
 	env.Setenv("VM", address)
+	secure := httptest.NewUnstartedServer(&secured{fixture: fixture})
+	secure.StartTLS()
+	env.Defer(secure.Close)
+	env.Setenv("SECURE_VM", strings.TrimPrefix(secure.URL, "https://"))
+	authority := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw})
 	env.Setenv("TANAGERCTL_SETTINGS", filepath.Join(env.WorkDir, "tanagerctl.yaml"))
 	catalogue, err := os.ReadFile("../../docs/sample-catalogue.yaml")
 	if err != nil {
@@ -73,6 +92,7 @@
 	files := map[string]string{
 		"catalogue.yaml": string(catalogue),
 		"sample.csv":     string(sample),
+		"ca.pem":         string(authority),
 		"tanagerctl.yaml": fmt.Sprintf("format: 1\nplatform-url: %s\ncatalogue: catalogue.yaml\nauthor: ayla\noperator-addresses: [%q]\n",
 			log.URL, address),
 	}
--- a/tanagerctl/command/plan.go
+++ b/tanagerctl/command/plan.go
@@ -252,9 +252,14 @@
 // confirmRecovery refuses a recovery while a VM that can be asked has a plan:
 // a recovery would replace it without a conflict.
 func (flags *flags) confirmRecovery(ctx context.Context, loaded Settings) error {
+	reached, err := loaded.fleet()
+	if err != nil {
+		return err
+	}
+	defer reached.client.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(ctx, flags.timeout)
 	defer cancel()
-	for _, status := range askAll(ctx, loaded.OperatorAddresses) {
+	for _, status := range reached.askAll(ctx, loaded.OperatorAddresses) {
 		if status.Version > 0 {
 			return eris.Wrapf(errUsage, "%s has version %d: --recover is for the loss of every VM's plan", status.Address, status.Version)
 		}
--- a/tanagerctl/command/root.go
+++ b/tanagerctl/command/root.go
@@ -30,6 +30,7 @@
 	operatorAddresses []string
 	catalogue         string
 	author            string
+	ca                string
 	output            string
 	timeout           time.Duration
 }
@@ -79,6 +80,7 @@
 	persistent.StringSliceVar(&flags.operatorAddresses, "operator-address", nil, "operator address of an entry VM; repeat for each VM")
 	persistent.StringVar(&flags.catalogue, "catalogue", "", "file of kinds and failure domains")
 	persistent.StringVar(&flags.author, "author", "", "your name in publications")
+	persistent.StringVar(&flags.ca, "ca", "", "PEM file with the authority of the entry VMs' certificates")
 	persistent.StringVarP(&flags.output, "output", "o", outputTable, "table or json")
 	persistent.DurationVar(&flags.timeout, "timeout", defaultTimeout, "how long to try")
 	mustComplete(root, "output", outputTable, outputJSON)
--- a/tanagerctl/command/settings.go
+++ b/tanagerctl/command/settings.go
@@ -18,6 +18,10 @@
 // settingsVariable names the settings file where --settings does not.
 const settingsVariable = "TANAGERCTL_SETTINGS"
 
+// tokenVariable holds the operator token where the settings should not. There
+// is no flag, because other users of the machine can read a command line.
+const tokenVariable = "TANAGERCTL_OPERATOR_TOKEN"
+
 // Settings is the settings file of tanagerctl. Flags take precedence.
 type Settings struct {
 	Format      int    `yaml:"format"`
@@ -25,6 +29,11 @@
 	PlanStream  string `yaml:"plan-stream"`
 	// OperatorAddresses lists the operator addresses of all entry VMs, IP:port.
 	OperatorAddresses []string `yaml:"operator-addresses"`
+	// OperatorToken is the bearer token that entry VMs ask operators for.
+	OperatorToken string `yaml:"operator-token"`
+	// CA is a PEM file with the authority of the entry VMs' certificates,
+	// relative to the settings file. Without it they are called without TLS.
+	CA string `yaml:"ca"`
 	// Catalogue is the file of kinds and failure domains, relative to the
 	// settings file.
 	Catalogue string `yaml:"catalogue"`
@@ -70,14 +79,18 @@
 		if err != nil {
 			return Settings{}, err
 		}
-		if loaded.Catalogue != "" && !filepath.IsAbs(loaded.Catalogue) {
-			loaded.Catalogue = filepath.Join(filepath.Dir(file), loaded.Catalogue)
+		for _, path := range []*string{&loaded.Catalogue, &loaded.CA} {
+			if *path != "" && !filepath.IsAbs(*path) {
+				*path = filepath.Join(filepath.Dir(file), *path)
+			}
 		}
 	}
 	override(&loaded.PlatformURL, flags.platformURL)
 	override(&loaded.PlanStream, flags.planStream)
 	override(&loaded.Catalogue, flags.catalogue)
 	override(&loaded.Author, flags.author)
+	override(&loaded.CA, flags.ca)
+	override(&loaded.OperatorToken, os.Getenv(tokenVariable))
 	if len(flags.operatorAddresses) > 0 {
 		loaded.OperatorAddresses = flags.operatorAddresses
 	}
--- a/tanagerctl/command/status.go
+++ b/tanagerctl/command/status.go
@@ -42,7 +42,12 @@
 				return eris.Wrap(errUsage, "--operator-address or operator-addresses in the settings is missing")
 			}
 			status := flags.expected(command.Context(), loaded, version)
-			status = flags.await(command.Context(), loaded, status, wait)
+			reached, err := loaded.fleet()
+			if err != nil {
+				return err
+			}
+			defer reached.client.CloseIdleConnections()
+			status = flags.await(command.Context(), reached, loaded.OperatorAddresses, status, wait)
 			err = flags.writeStatus(command, status)
 			if err != nil || status.InForce {
 				return err
@@ -80,13 +85,13 @@
 
 // await asks all VMs, again and again if wait is set, until they have the
 // version.
-func (flags *flags) await(ctx context.Context, loaded Settings, status statusOutput, wait bool) statusOutput {
+func (flags *flags) await(ctx context.Context, reached *fleet, addresses []string, status statusOutput, wait bool) statusOutput {
 	ctx, cancel := context.WithTimeout(ctx, flags.timeout)
 	defer cancel()
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
 	for {
-		asked := judge(status, askAll(ctx, loaded.OperatorAddresses))
+		asked := judge(status, reached.askAll(ctx, addresses))
 		if asked.InForce || !wait {
 			return asked
 		}
--- a/tanagerctl/command/vm.go
+++ b/tanagerctl/command/vm.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -89,20 +92,66 @@
 }
 
 func (flags *flags) call(command *cobra.Command, method, address, path string) ([]byte, error) {
+	loaded, err := flags.load()
+	if err != nil {
+		return nil, err
+	}
+	fleet, err := loaded.fleet()
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.client.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(command.Context(), flags.timeout)
 	defer cancel()
-	return callVM(ctx, method, address, path)
+	return fleet.call(ctx, method, address, path)
 }
 
-// callVM calls the operator endpoint of a VM. The error wraps errVM.
-func callVM(ctx context.Context, method, address, path string) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+// fleet calls the operator endpoints of entry VMs.
+type fleet struct {
+	client *http.Client
+	scheme string
+	token  string
+}
+
+// fleet returns how to reach the entry VMs: over TLS where the settings name
+// an authority. The error wraps errUsage.
+func (loaded *Settings) fleet() (*fleet, error) {
+	reached := &fleet{
+		client: newHTTPClient(),
+		scheme: "http",
+		token:  loaded.OperatorToken,
+	}
+	if loaded.CA == "" {
+		return reached, nil
+	}
+	data, err := os.ReadFile(loaded.CA)
+	if err != nil {
+		return nil, eris.Wrapf(errUsage, "--ca or ca in the settings: %v", err)
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(data) {
+		return nil, eris.Wrapf(errUsage, "--ca or ca in the settings: %s holds no certificate", loaded.CA)
+	}
+	reached.scheme = "https"
+	reached.client.Transport = &http.Transport{
+		TLSClientConfig: &tls.Config{
+			MinVersion: tls.VersionTLS13,
+			RootCAs:    authorities,
+		},
+	}
+	return reached, nil
+}
+
+// call calls the operator endpoint of a VM. The error wraps errVM.
+func (fleet *fleet) call(ctx context.Context, method, address, path string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, fleet.scheme+"://"+address+path, nil)
 	if err != nil {
 		return nil, eris.Wrapf(errVM, "%s: %v", address, err)
 	}
-	client := newHTTPClient()
-	defer client.CloseIdleConnections()
-	response, err := client.Do(request)
+	if fleet.token != "" {
+		request.Header.Set("Authorization", "Bearer "+fleet.token)
+	}
+	response, err := fleet.client.Do(request)
 	if err != nil {
 		return nil, eris.Wrapf(errVM, "%s: %v", address, err)
 	}
@@ -127,25 +176,25 @@
 }
 
 // askAll asks the VMs for their plans, all at once.
-func askAll(ctx context.Context, addresses []string) []VMStatus {
+func (fleet *fleet) askAll(ctx context.Context, addresses []string) []VMStatus {
 	statuses := make([]VMStatus, len(addresses))
 	var group sync.WaitGroup
 	for i, address := range addresses {
 		group.Go(func() {
-			statuses[i] = ask(ctx, address)
+			statuses[i] = fleet.ask(ctx, address)
 		})
 	}
 	group.Wait()
 	return statuses
 }
 
-func ask(ctx context.Context, address string) VMStatus {
+func (fleet *fleet) ask(ctx context.Context, address string) VMStatus {
 	status := VMStatus{
 		Address: address,
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	body, err := callVM(ctx, http.MethodGet, address, "/state")
+	body, err := fleet.call(ctx, http.MethodGet, address, "/state")
 	if err != nil {
 		status.Problem = err.Error()
 		return status
