Log lost peers and ended jobs, and test that every event is logged

Cause: four events of the catalogue were never logged. Change: peers lost and back, failed and refused jobs are logged; an event without a use is gone; a test holds the events against the code. Conclusion: the catalogue tells what is logged.

--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -371,6 +371,7 @@
 
 func (loop *Loop) finish(now time.Time, key submission.Key, answer job.Answer) {
 	loop.config.Metrics.count(answer)
+	loop.logEnd(key, &answer)
 	loop.config.Ledger.Finish(key, answer, answerBytes(&answer))
 	waiting := loop.waiters[key]
 	delete(loop.waiters, key)
@@ -382,6 +383,18 @@
 	}
 }
 
+func (loop *Loop) logEnd(key submission.Key, answer *job.Answer) {
+	switch answer.Outcome {
+	case job.Failed:
+		loop.config.Logger.Log(logevent.JobFailed, "submission", key.String(), "started", string(answer.Started),
+			"reason", string(answer.Reason), "detail", answer.Detail)
+	case job.Refused:
+		loop.config.Logger.Log(logevent.JobRefused, "submission", key.String(), "reason", string(answer.Reason),
+			"detail", answer.Detail)
+	case job.Complete:
+	}
+}
+
 // answerBytes estimates the memory that an answer takes.
 func answerBytes(answer *job.Answer) int {
 	const perAnswer, perResult = 256, 96
--- a/entry/traffic/courier.go
+++ b/entry/traffic/courier.go
@@ -32,14 +32,37 @@
 	sink    FleetSink
 	logger  *logevent.Logger
 	running sync.WaitGroup
+
+	mutex sync.Mutex
+	// failing holds the peers whose last exchange failed.
+	failing map[string]bool
 }
 
 // NewCourier returns a Courier.
 func NewCourier(pool *peer.Pool, sink FleetSink, logger *logevent.Logger) *Courier {
 	return &Courier{
-		pool:   pool,
-		sink:   sink,
-		logger: logger,
+		pool:    pool,
+		sink:    sink,
+		logger:  logger,
+		failing: make(map[string]bool),
+	}
+}
+
+// note logs when a peer is lost and when it is back.
+func (courier *Courier) note(address string, err error) {
+	courier.mutex.Lock()
+	failed := courier.failing[address]
+	if err != nil {
+		courier.failing[address] = true
+	} else {
+		delete(courier.failing, address)
+	}
+	courier.mutex.Unlock()
+	switch {
+	case err != nil && !failed:
+		courier.logger.Log(logevent.PeerUnreachable, "peer", address, "cause", err.Error())
+	case err == nil && failed:
+		courier.logger.Log(logevent.PeerReachable, "peer", address)
 	}
 }
 
@@ -62,6 +85,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), send.Timeout)
 	defer cancel()
 	response, err := peer.Heartbeat.Call(ctx, courier.pool, send.Address, &send.Message)
+	courier.note(send.Address, err)
 	if err != nil {
 		courier.sink.TellFleet(fleet.HeartbeatFailed{
 			Address: send.Address,
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -145,12 +145,6 @@
 		Level:  log.DebugLevel,
 		Text:   "job refused",
 	}
-	RequestRejected = Event{
-		Number: 403,
-		Name:   "request-rejected",
-		Level:  log.DebugLevel,
-		Text:   "request rejected",
-	}
 	UpstreamLost = Event{
 		Number: 501,
 		Name:   "upstream-lost",
@@ -199,6 +193,12 @@
 		Level:  log.InfoLevel,
 		Text:   "submission IDs of another VM were taken over",
 	}
+	PeerReachable = Event{
+		Number: 606,
+		Name:   "peer-reachable",
+		Level:  log.InfoLevel,
+		Text:   "peer can be reached again",
+	}
 )
 
 // Events returns all events in order of their numbers.
@@ -207,9 +207,9 @@
 		ProcessStarted, ProcessStopping, ProcessStopped, ProcessPaused, StateDumped, KeysReloaded, KeysRejected,
 		FleetChanged, ListUnreachable, ListReachable, MemberJoined, MemberLost,
 		PlanAdopted, PlanConflict, PlanInvalid, PlanTrimmed, PlanSnapshot, LogUnreachable, LogReachable,
-		JobFailed, JobRefused, RequestRejected,
+		JobFailed, JobRefused,
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
-		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived,
+		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
 	}
 }
 
--- a/shared/process/logevent/event_test.go
+++ b/shared/process/logevent/event_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -43,3 +45,25 @@
 		}
 	}
 }
+
+// Guards against an event that the catalogue promises and no program logs.
+func TestEveryEventIsLogged(t *testing.T) {
+	var code strings.Builder
+	err := filepath.WalkDir("../../..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.Contains(path, "/logevent/") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		code.Write(data)
+		return err
+	})
+	assert.NilError(t, err)
+	for _, event := range Events() {
+		words := strings.Split(event.Name, "-")
+		for i, word := range words {
+			words[i] = strings.ToUpper(word[:1]) + word[1:]
+		}
+		use := "logevent." + strings.Join(words, "")
+		assert.Assert(t, strings.Contains(code.String(), use), "%s is never used", use)
+	}
+}
