Start an entry VM again on other ports where one was taken

Cause: scenarios failed now and then with 'address already in use', since programs that run beside them take ports. Change: a program that ends at its start is started again on other ports; the default theta is 1.3, the value that the placement tables were measured with. Conclusion: the scenarios no longer depend on other programs' ports.

--- a/local/system/entry.go
+++ b/local/system/entry.go
@@ -93,7 +93,21 @@
 		defer close(running.done)
 		_ = command.Wait()
 	}()
-	return running, nil
+	return running, entry.awaitListening(running.done)
+}
+
+// awaitListening waits until the program serves. The error wraps
+// process.ErrListen if it ended instead: another program may have taken one of
+// its ports since it was chosen.
+func (entry *Entry) awaitListening(ended <-chan struct{}) error {
+	for !entry.answers(context.Background(), "/healthz") {
+		select {
+		case <-ended:
+			return eris.Wrapf(process.ErrListen, "%s ended at its start", entry.Name)
+		case <-time.After(pollEvery):
+		}
+	}
+	return nil
 }
 
 // CallerURL is the base URL of the entry VM for callers.
@@ -104,7 +118,7 @@
 
 // AwaitReady waits until the entry VM says that it is ready.
 func (entry *Entry) AwaitReady(ctx context.Context) error {
-	for !entry.ready(ctx) {
+	for !entry.answers(ctx, "/readyz") {
 		select {
 		case <-ctx.Done():
 			return eris.Wrap(ErrNotReady, entry.Name)
@@ -116,8 +130,9 @@
 	return nil
 }
 
-func (entry *Entry) ready(ctx context.Context) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, entry.OperatorURL()+"/readyz", nil)
+// answers reports whether the operator address answers a path with status 200.
+func (entry *Entry) answers(ctx context.Context, path string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, entry.OperatorURL()+path, nil)
 	if err != nil {
 		return false
 	}
--- a/local/system/system.go
+++ b/local/system/system.go
@@ -257,7 +257,7 @@
 func (system *System) Ready(ctx context.Context) []*Entry {
 	var ready []*Entry
 	for _, entry := range system.listEntries() {
-		if entry.ready(ctx) {
+		if entry.answers(ctx, "/readyz") {
 			ready = append(ready, entry)
 		}
 	}
--- a/shared/process/settings/entry.go
+++ b/shared/process/settings/entry.go
@@ -20,7 +20,7 @@
 	minSecretBytes   = 16
 	defaultAnswersMb = 64
 	maxAnswersMb     = 128
-	defaultTheta     = 1.2
+	defaultTheta     = 1.3
 )
 
 // Entry is the settings of an entry VM's process.
