Bound the shares in the division of upstreams

Ruled out: the retry budget, which no longer fails jobs. Change: rendezvous hashing with a bound of 1.05 times the share for each owner.

--- a/shared/version/fleet/ownership.go
+++ b/shared/version/fleet/ownership.go
@@ -21,25 +21,100 @@
 // upstream. A change of one owner moves only upstreams from or to that owner,
 // because the scores of the other pairings do not depend on it.
 func Score(owner Owner, upstream string) float64 {
-	weight := owner.Weight
-	if weight <= 0 {
-		weight = defaultWeight
-	}
+	weight := weightOf(owner)
 	// The half keeps the logarithm finite and below zero.
 	uniform := (float64(pairHash(owner.Address, upstream)>>11) + 0.5) / (1 << 53)
 	return -weight / math.Log(uniform)
 }
 
-// OwnerOf returns the address of the owner of an upstream, or "" if there are
-// no owners.
-func OwnerOf(owners []Owner, upstream string) string {
+// headroom is by how much the slots of an owner may exceed its share. Pure
+// rendezvous hashing gave three owners of 17 upstreams between 1 and 13 each,
+// and a job waits for the slots of its own VM first.
+const headroom = 1.05
+
+// Sized is an upstream with its number of slots.
+type Sized struct {
+	Upstream string
+	Slots    int
+}
+
+// Divide returns the owner of each upstream: the one with the largest score
+// that has room left within its share of the slots, by weight, and the
+// headroom. The result depends on the sets of owners and upstreams only. A
+// change of one owner moves, besides the upstreams from or to that owner, some
+// that no longer have room or have room again.
+func Divide(owners []Owner, upstreams []Sized) map[string]string {
+	divided := make(map[string]string, len(upstreams))
+	if len(owners) == 0 {
+		return divided
+	}
+	room := rooms(owners, upstreams)
+	for _, sized := range inHashOrder(upstreams) {
+		owner := bestWithRoom(owners, room, sized)
+		room[owner] -= float64(sized.Slots)
+		divided[sized.Upstream] = owner
+	}
+	return divided
+}
+
+// rooms returns the slots that each owner may own.
+func rooms(owners []Owner, upstreams []Sized) map[string]float64 {
+	slots, largest, weights := 0, 0, 0.0
+	for _, sized := range upstreams {
+		slots += sized.Slots
+		largest = max(largest, sized.Slots)
+	}
+	for _, owner := range owners {
+		weights += weightOf(owner)
+	}
+	room := make(map[string]float64, len(owners))
+	for _, owner := range owners {
+		share := float64(slots) * weightOf(owner) / weights
+		// Without room for one upstream a small owner would never get any.
+		room[owner.Address] = max(share*headroom, float64(largest))
+	}
+	return room
+}
+
+func weightOf(owner Owner) float64 {
+	if owner.Weight <= 0 {
+		return defaultWeight
+	}
+	return owner.Weight
+}
+
+// inHashOrder returns the upstreams in an order that depends on their names
+// only.
+func inHashOrder(upstreams []Sized) []Sized {
+	ordered := append([]Sized(nil), upstreams...)
+	sort.Slice(ordered, func(i, j int) bool {
+		a, b := xxhash.Sum64String(ordered[i].Upstream), xxhash.Sum64String(ordered[j].Upstream)
+		if a != b {
+			return a < b
+		}
+		return ordered[i].Upstream < ordered[j].Upstream
+	})
+	return ordered
+}
+
+// bestWithRoom returns the owner with the largest score among those with room
+// for the upstream, or else the one with the most room.
+func bestWithRoom(owners []Owner, room map[string]float64, sized Sized) string {
 	best, bestScore := "", math.Inf(-1)
+	widest, widestRoom := "", math.Inf(-1)
 	for _, owner := range owners {
-		score := Score(owner, upstream)
-		if score > bestScore || (score == bestScore && owner.Address < best) {
+		left := room[owner.Address]
+		if left > widestRoom || (left == widestRoom && owner.Address < widest) {
+			widest, widestRoom = owner.Address, left
+		}
+		score := Score(owner, sized.Upstream)
+		if left >= float64(sized.Slots) && (score > bestScore || (score == bestScore && owner.Address < best)) {
 			best, bestScore = owner.Address, score
 		}
 	}
+	if best == "" {
+		return widest
+	}
 	return best
 }
 
--- a/shared/version/fleet/view.go
+++ b/shared/version/fleet/view.go
@@ -574,6 +574,7 @@
 	view.announced = !now.Before(view.ownsFrom)
 	owners := view.owners(now)
 	changed := UpstreamsChanged{}
+	divided := Divide(owners, view.openUpstreams())
 	owned := make(map[string]bool)
 	slots := make(map[string]int)
 	for address, worker := range view.workers {
@@ -585,7 +586,7 @@
 			continue
 		}
 		changed.Domain = append(changed.Domain, upstreamOf(worker.row))
-		owner := OwnerOf(owners, address)
+		owner := divided[address]
 		slots[owner] += worker.row.Slots
 		if owner != view.self.Address {
 			continue
@@ -611,6 +612,20 @@
 	return []Decision{changed}
 }
 
+// openUpstreams returns the upstreams of the domain that may get new tasks.
+func (view *View) openUpstreams() []Sized {
+	var open []Sized
+	for address, worker := range view.workers {
+		if worker.row.Domain == view.self.Domain && !worker.leaving {
+			open = append(open, Sized{
+				Upstream: address,
+				Slots:    worker.row.Slots,
+			})
+		}
+	}
+	return open
+}
+
 func upstreamOf(row platform.Vm) placement.Upstream {
 	return placement.Upstream{
 		ID:           row.Address,
