Bind idempotency keys to submission IDs on the log

Change: POST /v1/jobs with Idempotency-Key (UUIDv7). The receiving VM binds the key by a group-committed append to the key stream; the first valid entry wins, and the job goes to the owner of the winning ID. request/binding is the pure state machine, entry/binding carries it out. A floor on key times, which never goes back, keeps forgotten keys from being bound again. The scenario command keyed sends one key to several VMs and checks the starts by payload.

Guard shown: with the wait for the records below an append removed (its result counted at once), TestAllVMsAgreeOnOneIDPerKey fails on its first run with "key stands for two IDs". The same test still passes with the floor for the memory bound, the floor for gaps or the safe retention removed; TestForgottenKeysAreNotBoundAgain fails for each of these three.

--- a/entry/callerapi/server.go
+++ b/entry/callerapi/server.go
@@ -44,14 +44,16 @@
 // Server is the callers' HTTP interface.
 type Server struct {
 	submissions Submissions
+	keys        Keys
 	keyring     func() *submission.Keyring
 	memory      *memory
 }
 
 // New returns a Server. keyring returns the keyring in force.
-func New(submissions Submissions, keyring func() *submission.Keyring) *Server {
+func New(submissions Submissions, keys Keys, keyring func() *submission.Keyring) *Server {
 	return &Server{
 		submissions: submissions,
+		keys:        keys,
 		keyring:     keyring,
 		memory:      newMemory(BodyMemoryBytes),
 	}
@@ -61,6 +63,7 @@
 func (server *Server) Handler() http.Handler {
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Post("/v1/submission-ids"), server.issue)
+	mux.HandleFunc(pat.Post("/v1/jobs"), server.keyed)
 	mux.HandleFunc(pat.Put("/v1/jobs/:id"), server.submit)
 	mux.HandleFunc(pat.Get("/v1/jobs/:id"), server.onID(server.submissions.Look))
 	mux.HandleFunc(pat.Delete("/v1/jobs/:id"), server.onID(server.submissions.Cancel))
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/netutil"
 
+	"tanagerfall/entry/binding"
 	"tanagerfall/entry/callerapi"
 	"tanagerfall/entry/control"
 	"tanagerfall/entry/operatorapi"
@@ -31,6 +32,7 @@
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/process/rungroup"
 	"tanagerfall/shared/process/settings"
+	keybinding "tanagerfall/shared/request/binding"
 	"tanagerfall/shared/request/dispatch"
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/request/placement"
@@ -75,6 +77,7 @@
 	platform    *platform.Client
 	pool        *peer.Pool
 	router      *route.Router
+	keys        *binding.Service
 	caller      net.Listener
 	peers       net.Listener
 	operator    net.Listener
@@ -129,6 +132,9 @@
 	process.plans = control.NewPlans(entry.PeerAddress, logger)
 	process.loop = process.newLoop()
 	process.router = route.New(process.loop, process.pool, process.keyring.Load)
+	process.keys = binding.New(process.platform, entry.KeyStream, keybinding.New(keybinding.Config{
+		Keyring: process.keyring.Load,
+	}), time.Now)
 	process.carrier = traffic.New(entry.PeerAddress, process.upstreams, process.loop, logger, process.set, time.Now)
 	process.courier = traffic.NewCourier(process.pool, process.loop, logger)
 	return process, nil
@@ -246,6 +252,7 @@
 	process.group.Go(process.servePeers)
 	process.group.Go(process.followVms)
 	process.group.Go(process.followPlan)
+	process.group.Go(process.keys.Run)
 	process.callerHTTP = process.callerServer()
 	callers := netutil.LimitListener(process.caller, maxCallers)
 	process.group.ServeHTTP(process.secured(callers), process.callerHTTP, shutdownTimeout)
@@ -273,7 +280,7 @@
 
 func (process *Process) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           process.closeWhileDraining(callerapi.New(process.router, process.keyring.Load).Handler()),
+		Handler:           process.closeWhileDraining(callerapi.New(process.router, process.keys, process.keyring.Load).Handler()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
--- a/local/scenario/check.go
+++ b/local/scenario/check.go
@@ -14,7 +14,8 @@
 // Check reads the journals of all workers and returns an error that wraps
 // ErrInvariant and names each violation: a task that started twice, an answer
 // that is not whole or not the caller's own, a refused job that ran, two
-// different final answers for one submission.
+// different final answers for one submission, a key that stood for two
+// submissions.
 func (run *Run) Check() error {
 	starts, err := run.starts()
 	if err != nil {
@@ -29,6 +30,7 @@
 	for _, name := range sortedKeys(run.jobs) {
 		faults = append(faults, run.jobs[name].check(starts)...)
 	}
+	faults = append(faults, run.checkKeys()...)
 	if len(faults) > 0 {
 		return eris.Wrap(ErrInvariant, strings.Join(faults, "; "))
 	}
--- a/local/scenario/run.go
+++ b/local/scenario/run.go
@@ -39,6 +39,7 @@
 	System *system.System
 	jobs   map[string]*Submission
 	loads  map[string]*Load
+	keys   map[string]string
 	web    *http.Client
 }
 
@@ -48,6 +49,7 @@
 		System: system,
 		jobs:   make(map[string]*Submission),
 		loads:  make(map[string]*Load),
+		keys:   make(map[string]string),
 		web: &http.Client{
 			Transport: &http.Transport{
 				DisableKeepAlives: true,
@@ -59,9 +61,11 @@
 // Submission is one job under one ID, however often it was sent.
 type Submission struct {
 	Name string
-	ID   string
-	Key  submission.Key
-	Job  job.Job
+	// ID and Key are empty where the job was sent under IdempotencyKey.
+	ID             string
+	Key            submission.Key
+	IdempotencyKey string
+	Job            job.Job
 
 	mutex    sync.Mutex
 	answers  []job.Answer
@@ -157,6 +161,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return run.send(request)
+}
+
+func (run *Run) send(request *http.Request) ([]byte, error) {
 	request.Header.Set("Tanager-Team", team)
 	response, err := run.web.Do(request)
 	if err != nil {
--- a/local/scenario/scenario_test.go
+++ b/local/scenario/scenario_test.go
@@ -41,6 +41,7 @@
 			"publish":  publish,
 			"ready":    ready,
 			"job":      submitJob,
+			"keyed":    submitKeyed,
 			"resubmit": resubmit,
 			"cancel":   cancelJob,
 			"await":    await,
@@ -200,6 +201,19 @@
 	script.Check(run.Submit(args[0], from, options.text("at", from), submitted))
 }
 
+// submitKeyed: keyed NAME key=K at=VM[,VM...] [age-ms=A] [tasks=N] [run-ms=A]
+// [kind=K]. Sent again, a job keeps its tasks.
+func submitKeyed(script *testscript.TestScript, _ bool, args []string) {
+	run := stateOf(script).run
+	options := parse(script, args[1:])
+	submitted := NewJob(args[0], options.text("kind", "quote"), options.number("tasks", 1),
+		int64(options.number("run-ms", 50)), int64(options.number("run-ms", 50)), 0)
+	age := time.Duration(options.number("age-ms", 0)) * time.Millisecond
+	run.NameKey(options.text("key", args[0]), time.Now().Add(-age))
+	at := strings.Split(options.text("at", run.System.Entries[0].Name), ",")
+	script.Check(run.SubmitKeyed(args[0], options.text("key", args[0]), at, submitted))
+}
+
 func resubmit(script *testscript.TestScript, _ bool, args []string) {
 	run := stateOf(script).run
 	script.Check(run.Resubmit(args[0], parse(script, args[1:]).text("at", "")))
@@ -240,6 +254,9 @@
 	if number, err := strconv.ParseFloat(text, 64); err == nil {
 		return number
 	}
+	if text == "true" || text == "false" {
+		return text == "true"
+	}
 	if strings.Contains(text, ",") {
 		return strings.Split(text, ",")
 	}
--- /dev/null
+++ b/shared/request/binding/agreement_test.go
@@ -0,0 +1,231 @@
+package binding_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/request/binding"
+	"tanagerfall/shared/request/submission"
+)
+
+const (
+	team      = "workshop"
+	retention = 20 * time.Minute
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func keyring() *submission.Keyring {
+	return submission.NewKeyring(submission.MacKey{ID: 1, Secret: []byte("a secret for tests")})
+}
+
+// stream is a log that trims by its own clock.
+type stream struct {
+	first   int64
+	records []platform.Record
+}
+
+func (stream *stream) append(now time.Time, data []byte) int64 {
+	offset := stream.first + int64(len(stream.records))
+	stream.records = append(stream.records, platform.Record{Offset: offset, AtMs: now.UnixMilli(), Data: data})
+	return offset
+}
+
+func (stream *stream) trim(now time.Time) {
+	for len(stream.records) > 0 && stream.records[0].AtMs < now.Add(-retention).UnixMilli() {
+		stream.records = stream.records[1:]
+		stream.first++
+	}
+}
+
+// feed answers one read of at most limit records.
+func (stream *stream) feed(now time.Time, binder *binding.Binder, read binding.Read, limit int) {
+	if read.From < stream.first && stream.first > 1 {
+		binder.Trimmed(now, stream.first)
+		return
+	}
+	response := platform.ReadResponse{
+		FirstOffset: stream.first,
+		NextOffset:  stream.first + int64(len(stream.records)),
+		RetentionMs: retention.Milliseconds(),
+	}
+	for _, record := range stream.records {
+		if record.Offset >= read.From && len(response.Records) < limit {
+			response.Records = append(response.Records, record)
+		}
+	}
+	binder.RecordsRead(now, read.From, response)
+}
+
+// vm is a binder with a clock of its own.
+type vm struct {
+	binder  *binding.Binder
+	skew    time.Duration
+	tickets map[uint64]binding.Key
+}
+
+// network is several VMs over one log.
+type network struct {
+	*rapid.T
+	now     time.Time
+	log     stream
+	delayed [][]byte
+	vms     []*vm
+	counter uint64
+	ids     map[binding.Key]submission.Key
+	bound   int
+}
+
+func (network *network) restart(i int) {
+	network.vms[i] = &vm{
+		binder: binding.New(binding.Config{
+			Keyring:     keyring,
+			MaxBindings: 6,
+		}),
+		skew:    time.Duration(rapid.IntRange(-60, 60).Draw(network.T, "skew")) * time.Second,
+		tickets: make(map[uint64]binding.Key),
+	}
+}
+
+func (network *network) propose(i int, key binding.Key) {
+	network.counter++
+	vm := network.vms[i]
+	ticket := vm.binder.Propose(network.now.Add(vm.skew), key, submission.ID{
+		Key:    submission.Key{Incarnation: uint64(i + 1), Counter: network.counter},
+		Team:   key.Team,
+		Expiry: network.now.Add(submission.Lifetime),
+	})
+	vm.tickets[ticket] = key
+}
+
+// step carries out the next step of a VM with the given fate.
+func (network *network) step(i int, fate string) {
+	vm := network.vms[i]
+	now := network.now.Add(vm.skew)
+	network.log.trim(network.now)
+	switch step := vm.binder.Next(now).(type) {
+	case binding.Append:
+		network.append(vm, step.Data, fate)
+	case binding.Read:
+		if fate != "out" && fate != "lost" {
+			network.log.feed(now, vm.binder, step, 2)
+		}
+	case binding.Rest:
+	}
+	network.judge(vm)
+}
+
+func (network *network) append(vm *vm, data []byte, fate string) {
+	switch fate {
+	case "out":
+		vm.binder.AppendFailed(false)
+	case "lost":
+		network.log.append(network.now, data)
+		vm.binder.AppendFailed(true)
+	case "delayed":
+		network.delayed = append(network.delayed, data)
+		vm.binder.AppendFailed(true)
+	case "twice":
+		network.log.append(network.now, data)
+		vm.binder.Appended(network.log.append(network.now, data))
+	default:
+		vm.binder.Appended(network.log.append(network.now, data))
+	}
+}
+
+// judge checks each answer against the ID that the key had before.
+func (network *network) judge(vm *vm) {
+	for _, answer := range vm.binder.Answers() {
+		key, asked := vm.tickets[answer.Ticket]
+		assert.Assert(network, asked, "answer without a question")
+		delete(vm.tickets, answer.Ticket)
+		bound, isBound := answer.Verdict.(binding.Bound)
+		if !isBound {
+			continue
+		}
+		network.bound++
+		assert.Equal(network, bound.ID.Team, key.Team)
+		if before, known := network.ids[key]; known {
+			assert.Equal(network, bound.ID.Key, before, "key %v stands for two IDs", key.UUID)
+		}
+		network.ids[key] = bound.ID.Key
+	}
+}
+
+func (network *network) settle() {
+	for range 40 {
+		for i := range network.vms {
+			network.step(i, "ok")
+		}
+	}
+}
+
+// Guards against two VMs that bind one key to two submission IDs, by lost
+// replies, late and repeated appends, outages, restarts, records that expire,
+// clocks that differ and bindings that were forgotten.
+func TestAllVMsAgreeOnOneIDPerKey(t *testing.T) {
+	total := 0
+	rapid.Check(t, func(t *rapid.T) {
+		network := &network{
+			T:   t,
+			now: start,
+			log: stream{first: 1},
+			vms: make([]*vm, 3),
+			ids: make(map[binding.Key]submission.Key),
+		}
+		for i := range network.vms {
+			network.restart(i)
+		}
+		var keys []binding.Key
+		newKey := func() {
+			at := network.now.Add(time.Duration(rapid.IntRange(-120, 50).Draw(t, "age")) * time.Second)
+			keys = append(keys, binding.Key{
+				Team: rapid.SampledFrom([]string{team, "office"}).Draw(t, "team"),
+				UUID: binding.NewUUID(at, [10]byte{9: byte(len(keys) / 2)}),
+			})
+		}
+		newKey()
+		index := rapid.IntRange(0, 2)
+		t.Repeat(map[string]func(*rapid.T){
+			"key": func(*rapid.T) { newKey() },
+			"propose": func(t *rapid.T) {
+				network.propose(index.Draw(t, "vm"), rapid.SampledFrom(keys).Draw(t, "key"))
+			},
+			"propose everywhere": func(t *rapid.T) {
+				for i := range network.vms {
+					network.propose(i, keys[len(keys)-1])
+				}
+			},
+			"step": func(t *rapid.T) {
+				fates := []string{"ok", "ok", "out", "lost", "delayed", "twice"}
+				network.step(index.Draw(t, "vm"), rapid.SampledFrom(fates).Draw(t, "fate"))
+			},
+			"late append": func(t *rapid.T) {
+				if len(network.delayed) > 0 {
+					network.log.append(network.now, network.delayed[len(network.delayed)-1])
+					network.delayed = network.delayed[:len(network.delayed)-1]
+				}
+			},
+			"restart": func(t *rapid.T) { network.restart(index.Draw(t, "vm")) },
+			"settle":  func(*rapid.T) { network.settle() },
+			"wait": func(t *rapid.T) {
+				network.now = network.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "seconds")) * time.Second)
+			},
+			"": func(*rapid.T) {},
+		})
+		network.settle()
+		for i := range network.vms {
+			network.propose(i, keys[len(keys)-1])
+		}
+		network.settle()
+		for i := range network.vms {
+			assert.Equal(t, network.vms[i].binder.Waiting(), 0, "a proposal is stuck although the log works")
+		}
+		total += network.bound
+	})
+	assert.Assert(t, total > 0, "no key was ever bound")
+}
--- /dev/null
+++ b/shared/request/binding/binding_test.go
@@ -0,0 +1,214 @@
+package binding_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/connection/platform"
+	"tanagerfall/shared/request/binding"
+	"tanagerfall/shared/request/submission"
+)
+
+// Guards against keys that two VMs parse differently, and against other UUIDs,
+// whose time says nothing.
+func TestParseKey(t *testing.T) {
+	good := binding.NewUUID(start, [10]byte{}).String()
+	cases := []struct {
+		name, team, text string
+		valid            bool
+	}{
+		{name: "version 7", team: team, text: good, valid: true},
+		{name: "upper case", team: team, text: strings.ToUpper(good), valid: true},
+		{name: "no team", text: good},
+		{name: "long team", team: strings.Repeat("t", binding.MaxTeamBytes+1), text: good},
+		{name: "version 4", team: team, text: good[:14] + "4" + good[15:]},
+		{name: "other variant", team: team, text: good[:19] + "c" + good[20:]},
+		{name: "no hyphens", team: team, text: strings.ReplaceAll(good, "-", "") + "0000"},
+		{name: "not hexadecimal", team: team, text: good[:35] + "g"},
+		{name: "empty", team: team},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			key, err := binding.ParseKey(test.team, test.text)
+			if test.valid {
+				assert.NilError(t, err)
+				assert.Equal(t, key.UUID.String(), strings.ToLower(test.text))
+				return
+			}
+			assert.ErrorIs(t, err, binding.ErrKey)
+		})
+	}
+}
+
+func keyAt(at time.Time) binding.Key {
+	return binding.Key{Team: team, UUID: binding.NewUUID(at, [10]byte{})}
+}
+
+func entryOf(key binding.Key, counter uint64) binding.Entry {
+	return binding.Entry{
+		UUID: key.UUID,
+		Team: key.Team,
+		SubmissionID: keyring().Encode(submission.ID{
+			Key:    submission.Key{Incarnation: 7, Counter: counter},
+			Team:   key.Team,
+			Expiry: start,
+		}),
+	}
+}
+
+// Guards against an entry that binds although it was forged, belongs to
+// another team or is too old for a reader to know whether it is the first, and
+// against a later entry that wins.
+func TestWhichEntryBinds(t *testing.T) {
+	key := keyAt(start)
+	other := binding.Key{Team: "office", UUID: key.UUID}
+	forged, foreign := entryOf(key, 1), entryOf(other, 1)
+	forged.SubmissionID = "A" + forged.SubmissionID[1:]
+	foreign.Team = key.Team
+	late := keyAt(start.Add(-retention/2 - time.Second))
+	ahead := keyAt(start.Add(binding.MaxAhead + time.Second))
+	cases := []struct {
+		name   string
+		asked  binding.Key
+		record []byte
+		bound  bool
+	}{
+		{name: "first of two", asked: key, record: binding.Encode([]binding.Entry{entryOf(key, 1), entryOf(key, 2)}), bound: true},
+		{name: "same key of another team", asked: key, record: binding.Encode([]binding.Entry{entryOf(other, 1)})},
+		{name: "forged", asked: key, record: binding.Encode([]binding.Entry{forged})},
+		{name: "ID of another team", asked: key, record: binding.Encode([]binding.Entry{foreign})},
+		{name: "appended too late", asked: late, record: binding.Encode([]binding.Entry{entryOf(late, 1)})},
+		{name: "appended too early", asked: ahead, record: binding.Encode([]binding.Entry{entryOf(ahead, 1)})},
+		{name: "malformed", asked: key, record: []byte("x")},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			log, binder := stream{first: 1}, binding.New(binding.Config{Keyring: keyring})
+			log.append(start, test.record)
+			log.feed(start, binder, binding.Read{}, 1)
+			bound, is := binder.Look(start, test.asked).(binding.Bound)
+			assert.Equal(t, is, test.bound)
+			if test.bound {
+				assert.Equal(t, bound.ID.Key.Counter, uint64(1))
+			}
+		})
+	}
+}
+
+// Guards against a key that is bound after it was forgotten: the bound on the
+// bindings, a gap in the records read, and a clock that goes back.
+func TestForgottenKeysAreNotBoundAgain(t *testing.T) {
+	key := keyAt(start)
+	cases := []struct {
+		name   string
+		forget func(log *stream, binder *binding.Binder) time.Time
+	}{
+		{name: "bound on memory", forget: func(log *stream, binder *binding.Binder) time.Time {
+			log.append(start, binding.Encode([]binding.Entry{entryOf(keyAt(start.Add(2*time.Second)), 2)}))
+			log.feed(start, binder, binding.Read{From: 2}, 1)
+			return start
+		}},
+		{name: "gap", forget: func(_ *stream, binder *binding.Binder) time.Time {
+			binder.Trimmed(start, 9)
+			return start
+		}},
+		{name: "clock goes back", forget: func(_ *stream, binder *binding.Binder) time.Time {
+			binder.Expire(start.Add(retention))
+			return start
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			log, binder := &stream{first: 1}, binding.New(binding.Config{Keyring: keyring, MaxBindings: 1})
+			log.append(start, binding.Encode([]binding.Entry{entryOf(key, 1)}))
+			log.feed(start, binder, binding.Read{}, 1)
+			_, bound := binder.Look(start, key).(binding.Bound)
+			assert.Assert(t, bound)
+			now := test.forget(log, binder)
+			assert.Equal(t, binder.Look(now, key), binding.Verdict(binding.Unbound{Cause: binding.CauseOld}))
+		})
+	}
+}
+
+// Guards against proposals that wait for ever while the log is out, and
+// against a refused append that is repeated for ever.
+func TestProposalsWithoutTheLogAreAnswered(t *testing.T) {
+	binder := binding.New(binding.Config{Keyring: keyring})
+	ticket := binder.Propose(start, keyAt(start), submission.ID{Team: team})
+	binder.Expire(start.Add(binding.DefaultTimeout - time.Millisecond))
+	assert.Equal(t, len(binder.Answers()), 0)
+	binder.Expire(start.Add(binding.DefaultTimeout))
+	assert.DeepEqual(t, binder.Answers(), []binding.Answer{{Ticket: ticket, Verdict: binding.Unbound{Cause: binding.CauseLogOut}}})
+
+	log := stream{first: 1}
+	log.feed(start, binder, binding.Read{}, 1)
+	ticket = binder.Propose(start, keyAt(start), submission.ID{Team: team})
+	_, appending := binder.Next(start).(binding.Append)
+	assert.Assert(t, appending)
+	binder.AppendRefused()
+	assert.DeepEqual(t, binder.Answers(), []binding.Answer{{Ticket: ticket, Verdict: binding.Unbound{Cause: binding.CauseRefused}}})
+}
+
+// Guards against a decoder that panics, or takes entries that the encoder
+// would not write.
+func FuzzDecode(f *testing.F) {
+	f.Add(binding.Encode([]binding.Entry{entryOf(keyAt(start), 1), entryOf(keyAt(start), 2)}))
+	f.Add(binding.Encode(nil))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entries, err := binding.Decode(data)
+		if err != nil {
+			assert.ErrorIs(t, err, binding.ErrRecord)
+			return
+		}
+		again, err := binding.Decode(binding.Encode(entries))
+		assert.NilError(t, err)
+		assert.Equal(t, len(again), len(entries))
+		for i := range entries {
+			assert.Equal(t, again[i], entries[i])
+		}
+	})
+}
+
+// BenchmarkHeapOfBindings reports the heap that a full set of bindings takes.
+func BenchmarkHeapOfBindings(b *testing.B) {
+	for range b.N {
+		before := heap()
+		binder := binding.New(binding.Config{Keyring: keyring})
+		offset := int64(1)
+		for number := 0; number < binding.DefaultMaxBindings; offset++ {
+			var entries []binding.Entry
+			for range binding.MaxBatch {
+				var random [10]byte
+				binary.BigEndian.PutUint64(random[2:], uint64(number))
+				key := binding.Key{
+					Team: fmt.Sprintf("team-%d", number%180),
+					UUID: binding.NewUUID(start.Add(time.Duration(number)*time.Millisecond), random),
+				}
+				entries = append(entries, entryOf(key, uint64(number)))
+				number++
+			}
+			binder.RecordsRead(start, offset, platform.ReadResponse{
+				FirstOffset: 1,
+				NextOffset:  offset + 1,
+				RetentionMs: time.Hour.Milliseconds(),
+				Records:     []platform.Record{{Offset: offset, AtMs: start.Add(6 * time.Minute).UnixMilli(), Data: binding.Encode(entries)}},
+			})
+		}
+		b.ReportMetric(float64(heap()-before)/(1<<20), "MB")
+		b.ReportMetric(float64(binder.Held()), "bindings")
+		runtime.KeepAlive(binder)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/shared/request/binding/key.go
@@ -0,0 +1,81 @@
+package binding
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// MaxTeamBytes bounds a team's name, so that the ID issued for it stays
+	// below submission.MaxTextBytes.
+	MaxTeamBytes = 128
+	uuidBytes    = 16
+	uuidVersion  = 7
+)
+
+// ErrKey is wrapped by the errors of ParseKey.
+var ErrKey = eris.New("malformed Idempotency-Key")
+
+// UUID is a UUIDv7 of RFC 9562.
+type UUID [uuidBytes]byte
+
+// Key is an Idempotency-Key of a team. Two teams may use the same UUID.
+type Key struct {
+	Team string
+	UUID UUID
+}
+
+// ParseKey parses the text form of a UUIDv7. The error wraps ErrKey.
+func ParseKey(team, text string) (Key, error) {
+	if team == "" || len(team) > MaxTeamBytes {
+		return Key{}, eris.Wrapf(ErrKey, "team has %d bytes, allowed are 1 to %d", len(team), MaxTeamBytes)
+	}
+	const form = "xxxxxxxx-xxxx-xxxx-xxxx-xxxxxxxxxxxx"
+	if len(text) != len(form) {
+		return Key{}, eris.Wrap(ErrKey, "not a UUID")
+	}
+	for i := range form {
+		if (form[i] == '-') != (text[i] == '-') {
+			return Key{}, eris.Wrap(ErrKey, "not a UUID")
+		}
+	}
+	key := Key{
+		Team: team,
+	}
+	if _, err := hex.Decode(key.UUID[:], []byte(strings.ReplaceAll(text, "-", ""))); err != nil {
+		return Key{}, eris.Wrap(ErrKey, "not a UUID")
+	}
+	if !key.UUID.valid() {
+		return Key{}, eris.Wrap(ErrKey, "not a UUID of version 7")
+	}
+	return key, nil
+}
+
+// NewUUID returns a UUIDv7 of the time with the given random bytes.
+func NewUUID(at time.Time, random [10]byte) UUID {
+	var uuid UUID
+	binary.BigEndian.PutUint64(uuid[:], uint64(at.UnixMilli())<<16)
+	copy(uuid[6:], random[:])
+	uuid[6] = uuid[6]&0x0f | uuidVersion<<4
+	uuid[8] = uuid[8]&0x3f | 0x80
+	return uuid
+}
+
+// String returns the text form.
+func (uuid UUID) String() string {
+	text := hex.EncodeToString(uuid[:])
+	return strings.Join([]string{text[:8], text[8:12], text[12:16], text[16:20], text[20:]}, "-")
+}
+
+func (uuid UUID) valid() bool {
+	return uuid[6]>>4 == uuidVersion && uuid[8]>>6 == 2
+}
+
+// milliseconds returns the time of the UUID in Unix ms.
+func (uuid UUID) milliseconds() int64 {
+	return int64(binary.BigEndian.Uint64(uuid[:]) >> 16)
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -169,6 +169,13 @@
 	return entries
 }
 
+// Starts returns the journal with the payloads' echoes.
+func (worker *Worker) Starts() []Start {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	return slices.Clone(worker.journal)
+}
+
 // Run does what POST /v1/tasks does: it starts the task, or attaches to it if
 // its ID is known, and returns the status and the report once the task has
 // ended or is refused. It returns the error of ctx if ctx ends first; the task
