Eject unreachable upstreams beyond the cap

Ruled out: the retry budget, which no longer fails jobs. TestEjectionCapAndSlowStart killed workers to reach the cap; it now lets them fail their tasks, and TestUnreachableUpstreamsAreEjectedBeyondTheCap covers the killed ones.

--- a/shared/request/dispatch/dump.go
+++ b/shared/request/dispatch/dump.go
@@ -90,7 +90,7 @@
 		ActiveTasks:    core.load.active,
 		PredictedWork:  core.load.workMs,
 		OpenSpeed:      core.currentCapacity().speed,
-		Ejected:        core.health.ejected,
+		Ejected:        core.health.ejected + core.health.unreachable,
 		Timers:         len(core.timers),
 		Guards:         core.guards,
 		Counters:       core.counters,
--- a/shared/request/dispatch/faults_test.go
+++ b/shared/request/dispatch/faults_test.go
@@ -284,7 +284,7 @@
 	workers := newWorkers(9, 8, 1)
 	world := newWorld(1, workers...)
 	for _, worker := range workers[:5] {
-		world.kill(worker)
+		worker.fast = true
 	}
 	random := rand.New(rand.NewPCG(3, 3))
 	world.offer(random, 0.3, 0, world.now.Add(8*time.Second))
@@ -295,7 +295,7 @@
 		most = max(most, dump.Ejected)
 		if dump.Counters.Ejections == 3 && probing == 0 {
 			for _, worker := range workers[:5] {
-				world.restart(worker)
+				worker.fast = false
 			}
 		}
 		for _, each := range dump.Upstreams {
@@ -315,6 +315,36 @@
 	}
 }
 
+// Guards against dead upstreams that stay in rotation because the cap on
+// ejections protects them: a refused connection can't be the job's fault.
+func TestUnreachableUpstreamsAreEjectedBeyondTheCap(t *testing.T) {
+	workers := newWorkers(9, 8, 1)
+	world := newWorld(1, workers...)
+	for _, worker := range workers[:5] {
+		world.kill(worker)
+	}
+	world.offer(rand.New(rand.NewPCG(3, 3)), 0.3, 0, world.now.Add(8*time.Second))
+	most := 0
+	for range 30 {
+		world.run(world.now.Add(100 * time.Millisecond))
+		most = max(most, world.core.Dump().Ejected)
+	}
+	if most != 5 {
+		t.Errorf("at most %d of 5 dead upstreams ejected", most)
+	}
+	for _, worker := range workers[:5] {
+		world.restart(worker)
+	}
+	world.run(world.now.Add(40 * time.Second))
+	world.offer(rand.New(rand.NewPCG(4, 4)), 0.3, 0, world.now.Add(2*time.Second))
+	world.finish(t)
+	for _, each := range world.core.Dump().Upstreams {
+		if each.Ejected {
+			t.Errorf("%s is still ejected", each.ID)
+		}
+	}
+}
+
 // Guards against a switch of the plan that leaves upstreams ejected.
 func TestNoEjectionGuardRestores(t *testing.T) {
 	workers := newWorkers(9, 8, 1)
--- a/shared/request/dispatch/health.go
+++ b/shared/request/dispatch/health.go
@@ -31,8 +31,11 @@
 // fleetHealth is the health of all upstreams together.
 type fleetHealth struct {
 	// shares sums up the shares of failures of the upstreams.
-	shares  float64
-	ejected int
+	shares float64
+	// ejected counts the ejections under the cap, unreachable those for refused
+	// connections.
+	ejected     int
+	unreachable int
 }
 
 // health is the health of one upstream.
@@ -47,6 +50,10 @@
 	successes   int
 	samples     int
 	share       float64
+	// refused counts refused connections in a row. unreachable is set while
+	// the upstream is ejected for them.
+	refused     int
+	unreachable bool
 	// ejections counts those that lengthen the next one.
 	ejections int
 }
@@ -94,6 +101,7 @@
 	state := &at.health
 	core.observe(state, 0)
 	state.consecutive = 0
+	state.refused = 0
 	state.successes++
 	if state.successes >= forgiveAfter {
 		state.ejections = 0
@@ -109,8 +117,25 @@
 	core.sync(at)
 }
 
-// recordFailure notes that an upstream failed a task, refused a connection or
-// left an ask without an answer.
+// recordRefused notes that an upstream refused a connection. Neither the cap on
+// ejections nor the rest of the fleet counts here: they protect upstreams that
+// could still run tasks. When half of the upstreams of a failure domain were
+// stopped, the others stayed behind dead ones until jobs missed their deadline.
+func (core *Core) recordRefused(at *upstreamState) {
+	state := &at.health
+	core.observe(state, 1)
+	state.refused++
+	state.successes = 0
+	if state.refused < core.config.Limits.EjectAfter || core.guards.NoEjection || state.ejected() || !at.usable() {
+		return
+	}
+	state.unreachable = true
+	core.health.unreachable++
+	core.startEjection(at)
+}
+
+// recordFailure notes that an upstream failed a task or left an ask without an
+// answer.
 func (core *Core) recordFailure(at *upstreamState) {
 	state := &at.health
 	core.observe(state, 1)
@@ -141,21 +166,34 @@
 	if core.guards.NoEjection || at.health.ejected() || !at.usable() {
 		return
 	}
-	limits := &core.config.Limits
 	if core.health.ejected+1 > core.mayEject() {
 		return
 	}
+	core.health.ejected++
+	core.startEjection(at)
+}
+
+func (core *Core) startEjection(at *upstreamState) {
+	limits := &core.config.Limits
 	length := min(limits.EjectFor<<min(at.health.ejections, 10), limits.EjectForMax)
 	jitter := time.Duration(core.config.Random.Int64N(int64(length)/5 + 1))
 	at.health.until = core.now.Add(length + jitter)
 	at.health.ejections++
 	core.forgetShare(&at.health)
-	core.health.ejected++
 	core.counters.Ejections++
 	core.sync(at)
 	core.rearm(at)
 }
 
+func (core *Core) endEjection(state *health) {
+	if state.unreachable {
+		state.unreachable = false
+		core.health.unreachable--
+		return
+	}
+	core.health.ejected--
+}
+
 // mayEject returns how many upstreams may be ejected at a time. Of two or
 // more, one may always be: a third of two would be none, and a dead upstream
 // would then draw starts until the retry budget is used up.
@@ -179,7 +217,11 @@
 // occupancy first: a question without an answer ejects it again and costs no
 // job, as a task would.
 func (core *Core) probe(at *upstreamState) {
-	core.health.ejected--
+	if at.health.unreachable {
+		// One more refusal is enough to eject it again.
+		at.health.refused = core.config.Limits.EjectAfter - 1
+	}
+	core.endEjection(&at.health)
 	at.health.probeSlots = firstProbe
 	core.forgetShare(&at.health)
 	at.health.successes = 0
@@ -190,7 +232,7 @@
 // restore ends an ejection without a probe.
 func (core *Core) restore(at *upstreamState) {
 	if at.health.ejected() {
-		core.health.ejected--
+		core.endEjection(&at.health)
 	}
 	core.forgetShare(&at.health)
 	at.health = health{}
--- a/shared/request/dispatch/tasks.go
+++ b/shared/request/dispatch/tasks.go
@@ -192,7 +192,7 @@
 	core.withdrawTask(returned)
 	switch event.Proof {
 	case ProofDialRefused:
-		core.recordFailure(at)
+		core.recordRefused(at)
 	case ProofRefused:
 		core.recordBusy(at)
 	case ProofNeverSent, ProofNeverStarted:
