Keep refusals true after their answers were evicted

Cause: a tombstone said 'started yes' for every job, also for one that was refused and never ran, or that may have run. Change: tombstones remember refused and unknown, in hand-overs too. Conclusion: the answer for an evicted job is true.

--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -313,7 +313,7 @@
 		}
 	case submission.ClaimGone:
 		return Reply{
-			Answer: job.Failure(job.StartedYes, job.ReasonAnswerEvicted, "the job ended and its answer is no longer kept"),
+			Answer: evicted(claim.Started),
 		}
 	case submission.ClaimExpired:
 		return Reply{
@@ -336,6 +336,14 @@
 	return Reply{}
 }
 
+// evicted answers for a job whose answer is no longer kept.
+func evicted(started job.Started) job.Answer {
+	if started == job.StartedNo {
+		return job.Refusal(job.ReasonAnswerEvicted, "the job was refused; why is no longer kept")
+	}
+	return job.Failure(started, job.ReasonAnswerEvicted, "the job ended and its answer is no longer kept")
+}
+
 func (loop *Loop) forgetWaiter(received forgetWaiter) {
 	waiting := loop.waiters[received.key]
 	for i := range waiting {
--- a/shared/request/submission/handover.go
+++ b/shared/request/submission/handover.go
@@ -30,8 +30,12 @@
 	// Expiries are in Unix seconds.
 	Expiries []uint32 `cbor:"5,keyasint,omitempty"`
 	// Answers has the answers that are still kept. The other entries are
-	// tombstones.
+	// tombstones of jobs that ran, but for those in Refused and Unknown.
 	Answers []PieceAnswer `cbor:"6,keyasint,omitempty"`
+	// Refused and Unknown have the counters of TombstoneRefused and
+	// TombstoneUnknown.
+	Refused []uint64 `cbor:"7,keyasint,omitempty"`
+	Unknown []uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Valid says whether a piece can be imported.
@@ -134,6 +138,10 @@
 			Bytes:   stored.bytes,
 		})
 		bytes += stored.bytes
+	case TombstoneRefused:
+		piece.Refused = append(piece.Refused, counter)
+	case TombstoneUnknown:
+		piece.Unknown = append(piece.Unknown, counter)
 	case Unspent, Tombstone:
 	}
 	piece.Counters = append(piece.Counters, counter)
@@ -170,6 +178,13 @@
 	for _, answer := range piece.Answers {
 		answers[answer.Counter] = answer
 	}
+	tombstones := make(map[uint64]State, len(piece.Refused)+len(piece.Unknown))
+	for _, counter := range piece.Refused {
+		tombstones[counter] = TombstoneRefused
+	}
+	for _, counter := range piece.Unknown {
+		tombstones[counter] = TombstoneUnknown
+	}
 	for i, counter := range piece.Counters {
 		if _, repeated := held.entries[counter]; repeated {
 			continue
@@ -178,6 +193,9 @@
 			expiry: piece.Expiries[i],
 			state:  Tombstone,
 		}
+		if state, other := tombstones[counter]; other {
+			added.state = state
+		}
 		if stored, has := answers[counter]; has {
 			added.state = Answered
 			key := Key{
--- a/shared/request/submission/ledger.go
+++ b/shared/request/submission/ledger.go
@@ -30,8 +30,12 @@
 	Unspent State = iota
 	Running
 	Answered
-	// Tombstone means that the job ended and its answer is gone.
+	// Tombstone means that the job ran and its answer is gone.
 	Tombstone
+	// TombstoneUnknown is a Tombstone of a job that may have run.
+	TombstoneUnknown
+	// TombstoneRefused is a Tombstone of a job that was refused and never ran.
+	TombstoneRefused
 )
 
 // Claim is the ledger's verdict on a submission that arrived.
@@ -46,8 +50,9 @@
 	ClaimRunning struct{}
 	// ClaimAnswered carries the answer of a job that ended.
 	ClaimAnswered struct{ Answer job.Answer }
-	// ClaimGone means that the job ended and its answer was evicted.
-	ClaimGone struct{}
+	// ClaimGone means that the job ended and its answer was evicted. Started
+	// says whether it ran.
+	ClaimGone struct{ Started job.Started }
 	// ClaimExpired means that the ID expired and nothing is known about it.
 	ClaimExpired struct{}
 	// ClaimForeign means that the ledger does not hold the ID's incarnation.
@@ -210,10 +215,19 @@
 		return ClaimAnswered{
 			Answer: *ledger.answers[key].answer,
 		}
-	case Tombstone, Unspent:
-		return ClaimGone{}
+	case Tombstone:
+		return ClaimGone{
+			Started: job.StartedYes,
+		}
+	case TombstoneRefused:
+		return ClaimGone{
+			Started: job.StartedNo,
+		}
+	case TombstoneUnknown, Unspent:
+	}
+	return ClaimGone{
+		Started: job.StartedUnknown,
 	}
-	return ClaimGone{}
 }
 
 // Finish records the answer of a running job. bytes is the size the answer
@@ -248,17 +262,30 @@
 	for ledger.answerBytes > ledger.maxBytes && len(ledger.answered) > 0 {
 		key := ledger.answered[0]
 		ledger.answered = ledger.answered[1:]
+		stored := ledger.answers[key]
 		if !ledger.dropAnswer(key) {
 			continue
 		}
 		ledger.evicted++
 		held := ledger.held[key.Incarnation]
 		found := held.entries[key.Counter]
-		found.state = Tombstone
+		found.state = tombstoneOf(stored.answer)
 		held.entries[key.Counter] = found
 	}
 }
 
+// tombstoneOf returns what is still said of a job without its answer. A
+// refusal must stay one: a caller may have acted on it.
+func tombstoneOf(answer *job.Answer) State {
+	switch {
+	case answer.Outcome == job.Refused:
+		return TombstoneRefused
+	case answer.Outcome == job.Failed && answer.Started != job.StartedYes:
+		return TombstoneUnknown
+	}
+	return Tombstone
+}
+
 func (ledger *Ledger) dropAnswer(key Key) bool {
 	stored, known := ledger.answers[key]
 	if !known {
