--- a/client/client.go
+++ b/client/client.go
@@ -25,6 +25,10 @@
 	// deadlineSlack is how long the client waits for an answer after the
 	// job's deadline, for the way back and for settling lost tasks.
 	deadlineSlack = 5 * time.Second
+	// unreachableLimit is how long a submission that may have reached its owner
+	// is sent again while the owner can't be reached. An owner that stopped as
+	// planned has a successor by then; one that died never answers.
+	unreachableLimit = 3 * time.Second
 )
 
 // The errors of Run. Where Run returns an error, it is not known whether the
@@ -116,6 +120,9 @@
 	tasks  int
 	// id is the submission ID in use, or "" before the first one.
 	id string
+	// unreachableSince is the time of the first of the present row of answers
+	// that the owner can't be reached.
+	unreachableSince time.Time
 	// delivered is set once a copy may have reached an entry VM under id.
 	delivered bool
 }
@@ -144,19 +151,30 @@
 	}
 	switch answer.Reason {
 	case job.ReasonNotDelivered:
-		if !attempt.delivered {
-			// No VM holds this submission, so a fresh ID can't start it twice.
-			attempt.id = ""
-		}
-		return true
+		return attempt.unreachable()
 	case job.ReasonDeliveryLost, job.ReasonStopping:
 		attempt.delivered = true
+		attempt.unreachableSince = time.Time{}
 		return true
 	default:
 		return false
 	}
 }
 
+// unreachable reports whether to send the submission again after an answer
+// that its owner can't be reached.
+func (attempt *attempt) unreachable() bool {
+	if !attempt.delivered {
+		// No VM holds this submission, so a fresh ID can't start it twice.
+		attempt.id = ""
+		return true
+	}
+	if attempt.unreachableSince.IsZero() {
+		attempt.unreachableSince = time.Now()
+	}
+	return time.Since(attempt.unreachableSince) < unreachableLimit
+}
+
 func (attempt *attempt) send(ctx context.Context) (job.Answer, error) {
 	connection, err := attempt.client.acquire(ctx)
 	if err != nil {
