--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -82,9 +82,6 @@
 	stopping stopping
 	receiver *handover.Receiver
 	ticked   time.Time
-	// served is set once a job was accepted. A VM that was paused owns nothing
-	// until its peers know of it again; its jobs wait that long.
-	served bool
 	// owns is set while a live VM of the failure domain owns slots.
 	owns atomic.Bool
 }
@@ -250,11 +247,12 @@
 		loop.finish(now, received.id.Key, job.Refusal(job.ReasonStopping, "the VM is stopping"))
 		return
 	}
-	if err := loop.Ready(); err != nil && !loop.served {
-		loop.finish(now, received.id.Key, job.Refusal(job.ReasonNotReady, err.Error()))
+	// Without slots the job waits: after a pause a VM owns nothing until its
+	// peers know of it again.
+	if !loop.config.Plans.Ready() {
+		loop.finish(now, received.id.Key, job.Refusal(job.ReasonNotReady, ErrNoPlan.Error()))
 		return
 	}
-	loop.served = true
 	loop.dispatch(now, dispatch.JobAccepted{
 		Key: received.id.Key,
 		Job: received.job,
