--- a/local/scenario/check.go
+++ b/local/scenario/check.go
@@ -51,7 +51,11 @@
 			if err != nil {
 				return nil, err
 			}
-			starts[taskOf{key: task.Key, index: task.Index}]++
+			started := taskOf{
+				key:   task.Key,
+				index: task.Index,
+			}
+			starts[started]++
 		}
 	}
 	return starts, nil
@@ -84,7 +88,11 @@
 
 func (sent *Submission) ran(starts map[taskOf]int) bool {
 	for index := range sent.Job.Tasks {
-		if starts[taskOf{key: sent.Key, index: index}] > 0 {
+		task := taskOf{
+			key:   sent.Key,
+			index: index,
+		}
+		if starts[task] > 0 {
 			return true
 		}
 	}
--- a/shared/process/settings/entry.go
+++ b/shared/process/settings/entry.go
@@ -132,12 +132,7 @@
 
 func (entry *Entry) checkAddresses() *Fault {
 	seen := make(map[string]string)
-	named := []struct{ key, address string }{
-		{key: "caller-address", address: entry.CallerAddress},
-		{key: "peer-address", address: entry.PeerAddress},
-		{key: "operator-address", address: entry.OperatorAddress},
-	}
-	for _, row := range named {
+	for _, row := range entry.addresses() {
 		if fault := checkAddress(row.key, row.address); fault != nil {
 			return fault
 		}
@@ -154,6 +149,29 @@
 	return nil
 }
 
+// addressKey is an address and its key in the file.
+type addressKey struct {
+	key     string
+	address string
+}
+
+func (entry *Entry) addresses() []addressKey {
+	return []addressKey{
+		{
+			key:     "caller-address",
+			address: entry.CallerAddress,
+		},
+		{
+			key:     "peer-address",
+			address: entry.PeerAddress,
+		},
+		{
+			key:     "operator-address",
+			address: entry.OperatorAddress,
+		},
+	}
+}
+
 func checkAddress(key, address string) *Fault {
 	if address == "" {
 		return fault(key, "is missing")
@@ -204,12 +222,7 @@
 }
 
 func (entry *Entry) checkTLS() *Fault {
-	named := []struct{ key, address string }{
-		{key: "caller-address", address: entry.CallerAddress},
-		{key: "peer-address", address: entry.PeerAddress},
-		{key: "operator-address", address: entry.OperatorAddress},
-	}
-	for _, row := range named {
+	for _, row := range entry.addresses() {
 		if !entry.TLS.Enabled() && !onLoopback(row.address) {
 			return fault("tls", "is missing; the %s %s is not on loopback", row.key, row.address)
 		}
@@ -224,9 +237,18 @@
 		return nil
 	}
 	files := []struct{ key, path string }{
-		{key: "tls.certificate", path: entry.TLS.Certificate},
-		{key: "tls.key", path: entry.TLS.Key},
-		{key: "tls.ca", path: entry.TLS.CA},
+		{
+			key:  "tls.certificate",
+			path: entry.TLS.Certificate,
+		},
+		{
+			key:  "tls.key",
+			path: entry.TLS.Key,
+		},
+		{
+			key:  "tls.ca",
+			path: entry.TLS.CA,
+		},
 	}
 	for _, row := range files {
 		if row.path == "" {
--- a/shared/request/binding/binder.go
+++ b/shared/request/binding/binder.go
@@ -189,7 +189,10 @@
 		}
 	}
 	if _, unread := verdict.(Unread); !unread {
-		binder.answers = append(binder.answers, Answer{Ticket: ticket, Verdict: verdict})
+		binder.answers = append(binder.answers, Answer{
+			Ticket:  ticket,
+			Verdict: verdict,
+		})
 		return ticket
 	}
 	if waiting == nil {
--- a/shared/request/binding/cache.go
+++ b/shared/request/binding/cache.go
@@ -51,7 +51,11 @@
 	if !known {
 		return submission.ID{}, false
 	}
-	value, bound := cache.bound[cacheKey{team: team, uuid: key.UUID}]
+	wanted := cacheKey{
+		team: team,
+		uuid: key.UUID,
+	}
+	value, bound := cache.bound[wanted]
 	if !bound {
 		return submission.ID{}, false
 	}
--- a/shared/version/plan/rules.go
+++ b/shared/version/plan/rules.go
@@ -165,13 +165,43 @@
 
 func (rule Rule) bounds() [7]bound {
 	return [7]bound{
-		{name: "cap", value: int64(rule.Cap), high: MaxCap},
-		{name: "cores", value: int64(rule.Cores), high: MaxCores},
-		{name: "memory-mb", value: int64(rule.MemoryMb), high: MaxMemoryMb},
-		{name: "accelerators", value: int64(rule.Accelerators), high: MaxCores},
-		{name: "deadline-ms", value: rule.DeadlineMs, low: 1, high: MaxDeadlineMs},
-		{name: "priority", value: int64(rule.Priority), low: -MaxPriority, high: MaxPriority},
-		{name: "in-force-from-ms", value: rule.InForceFromMs, high: MaxTimeMs},
+		{
+			name:  "cap",
+			value: int64(rule.Cap),
+			high:  MaxCap,
+		},
+		{
+			name:  "cores",
+			value: int64(rule.Cores),
+			high:  MaxCores,
+		},
+		{
+			name:  "memory-mb",
+			value: int64(rule.MemoryMb),
+			high:  MaxMemoryMb,
+		},
+		{
+			name:  "accelerators",
+			value: int64(rule.Accelerators),
+			high:  MaxCores,
+		},
+		{
+			name:  "deadline-ms",
+			value: rule.DeadlineMs,
+			low:   1,
+			high:  MaxDeadlineMs,
+		},
+		{
+			name:  "priority",
+			value: int64(rule.Priority),
+			low:   -MaxPriority,
+			high:  MaxPriority,
+		},
+		{
+			name:  "in-force-from-ms",
+			value: rule.InForceFromMs,
+			high:  MaxTimeMs,
+		},
 	}
 }
 
--- a/standin/fleet/config.go
+++ b/standin/fleet/config.go
@@ -79,8 +79,14 @@
 		return invalid("format", "is %d, this program reads %d", config.Format, Format)
 	}
 	for _, row := range []struct{ key, address string }{
-		{key: "control-address", address: config.ControlAddress},
-		{key: "platform.address", address: config.Platform.Address},
+		{
+			key:     "control-address",
+			address: config.ControlAddress,
+		},
+		{
+			key:     "platform.address",
+			address: config.Platform.Address,
+		},
 	} {
 		if !isAddress(row.address) {
 			return invalid(row.key, "%q is not IP:port", row.address)
--- a/tanagerctl/command/output.go
+++ b/tanagerctl/command/output.go
@@ -80,10 +80,22 @@
 		name     string
 		disabled bool
 	}{
-		{name: "admission", disabled: guards.NoAdmission},
-		{name: "retry-budget", disabled: guards.NoRetryBudget},
-		{name: "ejection", disabled: guards.NoEjection},
-		{name: "occupancy-check", disabled: guards.NoOccupancyCheck},
+		{
+			name:     "admission",
+			disabled: guards.NoAdmission,
+		},
+		{
+			name:     "retry-budget",
+			disabled: guards.NoRetryBudget,
+		},
+		{
+			name:     "ejection",
+			disabled: guards.NoEjection,
+		},
+		{
+			name:     "occupancy-check",
+			disabled: guards.NoOccupancyCheck,
+		},
 	} {
 		if guard.disabled {
 			disabled = append(disabled, guard.name)
--- a/tanagerctl/publication/publish.go
+++ b/tanagerctl/publication/publish.go
@@ -436,7 +436,10 @@
 		disabled bool
 	}{
 		{names: request.EnableGuards},
-		{names: request.DisableGuards, disabled: true},
+		{
+			names:    request.DisableGuards,
+			disabled: true,
+		},
 	} {
 		for _, name := range change.names {
 			guard := guardOf(&guards, name)
--- a/tanagerload/chart/chart.go
+++ b/tanagerload/chart/chart.go
@@ -102,9 +102,18 @@
 			name string
 			of   func(result.Quantiles) float64
 		}{
-			{name: "p50", of: func(quantiles result.Quantiles) float64 { return quantiles.P50 }},
-			{name: "p99", of: func(quantiles result.Quantiles) float64 { return quantiles.P99 }},
-			{name: "p99.9", of: func(quantiles result.Quantiles) float64 { return quantiles.P999 }},
+			{
+				name: "p50",
+				of:   func(quantiles result.Quantiles) float64 { return quantiles.P50 },
+			},
+			{
+				name: "p99",
+				of:   func(quantiles result.Quantiles) float64 { return quantiles.P99 },
+			},
+			{
+				name: "p99.9",
+				of:   func(quantiles result.Quantiles) float64 { return quantiles.P999 },
+			},
 		} {
 			all = append(all, byLoad(measured, measured.Experiment+" "+quantile.name, func(step *result.Step) float64 {
 				return quantile.of(step.Ratio)
@@ -198,7 +207,10 @@
 		at := float64(fault.AtMs) / msPerSecond
 		line, err := plotter.NewLine(plotter.XYs{
 			{X: at},
-			{X: at, Y: drawn.Y.Max},
+			{
+				X: at,
+				Y: drawn.Y.Max,
+			},
 		})
 		if err != nil {
 			continue
