Repeat single requests of idempotent kinds after an ambiguous loss

Cause: the design allows it, and a request that only asks failed as unknown when its worker died. Change: JobAccepted tells single requests; one of an idempotent kind is started again, within the retry budget, when its fate can't be settled. Conclusion: nothing else is ever repeated without proof.

--- a/entry/callerapi/server.go
+++ b/entry/callerapi/server.go
@@ -37,6 +37,7 @@
 type Submissions interface {
 	Issue(ctx context.Context, team string, count int) ([]submission.ID, error)
 	Submit(ctx context.Context, id submission.ID, body route.Body, hops int) (control.Reply, error)
+	Request(ctx context.Context, id submission.ID, single job.Job) (control.Reply, error)
 	Look(ctx context.Context, id submission.ID, hops int) (control.Reply, error)
 	Cancel(ctx context.Context, id submission.ID, hops int) (control.Reply, error)
 }
@@ -161,9 +162,7 @@
 		server.answer(writer, http.StatusServiceUnavailable, job.Refusal(job.ReasonStopping, "the VM is stopping"))
 		return
 	}
-	server.reply(writer, ids[0])(server.submissions.Submit(request.Context(), ids[0], route.Body{
-		Job: single,
-	}, 0))
+	server.reply(writer, ids[0])(server.submissions.Request(request.Context(), ids[0], single))
 }
 
 type problem struct {
--- a/entry/control/events.go
+++ b/entry/control/events.go
@@ -24,6 +24,8 @@
 	submit struct {
 		id  submission.ID
 		job job.Job
+		// single is set for a single request.
+		single bool
 		// refusal is set where the body was invalid: the ID is spent on it, so
 		// that the refusal stays true for later copies of the submission.
 		refusal *job.Answer
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -254,8 +254,9 @@
 		return
 	}
 	loop.dispatch(now, dispatch.JobAccepted{
-		Key: received.id.Key,
-		Job: received.job,
+		Key:    received.id.Key,
+		Job:    received.job,
+		Single: received.single,
 	})
 	loop.askSlots(now)
 }
--- a/entry/control/requests.go
+++ b/entry/control/requests.go
@@ -37,6 +37,18 @@
 	})
 }
 
+// Request runs a single request under id, which was issued for it.
+func (loop *Loop) Request(ctx context.Context, id submission.ID, job job.Job) (Reply, error) {
+	return loop.await(ctx, id, func(reply chan<- Reply) event {
+		return submit{
+			id:     id,
+			job:    job,
+			single: true,
+			reply:  reply,
+		}
+	})
+}
+
 // Refuse spends id on a refusal, unless it was spent before; the earlier
 // answer is returned then.
 func (loop *Loop) Refuse(ctx context.Context, id submission.ID, refusal job.Answer) (Reply, error) {
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -78,6 +78,11 @@
 	return router.loop.Submit(ctx, id, body.Job)
 }
 
+// Request runs a single request under an ID of this VM.
+func (router *Router) Request(ctx context.Context, id submission.ID, single job.Job) (control.Reply, error) {
+	return router.loop.Request(ctx, id, single)
+}
+
 // Look returns what became of id at its owner.
 func (router *Router) Look(ctx context.Context, id submission.ID, hops int) (control.Reply, error) {
 	reply, err := router.loop.Look(ctx, id)
--- a/shared/request/dispatch/dump.go
+++ b/shared/request/dispatch/dump.go
@@ -55,6 +55,7 @@
 	Starts             uint64 `json:"starts"`
 	Retries            uint64 `json:"retries"`
 	HeldRetries        uint64 `json:"held-retries"`
+	Repeats            uint64 `json:"repeats"`
 	Messages           uint64 `json:"messages"`
 	Asks               uint64 `json:"asks"`
 	FailedAsks         uint64 `json:"failed-asks"`
--- a/shared/request/dispatch/jobs.go
+++ b/shared/request/dispatch/jobs.go
@@ -15,12 +15,14 @@
 	key  submission.Key
 	spec job.Job
 	// rule is the plan's, if ruled is true.
-	rule     plan.Rule
-	ruled    bool
-	arrival  time.Time
-	deadline time.Time
-	idealMs  int64
-	tasks    []task
+	rule  plan.Rule
+	ruled bool
+	// repeatable is true for a single request of an idempotent kind.
+	repeatable bool
+	arrival    time.Time
+	deadline   time.Time
+	idealMs    int64
+	tasks      []task
 	// placing is the job as the scheduler sees it.
 	placing placement.Job
 	results []job.Result
@@ -68,14 +70,15 @@
 func (core *Core) newRun(event JobAccepted) *run {
 	rule, ruled := core.rule(keyOf(&event.Job))
 	accepted := &run{
-		key:      event.Key,
-		spec:     event.Job,
-		rule:     rule,
-		ruled:    ruled,
-		arrival:  core.now,
-		deadline: core.now.Add(core.deadlineOf(&event.Job, rule)),
-		tasks:    make([]task, len(event.Job.Tasks)),
-		missing:  len(event.Job.Tasks),
+		key:        event.Key,
+		spec:       event.Job,
+		rule:       rule,
+		ruled:      ruled,
+		repeatable: event.Single && ruled && rule.Idempotent,
+		arrival:    core.now,
+		deadline:   core.now.Add(core.deadlineOf(&event.Job, rule)),
+		tasks:      make([]task, len(event.Job.Tasks)),
+		missing:    len(event.Job.Tasks),
 	}
 	accepted.timer.owner = accepted
 	for i := range accepted.tasks {
--- a/shared/request/dispatch/messages.go
+++ b/shared/request/dispatch/messages.go
@@ -32,6 +32,9 @@
 	JobAccepted struct {
 		Key submission.Key
 		Job job.Job
+		// Single is set for a single request. It may run again after an
+		// ambiguous loss if the plan marks its kind idempotent.
+		Single bool
 	}
 	// JobCancelled tells that the caller gave the job up.
 	JobCancelled struct {
--- /dev/null
+++ b/shared/request/dispatch/repeat_test.go
@@ -0,0 +1,60 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/request/dispatch"
+	"tanagerfall/shared/request/job"
+	"tanagerfall/shared/request/submission"
+	"tanagerfall/shared/version/plan"
+)
+
+// Guards against a repetition, after an ambiguous loss, of anything but a
+// single request of a kind that the plan marks idempotent.
+func TestOnlySingleIdempotentRequestsAreRepeated(t *testing.T) {
+	cases := []struct {
+		name       string
+		single     bool
+		idempotent bool
+		repeated   bool
+	}{
+		{name: "single request, idempotent", single: true, idempotent: true, repeated: true},
+		{name: "single request, not idempotent", single: true},
+		{name: "job of an idempotent kind", idempotent: true},
+	}
+	for _, row := range cases {
+		t.Run(row.name, func(t *testing.T) {
+			workers := newWorkers(2, 1, 1)
+			world := newWorld(1, workers...)
+			world.tell(dispatch.PlanChanged{Plan: &plan.Plan{
+				Rules: []plan.Rule{{Team: "red", Kind: "bench", Domain: "brest", Idempotent: row.idempotent}},
+			}})
+			key := submission.Key{Incarnation: 1, Counter: 999}
+			spec := job.Job{Kind: "bench", Team: "red", Tasks: []job.Task{{RunMs: 500}}}
+			world.jobs[key] = spec
+			world.repeatable[key] = row.repeated
+			world.tell(dispatch.JobAccepted{Key: key, Job: spec, Single: row.single})
+			world.run(world.now.Add(100 * time.Millisecond))
+			for _, worker := range workers {
+				if len(worker.running) > 0 {
+					world.kill(worker)
+				}
+			}
+			world.finish(t)
+			answer := world.answers[key]
+			starts := world.journal[index{key: key, index: 0}]
+			if row.repeated {
+				assert.Equal(t, answer.Outcome, job.Complete)
+				assert.Equal(t, starts, 2)
+				assert.Equal(t, world.core.Dump().Counters.Repeats, uint64(1))
+				return
+			}
+			assert.Equal(t, answer.Outcome, job.Failed)
+			assert.Equal(t, answer.Started, job.StartedUnknown)
+			assert.Equal(t, starts, 1)
+		})
+	}
+}
--- a/shared/request/dispatch/tasks.go
+++ b/shared/request/dispatch/tasks.go
@@ -283,18 +283,24 @@
 }
 
 // loseTask settles an attempt of which it will never be known whether it
-// started. Its task is never started again.
+// started. Its task is never started again, unless it is a single request of
+// an idempotent kind.
 func (core *Core) loseTask(missing *task) {
 	owner := missing.owner
 	owner.ambiguous = true
 	core.counters.UnknownTasks++
 	core.drop(missing)
 	core.settle(missing)
+	if owner.repeatable && !owner.closing && core.now.Before(owner.deadline) {
+		core.counters.Repeats++
+		core.retry(missing)
+		return
+	}
 	core.close(owner, job.ReasonUpstreamLost, "nothing is known of a task at "+missing.at.declared.ID)
 }
 
-// withdrawTask settles an attempt that did not start and never will. This is
-// the only way to a further attempt.
+// withdrawTask settles an attempt that did not start and never will. Apart from
+// the repetition in loseTask this is the only way to a further attempt.
 func (core *Core) withdrawTask(withdrawn *task) {
 	owner := withdrawn.owner
 	core.drop(withdrawn)
