Bound the wait for a forwarded submission

Cause: a forward to an owner that was paused or cut off with its connections open waited until the caller gave up, without an answer. Conclusion: a silent domain costs its callers their deadline, not more.

--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"tanagerfall/entry/control"
 	"tanagerfall/shared/connection/peer"
@@ -14,6 +15,10 @@
 // planned stop of an owner since the ID was issued adds one.
 const MaxHops = 4
 
+// forwardSlack is added to the deadline of a job that is forwarded, for the
+// way there and back and for settling tasks at the deadline.
+const forwardSlack = 2 * time.Second
+
 // Router is safe for concurrent use.
 type Router struct {
 	loop    *control.Loop
@@ -57,6 +62,8 @@
 	if !forwarded {
 		return answer, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, forwardLimit(&body.Job))
+	defer cancel()
 	response, err := peer.Forward.Call(ctx, router.pool, reply.Owner, &peer.ForwardRequest{
 		SubmissionID: router.keyring().Encode(id),
 		Job:          body.Raw,
@@ -71,6 +78,16 @@
 	}, nil
 }
 
+// forwardLimit returns how long an answer is waited for. An owner that is
+// paused or cut off keeps the connection open and never answers.
+func forwardLimit(submitted *job.Job) time.Duration {
+	deadlineMs := submitted.DeadlineMs
+	if deadlineMs == 0 {
+		deadlineMs = job.DefaultDeadlineMs
+	}
+	return time.Duration(deadlineMs)*time.Millisecond + forwardSlack
+}
+
 func (router *Router) submitHere(ctx context.Context, id submission.ID, body Body) (control.Reply, error) {
 	if body.Invalid != nil {
 		return router.loop.Refuse(ctx, id, job.Refusal(job.ReasonInvalid, body.Invalid.Error()))
