--- /dev/null
+++ b/shared/connection/link/dial.go
@@ -0,0 +1,52 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// sendTimeout ends a connection whose peer acknowledges nothing for that
+	// long. The kernel's default takes minutes.
+	sendTimeout = 2 * time.Second
+	// probeIdle, probeInterval and probeCount find connections that went
+	// silent while nothing is sent.
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
+// Dialer returns a dialer whose connections break when the peer is silent.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeIdle,
+			Interval: probeInterval,
+			Count:    probeCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(descriptor uintptr) {
+				failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
+					int(sendTimeout.Milliseconds()))
+			})
+			return errors.Join(err, failed)
+		},
+	}
+}
+
+// DialTCP opens a TCP connection to a peer.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+}
+
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/shared/process/dispatcher/held.go
@@ -0,0 +1,211 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"tanagerfall/shared/connection/link"
+	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/request/cell"
+)
+
+const (
+	// resubmitAfter is how long a declined job waits before it is submitted
+	// again.
+	resubmitAfter = 50 * time.Millisecond
+	// answerMargin is kept between the last answer and the caller's deadline.
+	// It is less than the scheduler's, whose answer is better informed.
+	answerMargin = 60 * time.Millisecond
+	// noScheduler is the advice to callers whose jobs found no scheduler.
+	noScheduler = time.Second
+)
+
+// heldJob is a job that callers of this entry VM wait for.
+type heldJob struct {
+	job      cell.Job
+	received time.Time
+	deadline time.Time
+	answers  []chan<- cell.Answer
+	// sentTo is the scheduler that has the job; empty if none has.
+	sentTo string
+	// sent counts the schedulers that had the job.
+	sent int
+	// safeAt is when no earlier scheduler acts on the job any more.
+	safeAt  time.Time
+	retryAt time.Time
+}
+
+func (loop *loop) accept(event accepted) {
+	held, known := loop.held[event.job.ID]
+	if known {
+		held.answers = append(held.answers, event.answer)
+		return
+	}
+	held = &heldJob{
+		job:      event.job,
+		received: loop.now.Add(-event.job.Age),
+		deadline: loop.now.Add(event.job.Left),
+		answers:  []chan<- cell.Answer{event.answer},
+	}
+	loop.held[event.job.ID] = held
+	loop.log(logevent.JobAccepted, "job", event.job.ID, "kind", event.job.Kind, "left", event.job.Left)
+	loop.submit(held)
+}
+
+// submit sends a job to the scheduler, unless it has it.
+func (loop *loop) submit(held *heldJob) {
+	if loop.leader == "" || held.sentTo == loop.leader || loop.now.Before(held.retryAt) {
+		return
+	}
+	if held.sentTo == "" {
+		held.job.Generation = held.sent
+		held.sent++
+	}
+	held.sentTo = loop.leader
+	job := held.job
+	job.Age = loop.now.Sub(held.received)
+	job.Left = held.deadline.Sub(loop.now)
+	job.Quarantine = max(held.safeAt.Sub(loop.now), 0)
+	if loop.leader == loop.view.Self().Address {
+		loop.tell(cell.JobSubmitted{
+			Front: loop.selfName(),
+			Job:   job,
+		})
+		return
+	}
+	loop.send(loop.leader, link.Message{
+		Submit: &job,
+	})
+}
+
+// submitAll sends all jobs to the scheduler again, which has some of them
+// already.
+func (loop *loop) submitAll() {
+	for _, held := range loop.held {
+		if held.sentTo == loop.leader {
+			held.sentTo = ""
+			held.sent--
+		}
+		loop.submit(held)
+	}
+}
+
+// follow submits to another scheduler from now on.
+func (loop *loop) follow(leader, reason string) {
+	if leader == loop.leader {
+		return
+	}
+	loop.log(logevent.SchedulerFollowed, "scheduler", leader, "before", loop.leader, "reason", reason)
+	if loop.leader != "" && loop.leader != loop.view.Self().Address && !loop.view.Live(loop.leader) {
+		loop.dispatcher.links.Reset(loop.leader)
+	}
+	loop.leader = leader
+	loop.view.Follow(leader)
+	for _, held := range loop.held {
+		if held.sentTo != "" {
+			held.sentTo = ""
+			held.safeAt = loop.now.Add(quarantine)
+		}
+	}
+	if leader == "" {
+		return
+	}
+	if leader != loop.view.Self().Address {
+		loop.sendBeat(leader, false)
+	}
+	for _, held := range loop.held {
+		loop.submit(held)
+	}
+}
+
+func (loop *loop) declined(from, id string) {
+	held, known := loop.held[id]
+	if !known || held.sentTo != from {
+		return
+	}
+	held.sentTo = ""
+	held.sent--
+	held.retryAt = loop.now.Add(resubmitAfter)
+}
+
+func (loop *loop) answered(from string, answer cell.Answer) {
+	held, known := loop.held[answer.ID]
+	if !known || held.sentTo != from {
+		return
+	}
+	loop.reply(held, answer)
+}
+
+func (loop *loop) reply(held *heldJob, answer cell.Answer) {
+	delete(loop.held, held.job.ID)
+	event := logevent.JobAnswered
+	if answer.Result != cell.Completed {
+		event = logevent.JobGivenUp
+	}
+	loop.log(event, "job", answer.ID, "kind", held.job.Kind, "result", string(answer.Result),
+		"reason", answer.Reason, "took", loop.now.Sub(held.received), "schedulers", held.sent)
+	for _, waiting := range held.answers {
+		waiting <- answer
+	}
+}
+
+// callerLeft withdraws a job when its last caller is gone.
+func (loop *loop) callerLeft(event callerLeft) {
+	held, known := loop.held[event.id]
+	if !known {
+		return
+	}
+	held.answers = slices.DeleteFunc(held.answers, func(other chan<- cell.Answer) bool { return other == event.answer })
+	if len(held.answers) > 0 {
+		return
+	}
+	delete(loop.held, event.id)
+	loop.log(logevent.JobWithdrawn, "job", event.id, "kind", held.job.Kind, "after", loop.now.Sub(held.received))
+	switch held.sentTo {
+	case "":
+	case loop.view.Self().Address:
+		loop.tell(cell.JobWithdrawn{
+			Front: loop.selfName(),
+			ID:    event.id,
+		})
+	default:
+		loop.send(held.sentTo, link.Message{
+			Withdraw: &link.Withdraw{
+				ID: event.id,
+			},
+		})
+	}
+}
+
+// tickHeld submits jobs that wait for a scheduler, and answers those whose
+// time is over.
+func (loop *loop) tickHeld() {
+	for _, held := range loop.held {
+		if loop.now.Before(held.deadline.Add(-answerMargin)) {
+			loop.submit(held)
+			continue
+		}
+		answer := cell.Answer{
+			ID:     held.job.ID,
+			Result: cell.Failed,
+			Reason: "deadline",
+		}
+		if held.sent == 0 {
+			answer.Result = cell.NotRun
+			answer.Reason = "no scheduler"
+			answer.RetryAfter = noScheduler
+		}
+		loop.withdrawSent(held)
+		loop.reply(held, answer)
+	}
+}
+
+func (loop *loop) withdrawSent(held *heldJob) {
+	if held.sentTo != "" && held.sentTo != loop.view.Self().Address {
+		loop.send(held.sentTo, link.Message{
+			Withdraw: &link.Withdraw{
+				ID: held.job.ID,
+			},
+		})
+	}
+}
--- /dev/null
+++ b/shared/process/dispatcher/loop.go
@@ -0,0 +1,388 @@
+package dispatcher
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"tanagerfall/shared/connection/link"
+	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/request/estimate"
+	"tanagerfall/shared/version/region"
+	"tanagerfall/shared/version/routing"
+)
+
+const (
+	// tokenStep separates the fencing tokens of one process; the rest of a
+	// token tells processes apart.
+	tokenStep = 1024
+	// routesEvery spaces the copies of the routing table for one peer, and
+	// gives it time to read the table itself.
+	routesEvery = 500 * time.Millisecond
+	// listStale is the age of the scheduler's list of upstreams from which
+	// peers send it theirs, and listFresh the age of a list worth sending.
+	listStale = 1500 * time.Millisecond
+	listFresh = time.Second
+	// speedsEvery spaces the messages that tell the learned speeds.
+	speedsEvery = 5 * time.Second
+	// membersEvery spaces the heartbeats that carry all known processes.
+	membersEvery = 2 * time.Second
+	// cancelWait is how long a caller's cancellation waits for the scheduler.
+	cancelWait = time.Second
+)
+
+// loop is the state of the control goroutine.
+type loop struct {
+	dispatcher *Dispatcher
+	options    Options
+	ctx        context.Context
+	now        time.Time
+	lastTick   time.Time
+
+	view      *region.View
+	estimator *estimate.Estimator
+	// leader is the process that this one submits to; empty if none is known.
+	leader      string
+	leaderBegan time.Time
+	held        map[string]*heldJob
+
+	// cell is nil while this process does not schedule; activation numbers
+	// the Cells of this process.
+	cell       *cell.Cell
+	activation int
+	token      int64
+	// fronts holds the entry VMs with jobs in the Cell, by address.
+	fronts map[string]string
+
+	routes       *routing.Table
+	upstreams    []cell.Upstream
+	listedAt     time.Time
+	cancels      map[uint64]pendingCancel
+	cancelNumber uint64
+	// told holds when a peer was last sent something that is spaced.
+	told      map[string]time.Time
+	beatAt    time.Time
+	membersAt time.Time
+	speedsAt  time.Time
+}
+
+type pendingCancel struct {
+	known chan<- bool
+	until time.Time
+}
+
+// frontName names one incarnation of an entry VM.
+func frontName(address string, incarnation uint64) string {
+	return address + "#" + strconv.FormatUint(incarnation, 36)
+}
+
+func (loop *loop) selfName() string {
+	self := loop.view.Self()
+	return frontName(self.Address, self.Incarnation)
+}
+
+func (loop *loop) begin() {
+	for _, address := range loop.options.Peers {
+		loop.learn([]region.Member{{
+			Address: address,
+		}})
+	}
+}
+
+func (loop *loop) handle(now time.Time, event event) {
+	loop.now = now
+	switch event := event.(type) {
+	case linked:
+		loop.linked(event.event)
+	case accepted:
+		loop.accept(event)
+	case callerLeft:
+		loop.callerLeft(event)
+	case cancelAsked:
+		loop.cancel(event)
+	case routesRead:
+		loop.adoptRoutes(event.table, "platform")
+	case upstreamsRead:
+		loop.adoptUpstreams(event.rows, 0)
+	case membersRead:
+		loop.learn(event.members)
+	case replied:
+		if loop.cell != nil && event.activation == loop.activation {
+			loop.act(loop.cell.Handle(now, event.event))
+		}
+	case leaveAsked:
+		loop.leave()
+	case dumpAsked:
+		event.dump <- loop.state()
+	case ticked:
+		loop.tick()
+	}
+}
+
+func (loop *loop) tick() {
+	gap := loop.now.Sub(loop.lastTick) - tickEvery
+	loop.lastTick = loop.now
+	if gap <= pauseLimit {
+		gap = 0
+	}
+	loop.view.Advance(loop.now, gap)
+	if gap > 0 {
+		loop.log(logevent.ProcessPaused, "pause", gap)
+		loop.view.Abstain(abstainFor)
+		loop.standDown("paused")
+	}
+	for _, address := range loop.view.Forget() {
+		loop.dispatcher.links.Close(address)
+	}
+	loop.elect()
+	loop.beat()
+	loop.tickHeld()
+	loop.expireCancels()
+	if loop.cell != nil {
+		loop.dropLostFronts()
+		loop.act(loop.cell.Handle(loop.now, cell.Tick{}))
+		loop.publishPending(loop.cell.Pending())
+	}
+	loop.dispatcher.ready.Store(!loop.view.Leaving() && loop.routes != nil && loop.leader != "")
+}
+
+func (loop *loop) publishPending(counts map[string]int) {
+	loop.dispatcher.pending.Store(&counts)
+}
+
+// learn opens links to processes that were not known.
+func (loop *loop) learn(members []region.Member) {
+	for _, address := range loop.view.Learn(members) {
+		loop.dispatcher.links.Open(loop.ctx, address)
+	}
+}
+
+func (loop *loop) linked(event link.Event) {
+	switch event := event.(type) {
+	case link.Received:
+		loop.receive(event.Message)
+	case link.Up:
+		loop.sendBeat(event.Address, true)
+		if event.Address == loop.leader {
+			loop.submitAll()
+		}
+	case link.Down:
+		if event.Refused {
+			loop.view.Refused(event.Address)
+			loop.elect()
+		}
+	}
+}
+
+func (loop *loop) receive(message link.Message) {
+	switch {
+	case message.Heartbeat != nil:
+		loop.heard(*message.Heartbeat)
+	case message.Submit != nil:
+		loop.submitted(message.From, message.Incarnation, *message.Submit)
+	case message.Withdraw != nil:
+		loop.tell(cell.JobWithdrawn{
+			Front: frontName(message.From, message.Incarnation),
+			ID:    message.Withdraw.ID,
+		})
+	case message.Answer != nil:
+		loop.answered(message.From, *message.Answer)
+	case message.Decline != nil:
+		loop.declined(message.From, message.Decline.ID)
+	case message.Cancel != nil:
+		loop.cancelFor(message.From, *message.Cancel)
+	case message.Cancelled != nil:
+		loop.cancelled(*message.Cancelled)
+	case message.Routes != nil:
+		loop.adoptRoutes(message.Routes.Index(), message.From)
+	case message.Upstreams != nil:
+		loop.adoptUpstreams(message.Upstreams.Rows, message.Upstreams.Age)
+	case message.Speeds != nil:
+		for id, speed := range message.Speeds.Upstreams {
+			loop.estimator.Declare(id, speed)
+		}
+	}
+}
+
+// tell hands an event to the Cell, if this process schedules.
+func (loop *loop) tell(event cell.Event) {
+	if loop.cell != nil {
+		loop.act(loop.cell.Handle(loop.now, event))
+	}
+}
+
+func (loop *loop) heard(beat region.Heartbeat) {
+	address := beat.Member.Address
+	known := loop.view.Live(address)
+	replaced := loop.view.Heard(beat)
+	loop.dispatcher.links.Open(loop.ctx, address)
+	loop.learn(beat.Members)
+	if !known {
+		loop.log(logevent.MemberJoined, "member", address, "name", beat.Member.Name)
+	}
+	if loop.cell != nil {
+		front := frontName(address, beat.Member.Incarnation)
+		held, has := loop.fronts[address]
+		if has && (replaced || held != front || beat.Follows != loop.view.Self().Address) {
+			delete(loop.fronts, address)
+			loop.tell(cell.FrontLost{
+				Front: held,
+			})
+		}
+	}
+	if address == loop.leader {
+		if loop.cell == nil {
+			loop.publishPending(beat.Pending)
+		}
+		if replaced {
+			loop.follow("", "scheduler restarted")
+		}
+	}
+	loop.helpOut(address, beat)
+	loop.elect()
+}
+
+// helpOut sends a peer what it lacks.
+func (loop *loop) helpOut(address string, beat region.Heartbeat) {
+	if loop.routes != nil && beat.RoutesVersion < loop.routes.Version && loop.due("routes "+address, routesEvery) {
+		loop.send(address, link.Message{
+			Routes: loop.routes,
+		})
+	}
+	if beat.ActiveFor > 0 && beat.ListAge > listStale && !loop.listedAt.IsZero() {
+		age := loop.now.Sub(loop.listedAt)
+		if age < listFresh && loop.due("list "+address, listStale) {
+			loop.send(address, link.Message{
+				Upstreams: &link.Upstreams{
+					Rows: loop.upstreams,
+					Age:  age,
+				},
+			})
+		}
+	}
+}
+
+// due reports whether something was last done longer ago than a period, and
+// counts it as done now.
+func (loop *loop) due(what string, period time.Duration) bool {
+	last, known := loop.told[what]
+	if known && loop.now.Sub(last) < period {
+		return false
+	}
+	loop.told[what] = loop.now
+	return known
+}
+
+func (loop *loop) send(address string, message link.Message) {
+	self := loop.view.Self()
+	message.From = self.Address
+	message.Incarnation = self.Incarnation
+	loop.dispatcher.links.Send(address, message)
+}
+
+func (loop *loop) adoptRoutes(table *routing.Table, source string) {
+	if loop.routes != nil && table.Version <= loop.routes.Version {
+		return
+	}
+	loop.routes = table
+	loop.dispatcher.routes.Store(table)
+	loop.log(logevent.PlanAdopted, "version", table.Version, "routes", len(table.Routes), "source", source)
+}
+
+func (loop *loop) adoptUpstreams(rows []cell.Upstream, age time.Duration) {
+	readAt := loop.now.Add(-age)
+	if readAt.Before(loop.listedAt) {
+		return
+	}
+	loop.listedAt = readAt
+	loop.upstreams = rows
+	loop.tell(cell.UpstreamsListed{
+		Upstreams: rows,
+	})
+}
+
+func (loop *loop) listAge() time.Duration {
+	if loop.listedAt.IsZero() {
+		return time.Hour
+	}
+	return loop.now.Sub(loop.listedAt)
+}
+
+func (loop *loop) beat() {
+	if loop.now.Sub(loop.beatAt) < loop.view.Period() {
+		return
+	}
+	withMembers := loop.now.Sub(loop.membersAt) >= membersEvery
+	if withMembers {
+		loop.membersAt = loop.now
+	}
+	loop.beatAll(withMembers)
+	if loop.cell != nil && loop.now.Sub(loop.speedsAt) >= speedsEvery {
+		loop.speedsAt = loop.now
+		loop.tellSpeeds()
+	}
+}
+
+func (loop *loop) beatAll(withMembers bool) {
+	loop.beatAt = loop.now
+	for _, address := range loop.view.Addresses() {
+		loop.sendBeat(address, withMembers)
+	}
+}
+
+func (loop *loop) sendBeat(address string, withMembers bool) {
+	beat := region.Heartbeat{
+		Member:    loop.view.Self(),
+		Leaving:   loop.view.Leaving(),
+		ActiveFor: loop.view.ActiveFor(),
+		Follows:   loop.leader,
+		Token:     loop.token,
+		ListAge:   loop.listAge(),
+		Period:    loop.view.Period(),
+	}
+	if loop.routes != nil {
+		beat.RoutesVersion = loop.routes.Version
+	}
+	if withMembers {
+		beat.Members = loop.view.Members()
+	}
+	if loop.cell != nil {
+		beat.Pending = loop.cell.Pending()
+	}
+	loop.send(address, link.Message{
+		Heartbeat: &beat,
+	})
+}
+
+func (loop *loop) tellSpeeds() {
+	speeds := make(map[string]float64, len(loop.upstreams))
+	for _, row := range loop.upstreams {
+		speeds[row.ID] = loop.estimator.Speed(row.ID)
+	}
+	for _, address := range loop.view.Addresses() {
+		if loop.view.Live(address) {
+			loop.send(address, link.Message{
+				Speeds: &link.Speeds{
+					Upstreams: speeds,
+				},
+			})
+		}
+	}
+}
+
+func (loop *loop) leave() {
+	if loop.view.Leaving() {
+		return
+	}
+	loop.log(logevent.ProcessStopping)
+	loop.view.Leave()
+	loop.dispatcher.ready.Store(false)
+	loop.standDown("leaving")
+	loop.elect()
+	loop.beatAll(false)
+}
+
+func (loop *loop) log(event logevent.Event, pairs ...any) {
+	loop.options.Logger.Log(event, pairs...)
+}
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -1,11 +1,6 @@
 package logevent
 
-import (
-	"fmt"
-	"io"
-
-	"github.com/charmbracelet/log"
-)
+import "github.com/charmbracelet/log"
 
 // Event is a kind of log line. Its number never changes its meaning.
 type Event struct {
@@ -17,7 +12,7 @@
 }
 
 // The events. 1xx: process, 2xx: fleet, 3xx: plan, 4xx: requests,
-// 5xx: upstreams, 6xx: peers and hand-over.
+// 5xx: upstreams, 6xx: peers and hand-over, 7xx: scheduling of a region.
 var (
 	ProcessStarted = Event{
 		Number: 101,
@@ -199,6 +194,120 @@
 		Level:  log.InfoLevel,
 		Text:   "peer can be reached again",
 	}
+	SchedulerStarted = Event{
+		Number: 701,
+		Name:   "scheduler-started",
+		Level:  log.InfoLevel,
+		Text:   "this process schedules the region",
+	}
+	SchedulerStopped = Event{
+		Number: 702,
+		Name:   "scheduler-stopped",
+		Level:  log.InfoLevel,
+		Text:   "this process schedules no longer",
+	}
+	SchedulerFollowed = Event{
+		Number: 703,
+		Name:   "scheduler-followed",
+		Level:  log.InfoLevel,
+		Text:   "jobs go to another scheduler",
+	}
+	UpstreamState = Event{
+		Number: 704,
+		Name:   "upstream-state",
+		Level:  log.InfoLevel,
+		Text:   "what is believed of an upstream changed",
+	}
+	JobAccepted = Event{
+		Number: 711,
+		Name:   "job-accepted",
+		Level:  log.DebugLevel,
+		Text:   "job accepted from a caller",
+	}
+	JobAnswered = Event{
+		Number: 712,
+		Name:   "job-answered",
+		Level:  log.DebugLevel,
+		Text:   "job completed",
+	}
+	JobGivenUp = Event{
+		Number: 713,
+		Name:   "job-given-up",
+		Level:  log.WarnLevel,
+		Text:   "job was not completed",
+	}
+	JobWithdrawn = Event{
+		Number: 714,
+		Name:   "job-withdrawn",
+		Level:  log.InfoLevel,
+		Text:   "no caller waits for the job any more",
+	}
+	RequestRefused = Event{
+		Number: 715,
+		Name:   "request-refused",
+		Level:  log.InfoLevel,
+		Text:   "request refused before it became a job",
+	}
+	RunPlaced = Event{
+		Number: 721,
+		Name:   "run-placed",
+		Level:  log.DebugLevel,
+		Text:   "run ordered at an upstream",
+	}
+	RunStopped = Event{
+		Number: 722,
+		Name:   "run-stopped",
+		Level:  log.InfoLevel,
+		Text:   "run is stopped",
+	}
+	RunLost = Event{
+		Number: 723,
+		Name:   "run-lost",
+		Level:  log.InfoLevel,
+		Text:   "run ended without a result",
+	}
+	OrderFailed = Event{
+		Number: 724,
+		Name:   "order-failed",
+		Level:  log.InfoLevel,
+		Text:   "order to an upstream was not carried out",
+	}
+	StoreUnreachable = Event{
+		Number: 731,
+		Name:   "store-unreachable",
+		Level:  log.WarnLevel,
+		Text:   "platform's store does not answer",
+	}
+	StoreReachable = Event{
+		Number: 732,
+		Name:   "store-reachable",
+		Level:  log.InfoLevel,
+		Text:   "platform's store answers again",
+	}
+	RecordInvalid = Event{
+		Number: 733,
+		Name:   "record-invalid",
+		Level:  log.WarnLevel,
+		Text:   "record of the platform's store can't be read and is passed over",
+	}
+	SettingsReloaded = Event{
+		Number: 741,
+		Name:   "settings-reloaded",
+		Level:  log.InfoLevel,
+		Text:   "settings were read again",
+	}
+	SettingsRejected = Event{
+		Number: 742,
+		Name:   "settings-rejected",
+		Level:  log.ErrorLevel,
+		Text:   "settings could not be read again; the old ones stay",
+	}
+	LinesSuppressed = Event{
+		Number: 751,
+		Name:   "lines-suppressed",
+		Level:  log.WarnLevel,
+		Text:   "log lines over the budget were left out",
+	}
 )
 
 // Events returns all events in order of their numbers.
@@ -210,29 +319,9 @@
 		JobFailed, JobRefused,
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
+		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState,
+		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused,
+		RunPlaced, RunStopped, RunLost, OrderFailed,
+		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
 	}
 }
-
-// Logger writes events.
-type Logger struct {
-	logger *log.Logger
-}
-
-// New returns a Logger that writes lines at or above level in logfmt.
-func New(writer io.Writer, level log.Level, vm string) *Logger {
-	logger := log.NewWithOptions(writer, log.Options{
-		Level:           level,
-		ReportTimestamp: true,
-		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
-		Formatter:       log.LogfmtFormatter,
-	})
-	return &Logger{
-		logger: logger.With("vm", vm),
-	}
-}
-
-// Log writes one event with alternating keys and values.
-func (logger *Logger) Log(event Event, pairs ...any) {
-	pairs = append([]any{"event", fmt.Sprintf("E%03d", event.Number)}, pairs...)
-	logger.logger.Log(event.Level, event.Text, pairs...)
-}
--- /dev/null
+++ b/shared/request/cell/config.go
@@ -0,0 +1,130 @@
+package cell
+
+import (
+	"time"
+
+	"tanagerfall/shared/request/estimate"
+)
+
+// Claim says how firmly this process may take an upstream.
+type Claim int
+
+// The claims.
+const (
+	// ClaimNone: another process schedules the upstream.
+	ClaimNone Claim = iota
+	// ClaimWeak: this process takes the upstream unless another one has it.
+	ClaimWeak
+	// ClaimFirm: this process takes the upstream back from any other.
+	ClaimFirm
+)
+
+// Config is what a Cell is made of.
+type Config struct {
+	Estimator *estimate.Estimator
+	// Claims says which upstreams the Cell may take.
+	Claims func(upstream Upstream) Claim
+	// NextToken returns a fencing token that is higher than all that this
+	// process has used or heard of.
+	NextToken func() int64
+	// Limits holds bounds; DefaultLimits has the usual ones.
+	Limits Limits
+}
+
+// Limits holds the bounds of a Cell.
+type Limits struct {
+	// Lease is how long everything on an upstream may run after an order. The
+	// platform's workers cut longer leases to 1 s.
+	Lease time.Duration
+	// ClockSlack is the share by which an upstream's clock may be slow.
+	ClockSlack float64
+	// LapseMargin is added to the computed end of a lease, for the worker to
+	// kill what ran under it.
+	LapseMargin time.Duration
+	// WatchWait is how long a watch may wait for an end. It spaces the
+	// renewals of leases: a lease survives two lost watches.
+	WatchWait time.Duration
+	// LookEvery spaces the looks at an upstream that does not answer.
+	LookEvery time.Duration
+	// StopGrace is the time that a worker may take to end a stopped run.
+	StopGrace time.Duration
+	// StopRetry spaces repeated stops that got no answer.
+	StopRetry time.Duration
+	// AdoptWindow is how long a new Cell keeps the runs of jobs that it does
+	// not have. Entry VMs that notice the change late submit their jobs
+	// within it.
+	AdoptWindow time.Duration
+	// OrphanWindow is the same for runs that appear later.
+	OrphanWindow time.Duration
+	// ConcedeFor is how long runs on an upstream that was taken by another
+	// process may go on there: its adoption window, and the stop.
+	ConcedeFor time.Duration
+	// ReclaimFirm and ReclaimWeak are the times after which an upstream that
+	// was taken by another process is taken back.
+	ReclaimFirm time.Duration
+	ReclaimWeak time.Duration
+	// FullFor is how long an upstream that refused for want of room gets
+	// nothing.
+	FullFor time.Duration
+	// SetAsideAfter is the number of failed runs in a row that sets an
+	// upstream aside.
+	SetAsideAfter int
+	// SetAsideFor is how long the first time lasts. Each further one lasts
+	// twice as long, up to SetAsideMax.
+	SetAsideFor time.Duration
+	SetAsideMax time.Duration
+	// SetAsideShare bounds the upstreams that are set aside, as a share of all.
+	SetAsideShare float64
+	// UnhealthyFor is how long an upstream that refused an order as unhealthy
+	// is set aside.
+	UnhealthyFor time.Duration
+	// StillAfter is the time without progress, and StallShare the share of the
+	// expected run time, after which a run counts as standing still.
+	StillAfter time.Duration
+	StallShare float64
+	// LateFactor times the latency objective is the latest answer that is
+	// worth something.
+	LateFactor float64
+	// AnswerMargin is kept between an answer and the caller's deadline.
+	AnswerMargin time.Duration
+	// Overhead is the part of the objective that connections and messages use.
+	Overhead time.Duration
+	// IdleShare is the share of free cores from which tasks take the fastest
+	// upstream in place of the slowest that meets the objective.
+	IdleShare float64
+	// MinRetryAfter and MaxRetryAfter bound the advice to refused callers.
+	MinRetryAfter time.Duration
+	MaxRetryAfter time.Duration
+}
+
+// DefaultLimits returns the limits for tasks of 50 ms to a few seconds.
+func DefaultLimits() Limits {
+	return Limits{
+		Lease:         time.Second,
+		ClockSlack:    0.02,
+		LapseMargin:   100 * time.Millisecond,
+		WatchWait:     300 * time.Millisecond,
+		LookEvery:     150 * time.Millisecond,
+		StopGrace:     50 * time.Millisecond,
+		StopRetry:     50 * time.Millisecond,
+		AdoptWindow:   900 * time.Millisecond,
+		OrphanWindow:  150 * time.Millisecond,
+		ConcedeFor:    2500 * time.Millisecond,
+		ReclaimFirm:   100 * time.Millisecond,
+		ReclaimWeak:   6 * time.Second,
+		FullFor:       40 * time.Millisecond,
+		SetAsideAfter: 2,
+		SetAsideFor:   time.Second,
+		SetAsideMax:   8 * time.Second,
+		SetAsideShare: 1.0 / 3,
+		UnhealthyFor:  300 * time.Millisecond,
+		StillAfter:    250 * time.Millisecond,
+		StallShare:    0.4,
+		LateFactor:    3,
+		AnswerMargin:  100 * time.Millisecond,
+		Overhead:      15 * time.Millisecond,
+		IdleShare:     0.3,
+		MinRetryAfter: time.Second,
+		MaxRetryAfter: 5 * time.Second,
+	}
+}
--- /dev/null
+++ b/shared/request/cell/messages.go
@@ -0,0 +1,322 @@
+package cell
+
+import "time"
+
+// Job is a job as an entry VM submits it. Times are relative, because the
+// clocks of VMs differ.
+type Job struct {
+	// ID is chosen by the caller.
+	ID string `cbor:"1,keyasint"`
+	// Kind names the class of jobs whose run times are alike.
+	Kind    string `cbor:"2,keyasint"`
+	Service string `cbor:"3,keyasint"`
+	Spec    string `cbor:"4,keyasint"`
+	Steps   []Step `cbor:"5,keyasint"`
+	// MaxAttempts is the number of failed runs of a task that fail the job.
+	MaxAttempts int `cbor:"6,keyasint"`
+	// Stretch times the estimated run time, plus Objective, is the latency
+	// objective of the job.
+	Stretch   float64       `cbor:"7,keyasint"`
+	Objective time.Duration `cbor:"8,keyasint"`
+	// Age is the time since the entry VM received the job.
+	Age time.Duration `cbor:"9,keyasint"`
+	// Left is the time until the job has to be answered.
+	Left time.Duration `cbor:"10,keyasint"`
+	// Generation counts the earlier Cells that had the job. Runs are numbered
+	// from it, so that their numbers rise from one Cell to the next.
+	Generation int `cbor:"11,keyasint,omitempty"`
+	// Quarantine is the time for which a previous Cell may still act on the
+	// job. Tasks that were not adopted start only after it, unless all
+	// upstreams were looked at.
+	Quarantine time.Duration `cbor:"12,keyasint,omitempty"`
+	// Priority 0 goes first among jobs that miss their objective.
+	Priority int `cbor:"13,keyasint,omitempty"`
+}
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Count    int           `cbor:"1,keyasint"`
+	Need     Resources     `cbor:"2,keyasint"`
+	Estimate time.Duration `cbor:"3,keyasint"`
+	// After lists the steps whose tasks must all be done first.
+	After []int `cbor:"4,keyasint,omitempty"`
+	// Label must be among the upstream's labels, unless it is empty.
+	Label string `cbor:"5,keyasint,omitempty"`
+	// NearRack is the label of the rack with the data.
+	NearRack string `cbor:"6,keyasint,omitempty"`
+	// MostTogether bounds the tasks of the step on one upstream; 0 means no
+	// bound.
+	MostTogether int `cbor:"7,keyasint,omitempty"`
+}
+
+// Resources is what a task occupies or an upstream has.
+type Resources struct {
+	MilliCores   int `cbor:"1,keyasint,omitempty"`
+	MemoryMb     int `cbor:"2,keyasint,omitempty"`
+	Accelerators int `cbor:"3,keyasint,omitempty"`
+}
+
+// fits reports whether need can be taken out of free.
+func (free Resources) fits(need Resources) bool {
+	return need.MilliCores <= free.MilliCores &&
+		need.MemoryMb <= free.MemoryMb &&
+		need.Accelerators <= free.Accelerators
+}
+
+func (free Resources) minus(need Resources) Resources {
+	return Resources{
+		MilliCores:   free.MilliCores - need.MilliCores,
+		MemoryMb:     free.MemoryMb - need.MemoryMb,
+		Accelerators: free.Accelerators - need.Accelerators,
+	}
+}
+
+// Upstream is a worker as the platform lists it.
+type Upstream struct {
+	ID       string    `cbor:"1,keyasint"`
+	Address  string    `cbor:"2,keyasint"`
+	Service  string    `cbor:"3,keyasint"`
+	Domain   string    `cbor:"4,keyasint"`
+	Slots    int       `cbor:"5,keyasint"`
+	Capacity Resources `cbor:"6,keyasint"`
+	Labels   []string  `cbor:"7,keyasint,omitempty"`
+	// Leaving upstreams get no new tasks.
+	Leaving bool `cbor:"8,keyasint,omitempty"`
+	// Incarnation is the start of the worker's process, in Unix ms; 0 where it
+	// is not known.
+	Incarnation int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// TaskName names a task of a job.
+type TaskName struct {
+	Job   string
+	Step  int
+	Index int
+}
+
+// RunName names one start of a task.
+type RunName struct {
+	Task   TaskName
+	Number int
+}
+
+// Order is the part that all orders to an upstream have in common.
+type Order struct {
+	Upstream string
+	Address  string
+	// Token is the fencing token. The upstream ignores orders with a lower
+	// token than the highest that it has seen.
+	Token int64
+	// LeaseEnd is the time on the upstream's clock, in ms, until which
+	// everything on it may run; 0 renews nothing.
+	LeaseEnd int64
+}
+
+// Outcome says what came of an order.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeDone: the upstream carried the order out.
+	OutcomeDone Outcome = iota
+	// OutcomeUnknown: no answer came. The order may take effect until its
+	// lease end.
+	OutcomeUnknown
+	// OutcomeNotSent: the order can't have reached the upstream.
+	OutcomeNotSent
+	// OutcomeFenced: the upstream has seen a higher token.
+	OutcomeFenced
+	// OutcomeStale: the run's number is not higher than an ended one.
+	OutcomeStale
+	// OutcomeLate: the lease end has passed on the upstream's clock.
+	OutcomeLate
+	// OutcomeFull: the upstream has no room.
+	OutcomeFull
+	// OutcomeUnhealthy: the upstream refuses orders for now.
+	OutcomeUnhealthy
+	// OutcomeRestarted: another incarnation answered.
+	OutcomeRestarted
+	// OutcomeInvalid: the upstream can't read the order.
+	OutcomeInvalid
+)
+
+// String returns the outcome's name for logs.
+func (outcome Outcome) String() string {
+	names := []string{"done", "unknown", "not-sent", "fenced", "stale", "late", "full", "unhealthy", "restarted", "invalid"}
+	if outcome < 0 || int(outcome) >= len(names) {
+		return "unnamed"
+	}
+	return names[outcome]
+}
+
+// Reply is the part that all answers to orders have in common.
+type Reply struct {
+	Order   Order
+	Outcome Outcome
+	// Clock is the upstream's clock in ms; 0 where the answer had none.
+	Clock int64
+	// SentAt and ReceivedAt are this process's times of the exchange.
+	SentAt     time.Time
+	ReceivedAt time.Time
+}
+
+// End says how a run ended.
+type End int
+
+// The ends.
+const (
+	// EndDone: the task is done.
+	EndDone End = iota
+	// EndFailed: the task failed, by its own or its upstream's fault.
+	EndFailed
+	// EndStopped: the run was stopped, lapsed, or ended with others.
+	EndStopped
+)
+
+// RunningRun is a run that an upstream lists as running.
+type RunningRun struct {
+	Run RunName
+	// Percent is the progress, 0 to 100.
+	Percent int
+}
+
+// EndedRun is an end that an upstream lists until it is acknowledged.
+type EndedRun struct {
+	Run RunName
+	// Sequence numbers the ends of one incarnation from 1.
+	Sequence int64
+	End      End
+}
+
+// Event is something that happened, told to a Cell.
+type Event interface{ event() }
+
+// The events.
+type (
+	// JobSubmitted brings a job from an entry VM. A job that the Cell has is
+	// answered to that VM as well.
+	JobSubmitted struct {
+		Front string
+		Job   Job
+	}
+	// JobWithdrawn tells that an entry VM no longer waits for a job.
+	JobWithdrawn struct {
+		Front string
+		ID    string
+	}
+	// FrontLost tells that an entry VM is gone. Its jobs are withdrawn.
+	FrontLost struct {
+		Front string
+	}
+	// StartReplied answers a StartRun.
+	StartReplied struct {
+		Reply Reply
+		Run   RunName
+	}
+	// StopReplied answers a StopRun.
+	StopReplied struct {
+		Reply Reply
+		Run   RunName
+	}
+	// Watched answers a Watch.
+	Watched struct {
+		Reply Reply
+		// Look is set for a Watch that did not wait.
+		Look        bool
+		Incarnation int64
+		Running     []RunningRun
+		Ended       []EndedRun
+	}
+	// UpstreamsListed carries all upstreams of the platform's list.
+	UpstreamsListed struct {
+		Upstreams []Upstream
+	}
+	// Tick lets the Cell act on the passage of time.
+	Tick struct{}
+)
+
+func (JobSubmitted) event()    {}
+func (JobWithdrawn) event()    {}
+func (FrontLost) event()       {}
+func (StartReplied) event()    {}
+func (StopReplied) event()     {}
+func (Watched) event()         {}
+func (UpstreamsListed) event() {}
+func (Tick) event()            {}
+
+// Decision is something that a Cell wants done.
+type Decision interface{ decision() }
+
+// The decisions.
+type (
+	// StartRun asks for a start. One StartReplied must follow.
+	StartRun struct {
+		Order Order
+		Run   RunName
+		Spec  string
+		// ExpectedMs is the predicted run time.
+		ExpectedMs float64
+	}
+	// StopRun asks for a stop. One StopReplied must follow.
+	StopRun struct {
+		Order  Order
+		Run    RunName
+		Reason string
+	}
+	// Watch asks for the runs of an upstream. One Watched must follow.
+	Watch struct {
+		Order Order
+		// Seen acknowledges the ends up to this sequence number.
+		Seen int64
+		// Wait is how long the upstream may hold the answer until a run ends.
+		Wait time.Duration
+		Look bool
+	}
+	// AnswerJob carries the answer of a job to an entry VM.
+	AnswerJob struct {
+		Front  string
+		Answer Answer
+	}
+	// UpstreamChanged tells a change of what the Cell believes of an upstream.
+	UpstreamChanged struct {
+		Upstream string
+		State    string
+		Reason   string
+	}
+	// RunLost tells that a run ended without a result, and why.
+	RunLost struct {
+		Upstream string
+		Run      RunName
+		Reason   string
+	}
+)
+
+func (StartRun) decision()        {}
+func (StopRun) decision()         {}
+func (Watch) decision()           {}
+func (AnswerJob) decision()       {}
+func (UpstreamChanged) decision() {}
+func (RunLost) decision()         {}
+
+// Result is the final state of a job.
+type Result string
+
+// The results.
+const (
+	// Completed: all tasks are done.
+	Completed Result = "completed"
+	// Failed: the job was given up. Some tasks may have run.
+	Failed Result = "failed"
+	// NotRun: no task has run, and none will.
+	NotRun Result = "not-run"
+)
+
+// Answer is the final answer of a job.
+type Answer struct {
+	ID     string `cbor:"1,keyasint"`
+	Result Result `cbor:"2,keyasint"`
+	// Reason says why a job was not completed.
+	Reason string `cbor:"3,keyasint,omitempty"`
+	// RetryAfter is set for NotRun: when the job is worth submitting again.
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/shared/request/cell/placement.go
@@ -0,0 +1,237 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+// clockFresh is how old the last answer of an upstream may be for a start:
+// beyond it the lease of a start would be short.
+const clockFresh = 5 * time.Second
+
+// expected returns the predicted run time at a speed.
+func (cell *Cell) expected(held *jobState, estimate time.Duration, speed float64) time.Duration {
+	work := cell.config.Estimator.WorkMs(held.job.Kind, ms(estimate))
+	return time.Duration(work / speed * float64(time.Millisecond))
+}
+
+// fastest returns the highest speed among the upstreams of a service.
+func (cell *Cell) fastest(service string) float64 {
+	fastest := 0.0
+	for _, at := range cell.order {
+		if at.listed.Service == service && at.state == upstreamOpen {
+			fastest = max(fastest, cell.speed(at))
+		}
+	}
+	if fastest == 0 {
+		return 1
+	}
+	return fastest
+}
+
+// backlog returns how long the capacity of a service needs for the waiting
+// work.
+func (cell *Cell) backlog(service string) time.Duration {
+	cores, work := 0.0, 0.0
+	for _, at := range cell.order {
+		if at.listed.Service == service && at.state == upstreamOpen {
+			cores += float64(at.listed.Capacity.MilliCores) * cell.speed(at)
+		}
+	}
+	if cores == 0 {
+		return cell.config.Limits.MaxRetryAfter
+	}
+	for _, held := range cell.waiting {
+		if held.job.Service != service {
+			continue
+		}
+		for _, next := range held.tasks {
+			if next.state == taskWaiting {
+				step := held.job.Steps[next.name.Step]
+				work += float64(cell.expected(held, step.Estimate, 1)) * float64(step.Need.MilliCores)
+			}
+		}
+	}
+	return time.Duration(work / cores)
+}
+
+// usable reports whether an upstream may get new tasks.
+func (cell *Cell) usable(at *upstream) bool {
+	return at.state == upstreamOpen && at.present && !at.listed.Leaving &&
+		at.missed == 0 &&
+		!at.asideUntil.After(cell.now) && !at.fullUntil.After(cell.now) &&
+		cell.now.Sub(at.clockAt) < clockFresh &&
+		at.used < at.listed.Slots && (!at.probing || at.used == 0)
+}
+
+// place starts waiting tasks where there is room.
+func (cell *Cell) place() {
+	if !cell.placeable {
+		return
+	}
+	cell.placeable = false
+	cell.dropPlaced()
+	if len(cell.waiting) == 0 {
+		return
+	}
+	var usable []*upstream
+	free, whole := 0, 0
+	for _, at := range cell.order {
+		if at.state == upstreamOpen {
+			whole += at.listed.Capacity.MilliCores
+		}
+		if cell.usable(at) && at.free.MilliCores > 0 {
+			usable = append(usable, at)
+			free += at.free.MilliCores
+		}
+	}
+	if len(usable) == 0 {
+		return
+	}
+	idle := float64(free) > cell.config.Limits.IdleShare*float64(whole)
+	fastest := make(map[string]float64)
+	cell.sortWaiting(fastest)
+	for _, held := range cell.waiting {
+		cell.placeJob(held, usable, idle, fastest[held.job.Service])
+	}
+	cell.dropPlaced()
+}
+
+func (cell *Cell) dropPlaced() {
+	cell.waiting = slices.DeleteFunc(cell.waiting, func(held *jobState) bool {
+		held.listed = held.queued > 0
+		return !held.listed
+	})
+}
+
+// sortWaiting puts the jobs with the least slack to their objective first, and
+// those that can't meet it any more last.
+func (cell *Cell) sortWaiting(fastest map[string]float64) {
+	for _, held := range cell.waiting {
+		if _, known := fastest[held.job.Service]; !known {
+			fastest[held.job.Service] = cell.fastest(held.job.Service)
+		}
+	}
+	rank := func(held *jobState) (int, time.Time) {
+		need := cell.expected(held, held.longest, fastest[held.job.Service])
+		switch {
+		case !cell.now.Add(need).After(held.target):
+			return 0, held.target.Add(-need)
+		case !cell.now.Add(need).After(held.lateEnd):
+			return 1, held.arrival
+		default:
+			return 2, held.arrival
+		}
+	}
+	type ranked struct {
+		held  *jobState
+		class int
+		at    time.Time
+	}
+	all := make([]ranked, len(cell.waiting))
+	for i, held := range cell.waiting {
+		class, at := rank(held)
+		all[i] = ranked{
+			held:  held,
+			class: class,
+			at:    at,
+		}
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int {
+		if a.class != b.class {
+			return a.class - b.class
+		}
+		return a.at.Compare(b.at)
+	})
+	for i := range all {
+		cell.waiting[i] = all[i].held
+	}
+}
+
+// placeJob starts the waiting tasks of one job as far as there is room.
+func (cell *Cell) placeJob(held *jobState, usable []*upstream, idle bool, fastest float64) {
+	if cell.now.Before(held.safeAt) && !cell.lookedAtAll(held.job.Service) {
+		return
+	}
+	for _, next := range held.tasks {
+		if next.state != taskWaiting {
+			continue
+		}
+		at := cell.choose(held, next, usable, idle, fastest)
+		if at == nil {
+			continue
+		}
+		cell.start(held, next, at)
+	}
+}
+
+// choose returns the upstream for a task, or nil where none has room or the
+// task does better to wait for a faster one.
+func (cell *Cell) choose(held *jobState, next *task, usable []*upstream, idle bool, fastest float64) *upstream {
+	step := held.job.Steps[next.name.Step]
+	var best *upstream
+	var bestEnd time.Time
+	for _, at := range usable {
+		if !cell.suits(at, held, next, &step) {
+			continue
+		}
+		end := cell.now.Add(cell.expected(held, step.Estimate, cell.speed(at)))
+		if best == nil || better(end, bestEnd, held.target, idle, at, best) {
+			best = at
+			bestEnd = end
+		}
+	}
+	if best == nil || !bestEnd.After(held.target) {
+		return best
+	}
+	soonest := cell.now.Add(cell.expected(held, step.Estimate, fastest))
+	if soonest.Before(held.target) {
+		return nil
+	}
+	return best
+}
+
+// better reports whether an upstream is to be taken before the best so far:
+// the fastest while much is idle or none meets the target, or else the slowest
+// that meets it.
+func better(end, bestEnd, target time.Time, idle bool, at, best *upstream) bool {
+	meets, bestMeets := !end.After(target), !bestEnd.After(target)
+	switch {
+	case meets != bestMeets:
+		return meets
+	case end.Equal(bestEnd):
+		return at.free.MilliCores < best.free.MilliCores
+	case meets && !idle:
+		return end.After(bestEnd)
+	default:
+		return end.Before(bestEnd)
+	}
+}
+
+// suits reports whether a task may run on an upstream.
+func (cell *Cell) suits(at *upstream, held *jobState, next *task, step *Step) bool {
+	if at.listed.Service != held.job.Service || at.used >= at.listed.Slots || !at.free.fits(step.Need) {
+		return false
+	}
+	if at.probing && at.used > 0 {
+		return false
+	}
+	if next.failures > 0 && (at.failures > 0 || at.probing || at.listed.ID == next.avoid) {
+		return false
+	}
+	if step.Label != "" && !slices.Contains(at.listed.Labels, step.Label) {
+		return false
+	}
+	return step.MostTogether <= 0 || at.countOf(next.name) < step.MostTogether
+}
+
+// countOf returns how many tasks of a task's step the upstream runs.
+func (at *upstream) countOf(name TaskName) int {
+	count := 0
+	for running := range at.runs {
+		if running.Task.Job == name.Job && running.Task.Step == name.Step {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/shared/version/region/view.go
@@ -0,0 +1,402 @@
+package region
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerfall/shared/request/cell"
+)
+
+const (
+	// HeartbeatEvery is the period of heartbeats in a small region.
+	HeartbeatEvery = 200 * time.Millisecond
+	// heartbeatPerPeer stretches the period in a large region, so that the
+	// messages of a process grow no faster than 100 a second.
+	heartbeatPerPeer = 10 * time.Millisecond
+	// SilenceLimit is the number of periods after which a silent process
+	// counts as gone. At 3.5 periods a process that runs five times slower
+	// still passes.
+	silencePeriods = 3.5
+	// brokenLimit is the silence after which a process whose connections were
+	// refused counts as gone.
+	brokenLimit = 250 * time.Millisecond
+	// settleTime is how long a new process listens before it takes over.
+	settleTime = 600 * time.Millisecond
+	// forgetAfter is how long a process that is not heard counts as a member.
+	// It exceeds the partitions that the rules are made for.
+	forgetAfter = 60 * time.Second
+)
+
+// Member is a process that may schedule.
+type Member struct {
+	// Address is where it receives the messages of peers.
+	Address string `cbor:"1,keyasint" json:"address"`
+	Name    string `cbor:"2,keyasint" json:"name"`
+	Domain  string `cbor:"3,keyasint" json:"failure-domain"`
+	// Weight is its share of a core.
+	Weight      float64 `cbor:"4,keyasint" json:"weight"`
+	Incarnation uint64  `cbor:"5,keyasint" json:"incarnation"`
+}
+
+// Heartbeat is what a process tells its peers of itself.
+type Heartbeat struct {
+	Member Member `cbor:"1,keyasint"`
+	// Leaving processes take no part in scheduling any more.
+	Leaving bool `cbor:"2,keyasint,omitempty"`
+	// ActiveFor is the time since the process began to schedule; 0 if it does
+	// not.
+	ActiveFor time.Duration `cbor:"3,keyasint,omitempty"`
+	// Follows is the address of the process that the sender submits to.
+	Follows string `cbor:"4,keyasint,omitempty"`
+	// Token is the highest fencing token that the sender knows.
+	Token int64 `cbor:"5,keyasint,omitempty"`
+	// RoutesVersion is the version of the sender's routing table.
+	RoutesVersion int64 `cbor:"6,keyasint,omitempty"`
+	// ListAge is the age of the sender's list of upstreams.
+	ListAge time.Duration `cbor:"7,keyasint,omitempty"`
+	// Members lists the processes that the sender knows.
+	Members []Member `cbor:"8,keyasint,omitempty"`
+	// Pending counts, by kind, the jobs of which no task has started. It is
+	// told by a process that schedules.
+	Pending map[string]int `cbor:"9,keyasint,omitempty"`
+	// Period is the time until the sender's next heartbeat.
+	Period time.Duration `cbor:"10,keyasint"`
+}
+
+// remote is what is known of another process.
+type remote struct {
+	beat    Heartbeat
+	heardAt time.Time
+	heard   bool
+	learned time.Time
+	refused time.Time
+}
+
+// View is what a process knows of the others. It is not safe for concurrent
+// use.
+type View struct {
+	self    Member
+	started time.Time
+	now     time.Time
+	remotes map[string]*remote
+	leaving bool
+	// activeSince is zero while this process does not schedule.
+	activeSince time.Time
+	follows     string
+	// abstainUntil keeps a process that was paused from taking over.
+	abstainUntil time.Time
+}
+
+// New returns the view of a process that knows no others.
+func New(now time.Time, self Member) *View {
+	return &View{
+		self:    self,
+		started: now,
+		now:     now,
+		remotes: make(map[string]*remote),
+	}
+}
+
+// Self returns the process's own entry.
+func (view *View) Self() Member { return view.self }
+
+// Advance sets the time. A pause of this process must not look like the
+// silence of all others, so it counts for none of them.
+func (view *View) Advance(now time.Time, paused time.Duration) {
+	view.now = now
+	if paused <= 0 {
+		return
+	}
+	for _, other := range view.remotes {
+		other.heardAt = other.heardAt.Add(paused)
+	}
+}
+
+// Abstain keeps this process from scheduling for a time.
+func (view *View) Abstain(length time.Duration) {
+	view.abstainUntil = view.now.Add(length)
+	view.activeSince = time.Time{}
+}
+
+// Learn adds processes that others told of, and returns the addresses that
+// were not known.
+func (view *View) Learn(members []Member) []string {
+	var added []string
+	for _, member := range members {
+		if member.Address == view.self.Address || member.Address == "" {
+			continue
+		}
+		if _, known := view.remotes[member.Address]; known {
+			continue
+		}
+		view.remotes[member.Address] = &remote{
+			beat: Heartbeat{
+				Member: member,
+			},
+			learned: view.now,
+		}
+		added = append(added, member.Address)
+	}
+	return added
+}
+
+// Heard takes note of a heartbeat. It reports whether a process of an earlier
+// incarnation was at the address.
+func (view *View) Heard(beat Heartbeat) (replaced bool) {
+	address := beat.Member.Address
+	if address == view.self.Address {
+		return false
+	}
+	held, known := view.remotes[address]
+	if !known {
+		held = &remote{
+			learned: view.now,
+		}
+		view.remotes[address] = held
+	}
+	replaced = held.heard && held.beat.Member.Incarnation != beat.Member.Incarnation
+	held.beat = beat
+	held.heard = true
+	held.heardAt = view.now
+	held.refused = time.Time{}
+	return replaced
+}
+
+// Refused takes note that no process listens at an address.
+func (view *View) Refused(address string) {
+	if held, known := view.remotes[address]; known && held.refused.IsZero() {
+		held.refused = view.now
+	}
+}
+
+// Forget drops the processes that were not heard for long, and returns their
+// addresses.
+func (view *View) Forget() []string {
+	var dropped []string
+	for address, held := range view.remotes {
+		last := held.learned
+		if held.heard {
+			last = held.heardAt
+		}
+		if view.now.Sub(last) > forgetAfter {
+			delete(view.remotes, address)
+			dropped = append(dropped, address)
+		}
+	}
+	sort.Strings(dropped)
+	return dropped
+}
+
+// Period returns the time between this process's heartbeats.
+func (view *View) Period() time.Duration {
+	return max(HeartbeatEvery, time.Duration(len(view.remotes))*heartbeatPerPeer)
+}
+
+// live reports whether a process was heard lately.
+func (view *View) live(held *remote) bool {
+	if !held.heard {
+		return false
+	}
+	silence := view.now.Sub(held.heardAt)
+	if !held.refused.IsZero() && silence > brokenLimit {
+		return false
+	}
+	return silence < time.Duration(silencePeriods*float64(max(held.beat.Period, HeartbeatEvery)))
+}
+
+// Live reports whether the process at an address was heard lately.
+func (view *View) Live(address string) bool {
+	if address == view.self.Address {
+		return true
+	}
+	held, known := view.remotes[address]
+	return known && view.live(held)
+}
+
+// LiveCount returns the number of live processes, this one included.
+func (view *View) LiveCount() int {
+	count := 1
+	for _, held := range view.remotes {
+		if view.live(held) {
+			count++
+		}
+	}
+	return count
+}
+
+// Addresses returns all known addresses but this process's own, sorted.
+func (view *View) Addresses() []string {
+	addresses := make([]string, 0, len(view.remotes))
+	for address := range view.remotes {
+		addresses = append(addresses, address)
+	}
+	sort.Strings(addresses)
+	return addresses
+}
+
+// Members returns all known processes, this one included.
+func (view *View) Members() []Member {
+	members := []Member{view.self}
+	for _, address := range view.Addresses() {
+		members = append(members, view.remotes[address].beat.Member)
+	}
+	return members
+}
+
+// Beat returns the last heartbeat of a process.
+func (view *View) Beat(address string) (Heartbeat, bool) {
+	held, known := view.remotes[address]
+	if !known || !held.heard {
+		return Heartbeat{}, false
+	}
+	return held.beat, true
+}
+
+// MaxToken returns the highest fencing token that any process told.
+func (view *View) MaxToken() int64 {
+	var highest int64
+	for _, held := range view.remotes {
+		highest = max(highest, held.beat.Token)
+	}
+	return highest
+}
+
+// Leave takes this process out of scheduling for good.
+func (view *View) Leave() {
+	view.leaving = true
+	view.activeSince = time.Time{}
+}
+
+// Leaving reports whether Leave was called.
+func (view *View) Leaving() bool { return view.leaving }
+
+// Activate tells that this process schedules from now on.
+func (view *View) Activate() { view.activeSince = view.now }
+
+// Deactivate tells that this process schedules no longer.
+func (view *View) Deactivate() { view.activeSince = time.Time{} }
+
+// ActiveFor returns the time since Activate, or 0.
+func (view *View) ActiveFor() time.Duration {
+	if view.activeSince.IsZero() {
+		return 0
+	}
+	return max(view.now.Sub(view.activeSince), time.Millisecond)
+}
+
+// Follow tells which process this one submits to.
+func (view *View) Follow(address string) { view.follows = address }
+
+// candidate is a process that may be chosen.
+type candidate struct {
+	member    Member
+	activeFor time.Duration
+	followers int
+}
+
+// candidates returns the live processes that are not leaving.
+func (view *View) candidates() []candidate {
+	followers := make(map[string]int)
+	followers[view.follows]++
+	var found []candidate
+	if !view.leaving && !view.now.Before(view.abstainUntil) {
+		found = append(found, candidate{
+			member:    view.self,
+			activeFor: view.ActiveFor(),
+		})
+	}
+	for _, address := range view.Addresses() {
+		held := view.remotes[address]
+		if !view.live(held) {
+			continue
+		}
+		followers[held.beat.Follows]++
+		if !held.beat.Leaving {
+			found = append(found, candidate{
+				member:    held.beat.Member,
+				activeFor: held.beat.ActiveFor,
+			})
+		}
+	}
+	for i := range found {
+		found[i].followers = followers[found[i].member.Address]
+	}
+	return found
+}
+
+// Leader returns the process that schedules: among those that do, the one with
+// the most followers, and the longest of these. Where none does, it is the
+// live process with the highest rank, and active is false.
+func (view *View) Leader() (leader Member, active, found bool) {
+	var best candidate
+	for _, other := range view.candidates() {
+		if !found || ahead(other, best) {
+			best = other
+			found = true
+		}
+	}
+	return best.member, best.activeFor > 0, found
+}
+
+func ahead(a, b candidate) bool {
+	if (a.activeFor > 0) != (b.activeFor > 0) {
+		return a.activeFor > 0
+	}
+	if a.activeFor > 0 {
+		if a.followers != b.followers {
+			return a.followers > b.followers
+		}
+		if a.activeFor != b.activeFor {
+			return a.activeFor > b.activeFor
+		}
+	}
+	rankA, rankB := rank(a.member, "leader"), rank(b.member, "leader")
+	if rankA != rankB {
+		return rankA > rankB
+	}
+	return a.member.Address < b.member.Address
+}
+
+// rank is the weighted rendezvous score of a process for a key.
+func rank(member Member, key string) float64 {
+	digest := xxhash.Sum64String(member.Address + "/" + key)
+	unit := (float64(digest>>11) + 0.5) / (1 << 53)
+	return -math.Max(member.Weight, 0.001) / math.Log(unit)
+}
+
+// Settled reports whether this process has listened long enough to take over.
+func (view *View) Settled() bool {
+	return view.now.Sub(view.started) >= settleTime
+}
+
+// Claim says whether this process, if it schedules, may take an upstream. The
+// home of an upstream is a process of its failure domain. Processes that see
+// its home, or that see most of the processes, take it.
+func (view *View) Claim(upstream cell.Upstream) cell.Claim {
+	var home *Member
+	best := 0.0
+	members := view.Members()
+	sameDomain := false
+	for _, member := range members {
+		sameDomain = sameDomain || member.Domain == upstream.Domain
+	}
+	for i := range members {
+		if sameDomain && members[i].Domain != upstream.Domain {
+			continue
+		}
+		if score := rank(members[i], upstream.ID); home == nil || score > best {
+			home = &members[i]
+			best = score
+		}
+	}
+	if view.Live(home.Address) {
+		return cell.ClaimFirm
+	}
+	if 2*view.LiveCount() > len(members) {
+		return cell.ClaimWeak
+	}
+	return cell.ClaimNone
+}
