--- a/shared/process/dispatcher/held.go
+++ b/shared/process/dispatcher/held.go
@@ -187,7 +187,7 @@
 		}
 		answer := cell.Answer{
 			ID:     held.job.ID,
-			Result: cell.Failed,
+			Result: cell.Interrupted,
 			Reason: "deadline",
 		}
 		if held.sent == 0 {
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -31,17 +31,18 @@
 
 // Counters count what a Cell has done, for metrics and the state dump.
 type Counters struct {
-	Submitted int64 `json:"submitted"`
-	Completed int64 `json:"completed"`
-	Failed    int64 `json:"failed"`
-	NotRun    int64 `json:"not-run"`
-	Starts    int64 `json:"starts"`
-	Stops     int64 `json:"stops"`
-	Adopted   int64 `json:"adopted"`
-	Lost      int64 `json:"lost"`
-	Moved     int64 `json:"moved"`
-	Taken     int64 `json:"taken"`
-	Fenced    int64 `json:"fenced"`
+	Submitted   int64 `json:"submitted"`
+	Completed   int64 `json:"completed"`
+	Failed      int64 `json:"failed"`
+	Interrupted int64 `json:"interrupted"`
+	NotRun      int64 `json:"not-run"`
+	Starts      int64 `json:"starts"`
+	Stops       int64 `json:"stops"`
+	Adopted     int64 `json:"adopted"`
+	Lost        int64 `json:"lost"`
+	Moved       int64 `json:"moved"`
+	Taken       int64 `json:"taken"`
+	Fenced      int64 `json:"fenced"`
 }
 
 // New returns a Cell that takes the upstreams of its claims from now on.
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -214,7 +214,7 @@
 }
 
 // Cancel stops a job at a caller's request, whichever entry VM has it, and
-// reports whether the Cell has it. The entry VMs are told that it failed.
+// reports whether the Cell has it. The entry VMs are told that it was interrupted.
 func (cell *Cell) Cancel(now time.Time, id string) (bool, []Decision) {
 	if now.After(cell.now) {
 		cell.now = now
@@ -235,6 +235,8 @@
 		cell.counters.Completed++
 	case Failed:
 		cell.counters.Failed++
+	case Interrupted:
+		cell.counters.Interrupted++
 	case NotRun:
 		cell.counters.NotRun++
 	}
@@ -270,7 +272,7 @@
 	limits := cell.config.Limits
 	if held.started || held.active > 0 || held.job.Generation > 0 {
 		cell.finish(held, Answer{
-			Result: Failed,
+			Result: Interrupted,
 			Reason: reason,
 		})
 		return
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -305,8 +305,10 @@
 const (
 	// Completed: all tasks are done.
 	Completed Result = "completed"
-	// Failed: the job was given up. Some tasks may have run.
+	// Failed: a task failed as often as its kind allows.
 	Failed Result = "failed"
+	// Interrupted: the job was given up, and some tasks may have run.
+	Interrupted Result = "interrupted"
 	// NotRun: no task has run, and none will.
 	NotRun Result = "not-run"
 )
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -148,7 +148,7 @@
 		cell.gone(held, "start refused as invalid")
 		if owner != nil && cell.jobs[owner.job.ID] == owner {
 			cell.finish(owner, Answer{
-				Result: Failed,
+				Result: Interrupted,
 				Reason: "invalid",
 			})
 		}
