--- a/shared/process/dispatcher/held.go
+++ b/shared/process/dispatcher/held.go
@@ -99,10 +99,14 @@
 	if loop.leader != "" && loop.leader != loop.view.Self().Address && !loop.view.Live(loop.leader) {
 		loop.dispatcher.links.Reset(loop.leader)
 	}
+	before := loop.leader
 	loop.leader = leader
 	loop.view.Follow(leader)
 	for _, held := range loop.held {
 		if held.sentTo != "" {
+			if before != loop.view.Self().Address {
+				loop.withdrawSent(held)
+			}
 			held.sentTo = ""
 			held.safeAt = loop.now.Add(quarantine)
 		}
--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -50,11 +50,11 @@
 	StopGrace time.Duration
 	// StopRetry spaces repeated stops that got no answer.
 	StopRetry time.Duration
-	// AdoptWindow is how long a new Cell keeps the runs of jobs that it does
-	// not have. Entry VMs that notice the change late submit their jobs
-	// within it.
+	// AdoptWindow is how long a new Cell remembers the ends of jobs that it
+	// does not have.
 	AdoptWindow time.Duration
-	// OrphanWindow is the same for runs that appear later.
+	// OrphanWindow is how long a run of a job that the Cell does not have goes
+	// on before it is stopped. Entry VMs submit their jobs within it.
 	OrphanWindow time.Duration
 	// ConcedeFor is how long runs on an upstream that was taken by another
 	// process may go on there: its adoption window, and the stop.
@@ -108,9 +108,9 @@
 		StopGrace:     50 * time.Millisecond,
 		StopRetry:     50 * time.Millisecond,
 		AdoptWindow:   900 * time.Millisecond,
-		OrphanWindow:  150 * time.Millisecond,
+		OrphanWindow:  300 * time.Millisecond,
 		ConcedeFor:    2500 * time.Millisecond,
-		ReclaimFirm:   100 * time.Millisecond,
+		ReclaimFirm:   500 * time.Millisecond,
 		ReclaimWeak:   6 * time.Second,
 		FullFor:       40 * time.Millisecond,
 		SetAsideAfter: 2,
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -41,6 +41,8 @@
 	tasks    []*task
 	arrival  time.Time
 	deadline time.Time
+	// submittedAt is when this Cell got the job.
+	submittedAt time.Time
 	// longest is the estimated run time of the longest chain at speed 1.
 	longest time.Duration
 	// target is the latency objective, lateEnd the time from which an answer
@@ -81,6 +83,9 @@
 	}
 	cell.unblock(held)
 	cell.enqueue(held)
+	if event.Job.Quarantine > 0 {
+		cell.verify(event.Job.Service)
+	}
 }
 
 func latest(a, b time.Time) time.Time {
@@ -92,11 +97,12 @@
 
 func (cell *Cell) newJob(job Job) *jobState {
 	held := &jobState{
-		job:      job,
-		arrival:  cell.now.Add(-job.Age),
-		deadline: cell.now.Add(job.Left),
-		longest:  longestChain(job.Steps),
-		safeAt:   cell.now.Add(job.Quarantine),
+		job:         job,
+		arrival:     cell.now.Add(-job.Age),
+		deadline:    cell.now.Add(job.Left),
+		longest:     longestChain(job.Steps),
+		safeAt:      cell.now.Add(job.Quarantine),
+		submittedAt: cell.now,
 	}
 	expected := cell.config.Estimator.WorkMs(job.Kind, ms(held.longest))
 	allowed := job.Objective + time.Duration(job.Stretch*expected*float64(time.Millisecond))
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -58,7 +58,7 @@
 // usable reports whether an upstream may get new tasks.
 func (cell *Cell) usable(at *upstream) bool {
 	return at.state == upstreamOpen && at.present && !at.listed.Leaving &&
-		at.missed == 0 &&
+		at.missed == 0 && at.orphans == 0 &&
 		!at.asideUntil.After(cell.now) && !at.fullUntil.After(cell.now) &&
 		cell.now.Sub(at.clockAt) < clockFresh &&
 		at.used < at.listed.Slots && (!at.probing || at.used == 0)
@@ -150,7 +150,7 @@
 
 // placeJob starts the waiting tasks of one job as far as there is room.
 func (cell *Cell) placeJob(held *jobState, usable []*upstream, idle bool, fastest float64) {
-	if cell.now.Before(held.safeAt) && !cell.lookedAtAll(held.job.Service) {
+	if cell.now.Before(held.safeAt) && !cell.verifiedSince(held.job.Service, held.submittedAt) {
 		return
 	}
 	for _, next := range held.tasks {
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -36,6 +36,8 @@
 	stopAt    time.Time
 	stoppedAt time.Time
 	stopping  bool
+	// orphan is set while nobody wants a run that this Cell did not start.
+	orphan bool
 	// orphanUntil is when the run of a job that nobody submitted is stopped.
 	orphanUntil time.Time
 	expected    time.Duration
@@ -90,6 +92,10 @@
 		return
 	}
 	delete(at.runs, held.name)
+	if held.orphan {
+		held.orphan = false
+		at.orphans--
+	}
 	at.recount()
 	cell.placeable = true
 	cell.forgetOrphan(held)
@@ -365,11 +371,9 @@
 		cell.adopt(held, found)
 		return found
 	}
-	window := limits.OrphanWindow
-	if cell.young() {
-		window = cell.origin.Add(limits.AdoptWindow).Sub(cell.now)
-	}
-	found.orphanUntil = cell.now.Add(window)
+	found.orphan = true
+	at.orphans++
+	found.orphanUntil = cell.now.Add(limits.OrphanWindow)
 	id := name.Task.Job
 	cell.orphans[id] = append(cell.orphans[id], found)
 	return found
@@ -383,6 +387,10 @@
 // it where the task has another one.
 func (cell *Cell) adopt(held *jobState, found *run) {
 	found.orphanUntil = time.Time{}
+	if found.orphan {
+		found.orphan = false
+		found.at.orphans--
+	}
 	wanted := held.find(found.name.Task)
 	if wanted == nil || wanted.state == taskDone || wanted.run != nil {
 		cell.stop(found, "its task runs elsewhere or is done")
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -48,10 +48,17 @@
 	reclaimAt time.Time
 	// token is that of the last order.
 	token int64
+	// verifiedAt is when the last order was sent that the upstream accepted
+	// and answered with its runs.
+	verifiedAt time.Time
 
 	runs map[RunName]*run
-	free Resources
-	used int
+	// orphans counts the runs of jobs that the Cell does not have. Another
+	// process may count on their lease to end, so nothing is renewed before
+	// they are adopted or over.
+	orphans int
+	free    Resources
+	used    int
 	// fullUntil is set after a refusal for want of room.
 	fullUntil time.Time
 
@@ -214,7 +221,7 @@
 		Address:  at.listed.Address,
 		Token:    cell.token,
 	}
-	if renew && at.clock > 0 {
+	if renew && at.clock > 0 && at.orphans == 0 {
 		order.LeaseEnd = cell.clockNow(at) + cell.config.Limits.Lease.Milliseconds()
 		at.leaseEnd = max(at.leaseEnd, order.LeaseEnd)
 	}
@@ -338,6 +345,7 @@
 	}
 	at.clock = event.Reply.Clock
 	at.clockAt = event.Reply.ReceivedAt
+	at.verifiedAt = event.Reply.SentAt
 	first := at.state == upstreamLooking
 	cell.countEnds(at, event.Ended)
 	cell.compare(at, event)
@@ -403,18 +411,33 @@
 	}
 }
 
-// lookedAtAll reports whether the Cell knows what runs on every upstream of a
-// service.
-func (cell *Cell) lookedAtAll(service string) bool {
+// verifiedSince reports whether all upstreams of a service told their runs in
+// answer to orders that were sent after a time, so that no other process can
+// have runs there that this one does not know.
+func (cell *Cell) verifiedSince(service string, since time.Time) bool {
 	found := false
 	for _, at := range cell.order {
 		if at.listed.Service != service || !at.present {
 			continue
 		}
 		found = true
-		if at.state != upstreamOpen {
+		if at.state != upstreamOpen || at.verifiedAt.Before(since) {
 			return false
 		}
 	}
 	return found
 }
+
+// verify has all upstreams of a service tell their runs.
+func (cell *Cell) verify(service string) {
+	for _, at := range cell.order {
+		if at.listed.Service != service || at.state != upstreamOpen {
+			continue
+		}
+		if at.looking {
+			at.lookBy(cell.now)
+			continue
+		}
+		cell.look(at)
+	}
+}
