--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -90,6 +90,7 @@
 		fronts:     make(map[string]string),
 		cancels:    make(map[uint64]pendingCancel),
 		told:       make(map[string]time.Time),
+		goneAt:     make(map[string]time.Time),
 	}
 	return dispatcher
 }
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,6 +29,10 @@
 	speedsEvery = 5 * time.Second
 	// membersEvery spaces the heartbeats that carry all known processes.
 	membersEvery = 2 * time.Second
+	// keepGoneFor is how long an upstream that left the list may still run
+	// what a cut off process started. It exceeds the partitions that the rules
+	// are made for.
+	keepGoneFor = 15 * time.Second
 	// cancelWait is how long a caller's cancellation waits for the scheduler.
 	cancelWait = time.Second
 )
@@ -58,6 +63,8 @@
 	routes       *routing.Table
 	upstreams    []cell.Upstream
 	listedAt     time.Time
+	// goneAt holds when upstreams left the list.
+	goneAt map[string]time.Time
 	cancels      map[uint64]pendingCancel
 	cancelNumber uint64
 	// told holds when a peer was last sent something that is spaced.
@@ -296,12 +303,39 @@
 		return
 	}
 	loop.listedAt = readAt
-	loop.upstreams = rows
+	loop.upstreams = loop.keepGone(rows)
 	loop.tell(cell.UpstreamsListed{
-		Upstreams: rows,
+		Upstreams: loop.upstreams,
 	})
 }
 
+// keepGone adds the upstreams that left the list lately.
+func (loop *loop) keepGone(rows []cell.Upstream) []cell.Upstream {
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		if !row.Gone {
+			listed[row.ID] = true
+			delete(loop.goneAt, row.ID)
+		}
+	}
+	kept := slices.DeleteFunc(slices.Clone(rows), func(row cell.Upstream) bool { return row.Gone })
+	for _, row := range loop.upstreams {
+		if listed[row.ID] {
+			continue
+		}
+		if !row.Gone {
+			loop.goneAt[row.ID] = loop.now
+			row.Gone = true
+		}
+		if loop.now.Sub(loop.goneAt[row.ID]) > keepGoneFor {
+			delete(loop.goneAt, row.ID)
+			continue
+		}
+		kept = append(kept, row)
+	}
+	return kept
+}
+
 func (loop *loop) listAge() time.Duration {
 	if loop.listedAt.IsZero() {
 		return time.Hour
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -85,6 +85,9 @@
 	// Incarnation is the start of the worker's process, in Unix ms; 0 where it
 	// is not known.
 	Incarnation int64 `cbor:"9,keyasint,omitempty"`
+	// Gone is set for an upstream that was on the list lately. It gets nothing,
+	// but may still run what another process started.
+	Gone bool `cbor:"10,keyasint,omitempty"`
 }
 
 // TaskName names a task of a job.
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -74,6 +74,7 @@
 func (cell *Cell) list(listed []Upstream) {
 	for _, at := range cell.order {
 		at.present = false
+		at.listed.Gone = false
 	}
 	for _, row := range listed {
 		at, known := cell.upstreams[row.ID]
@@ -83,13 +84,13 @@
 		if row.Incarnation != 0 && row.Incarnation > at.incarnation {
 			cell.restarted(at, row.Incarnation)
 		}
-		at.present = true
+		at.present = !row.Gone
 		at.listed = row
 		at.recount()
 	}
 	kept := cell.order[:0]
 	for _, at := range cell.order {
-		if !at.present && len(at.runs) == 0 {
+		if !at.present && !at.listed.Gone && len(at.runs) == 0 {
 			delete(cell.upstreams, at.listed.ID)
 			continue
 		}
@@ -413,11 +414,12 @@
 
 // verifiedSince reports whether all upstreams of a service told their runs in
 // answer to orders that were sent after a time, so that no other process can
-// have runs there that this one does not know.
+// have runs there that this one does not know. An upstream that left the list
+// without draining first may be cut off and run on.
 func (cell *Cell) verifiedSince(service string, since time.Time) bool {
 	found := false
 	for _, at := range cell.order {
-		if at.listed.Service != service || !at.present {
+		if at.listed.Service != service || (!at.present && (!at.listed.Gone || at.listed.Leaving)) {
 			continue
 		}
 		found = true
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -373,30 +373,59 @@
 }
 
 // Claim says whether this process, if it schedules, may take an upstream. The
-// home of an upstream is a process of its failure domain. Processes that see
-// its home, or that see most of the processes, take it.
+// home of an upstream is a process of its failure domain. A process takes the
+// upstreams whose home follows it, and those of homes that are gone if most of
+// the processes follow it. So two schedulers that begin to see each other
+// after a partition do not take upstreams from each other before one of them
+// has stood down.
 func (view *View) Claim(upstream cell.Upstream) cell.Claim {
-	var home *Member
-	best := 0.0
+	home := view.home(upstream)
+	if view.followsSelf(home) {
+		return cell.ClaimFirm
+	}
+	if !view.Live(home) && 2*view.followerCount() > 1+len(view.remotes) {
+		return cell.ClaimWeak
+	}
+	return cell.ClaimNone
+}
+
+// home returns the address of the process that an upstream goes with.
+func (view *View) home(upstream cell.Upstream) string {
 	members := view.Members()
 	sameDomain := false
 	for _, member := range members {
 		sameDomain = sameDomain || member.Domain == upstream.Domain
 	}
-	for i := range members {
-		if sameDomain && members[i].Domain != upstream.Domain {
+	home := view.self.Address
+	best := -1.0
+	for _, member := range members {
+		if sameDomain && member.Domain != upstream.Domain {
 			continue
 		}
-		if score := rank(members[i], upstream.ID); home == nil || score > best {
-			home = &members[i]
+		if score := rank(member, upstream.ID); score > best {
+			home = member.Address
 			best = score
 		}
 	}
-	if view.Live(home.Address) {
-		return cell.ClaimFirm
+	return home
+}
+
+func (view *View) followsSelf(address string) bool {
+	if address == view.self.Address {
+		return true
 	}
-	if 2*view.LiveCount() > len(members) {
-		return cell.ClaimWeak
+	held, known := view.remotes[address]
+	return known && view.live(held) && held.beat.Follows == view.self.Address
+}
+
+// followerCount returns the number of live processes that follow this one,
+// itself included.
+func (view *View) followerCount() int {
+	count := 1
+	for address := range view.remotes {
+		if view.followsSelf(address) {
+			count++
+		}
 	}
-	return cell.ClaimNone
+	return count
 }
