--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -60,11 +60,11 @@
 	// fronts holds the entry VMs with jobs in the Cell, by address.
 	fronts map[string]string
 
-	routes       *routing.Table
-	upstreams    []cell.Upstream
-	listedAt     time.Time
+	routes    *routing.Table
+	upstreams []cell.Upstream
+	listedAt  time.Time
 	// goneAt holds when upstreams left the list.
-	goneAt map[string]time.Time
+	goneAt       map[string]time.Time
 	cancels      map[uint64]pendingCancel
 	cancelNumber uint64
 	// told holds when a peer was last sent something that is spaced.
