Release only jobs whose earlier runs are known

Ruled out: late starts (the tokens refuse them), the workers' lists (the second scheduler had not looked at the worker at all). Change: unverified jobs keep their quarantine. Test: TestUnverifiedJobIsNotReleased.

--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -132,9 +132,14 @@
 
 // Release returns what the Cell leaves of its jobs. It must not be used any
 // more afterwards: the next Cell starts the tasks of jobs that have no runs.
+// Jobs of which an earlier Cell may have left runs that this one has not found
+// yet are not among them.
 func (cell *Cell) Release() []Release {
 	var released []Release
 	for id, held := range cell.jobs {
+		if !cell.safe(held) {
+			continue
+		}
 		var runsAt []string
 		for _, at := range cell.order {
 			for name := range at.runs {
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -510,3 +510,43 @@
 		return upstream.Runs == 2 && upstream.FreeCores == 2_000
 	}))
 }
+
+// A Cell that ends names the upstreams with runs of each job, so that the next
+// one waits for these only.
+func TestReleasedJobWaitsForItsUpstreamsOnly(t *testing.T) {
+	bench := newBench(t)
+	bench.listed(nil, "u1", "u2")
+	start := bench.submit(job("j", 1))[0]
+	released := bench.cell.Release()
+	assert.Equal(t, len(released), 1)
+	assert.DeepEqual(t, released[0].RunsAt, []string{start.Order.Upstream})
+
+	bench.cell = bench.newCell()
+	bench.listed(nil, "u1", "u2")
+	bench.now = bench.now.Add(time.Millisecond)
+	moved := job("j", 1)
+	moved.Generation = 1
+	moved.Quarantine = time.Second
+	moved.Released = true
+	moved.RunsAt = released[0].RunsAt
+	assert.Equal(t, len(bench.submit(moved)), 0)
+	starts := of[cell.StartRun](bench.news(start.Order.Upstream, nil))
+	assert.Equal(t, len(starts), 1)
+}
+
+// A Cell that has not verified a job itself must not release it: runs of a
+// still earlier Cell may exist. Found as two runs of one task when two
+// schedulers followed each other within a second.
+func TestUnverifiedJobIsNotReleased(t *testing.T) {
+	bench := newBench(t)
+	bench.listed(nil, "u1", "u2")
+	bench.now = bench.now.Add(time.Millisecond)
+	moved := job("j", 1)
+	moved.Generation = 1
+	moved.Quarantine = time.Second
+	bench.submit(moved)
+	assert.Equal(t, len(bench.cell.Release()), 0)
+	bench.news("u1", nil)
+	bench.news("u2", nil)
+	assert.Equal(t, len(bench.cell.Release()), 1)
+}
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -51,6 +51,8 @@
 	lateEnd time.Time
 	// safeAt is the time from which no previous Cell acts on the job.
 	safeAt time.Time
+	// safe is set once tasks may start.
+	safe bool
 	// started is set once a task may have run.
 	started bool
 	// missing counts the tasks that are not done, active those with a run,
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -150,7 +150,7 @@
 
 // placeJob starts the waiting tasks of one job as far as there is room.
 func (cell *Cell) placeJob(held *jobState, usable []*upstream, idle bool, fastest float64) {
-	if cell.now.Before(held.safeAt) && !cell.verified(held) {
+	if !cell.safe(held) {
 		return
 	}
 	for _, next := range held.tasks {
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -412,6 +412,13 @@
 	}
 }
 
+// safe reports whether the tasks of a job may start: no run that a previous
+// Cell left of it is unknown, or can still exist.
+func (cell *Cell) safe(held *jobState) bool {
+	held.safe = held.safe || !cell.now.Before(held.safeAt) || cell.verified(held)
+	return held.safe
+}
+
 // verified reports whether the Cell knows all runs that a previous one left of
 // a job: those at the upstreams that it named, or at any upstream where it
 // named none.
