Look before stopping, find lost watches, refuse moved jobs in time

(2) Jobs that had moved from one scheduler to another were held to their deadline. Change: looks at quiet upstreams with overdue runs and at unanswered starts; moved jobs are given up like others, as not run where all schedulers have told that they ordered nothing; verification waits for the grace of stops.

--- a/shared/process/dispatcher/held.go
+++ b/shared/process/dispatcher/held.go
@@ -36,6 +36,15 @@
 	// released is set where the last scheduler told what it left of the job.
 	released bool
 	runsAt   []string
+	// notStarted is set where all schedulers that had the job have told that
+	// they ordered no start.
+	notStarted bool
+}
+
+// worthless reports whether an answer to a job that no scheduler has would
+// come too late to be worth something.
+func (held *heldJob) worthless(now time.Time) bool {
+	return held.sentTo == "" && now.Sub(held.received) > cell.LateFactor*held.job.Allowed(1)
 }
 
 func (loop *loop) accept(event accepted) {
@@ -71,8 +80,10 @@
 	job.Quarantine = max(held.safeAt.Sub(loop.now), 0)
 	job.Released = held.released
 	job.RunsAt = held.runsAt
+	job.NotStarted = held.notStarted
 	held.released = false
 	held.runsAt = nil
+	held.notStarted = false
 	if loop.leader == loop.view.Self().Address {
 		loop.tell(cell.JobSubmitted{
 			Front: loop.selfName(),
@@ -139,6 +150,7 @@
 	held.safeAt = loop.now.Add(quarantine)
 	held.released = true
 	held.runsAt = release.RunsAt
+	held.notStarted = release.NotStarted
 }
 
 func (loop *loop) declined(from, id string) {
@@ -204,7 +216,7 @@
 // time is over.
 func (loop *loop) tickHeld() {
 	for _, held := range loop.held {
-		if loop.now.Before(held.deadline.Add(-answerMargin)) {
+		if loop.now.Before(held.deadline.Add(-answerMargin)) && !held.worthless(loop.now) {
 			loop.submit(held)
 			continue
 		}
@@ -213,7 +225,7 @@
 			Result: cell.Interrupted,
 			Reason: "deadline",
 		}
-		if held.sent == 0 {
+		if held.sent == 0 || (held.sentTo == "" && held.notStarted) {
 			answer.Result = cell.NotRun
 			answer.Reason = "no scheduler"
 			answer.RetryAfter = noScheduler
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -151,9 +151,10 @@
 		}
 		for _, front := range held.fronts {
 			released = append(released, Release{
-				ID:     id,
-				RunsAt: runsAt,
-				Front:  front,
+				ID:         id,
+				RunsAt:     runsAt,
+				NotStarted: held.job.fresh() && !held.ordered,
+				Front:      front,
 			})
 		}
 	}
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -19,6 +19,8 @@
 	claim     cell.Claim
 	token     int64
 	decisions []cell.Decision
+	// last holds the decisions on the last look of listed.
+	last []cell.Decision
 }
 
 const (
@@ -108,6 +110,17 @@
 	})) {
 		bench.tell(bench.watched(look, running[look.Order.Upstream], nil))
 	}
+	bench.last = bench.decisions
+}
+
+// settled passes the time in which runs that another process has stopped work
+// on unlisted.
+func (bench *bench) settled(running map[string][]cell.RunningRun, ids ...string) {
+	bench.now = bench.now.Add(cell.DefaultLimits().StopGrace)
+	for _, id := range ids {
+		bench.news(id, running[id])
+	}
+	bench.now = bench.now.Add(time.Millisecond)
 }
 
 func (bench *bench) watched(watch cell.Watch, running []cell.RunningRun, ended []cell.EndedRun) cell.Watched {
@@ -200,13 +213,10 @@
 	assert.Equal(t, bench.onlyAnswer(decisions).Result, cell.Completed)
 }
 
-// A start without an answer may take effect late. The task must not start
-// elsewhere before a stop of the run was confirmed and its grace is over.
-func TestUnansweredStartIsStoppedBeforeAnother(t *testing.T) {
-	bench := newBench(t)
-	bench.listed(nil, "u1", "u2")
+// loseStart submits a job of one task whose start gets no answer.
+func (bench *bench) loseStart() (cell.StartRun, []cell.Decision) {
 	start := bench.submit(job("j", 1))[0]
-	decisions := bench.tell(cell.StartReplied{
+	return start, bench.tell(cell.StartReplied{
 		Reply: cell.Reply{
 			Order:   start.Order,
 			Outcome: cell.OutcomeUnknown,
@@ -214,23 +224,71 @@
 		},
 		Run: start.Run,
 	})
+}
+
+// A start without an answer may take effect late. The task must not start
+// elsewhere before a stop of the run was confirmed, and the run is not listed
+// after the time that the stop may take: while it is being stopped it is not
+// listed either.
+func TestUnansweredStartIsStoppedBeforeAnother(t *testing.T) {
+	bench := newBench(t)
+	bench.listed(nil, "u1", "u2")
+	start, decisions := bench.loseStart()
+	assert.Equal(t, len(of[cell.StartRun](decisions)), 0)
+	assert.Equal(t, len(of[cell.Watch](decisions)), 1, "a look shows whether it started")
+	decisions = bench.news(start.Order.Upstream, nil)
 	stops := of[cell.StopRun](decisions)
 	assert.Equal(t, len(stops), 1)
 	assert.Equal(t, len(of[cell.StartRun](decisions)), 0)
+	bench.now = bench.now.Add(time.Millisecond)
 	decisions = bench.tell(cell.StopReplied{
 		Reply: bench.reply(stops[0].Order, cell.OutcomeDone),
 		Run:   start.Run,
 	})
 	assert.Equal(t, len(of[cell.StartRun](decisions)), 0)
-	// An answer from before the grace is over proves nothing.
+	// An answer to a look from before the stop proves nothing.
+	bench.now = bench.now.Add(-time.Millisecond)
 	decisions = bench.news(start.Order.Upstream, nil)
 	assert.Equal(t, len(of[cell.StartRun](decisions)), 0)
 	bench.now = bench.now.Add(cell.DefaultLimits().StopGrace)
+	decisions = bench.news(start.Order.Upstream, nil)
+	assert.Equal(t, len(of[cell.StartRun](decisions)), 0)
+	bench.now = bench.now.Add(time.Millisecond)
 	starts := of[cell.StartRun](bench.news(start.Order.Upstream, nil))
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Run.Number, start.Run.Number+1)
 }
 
+// A start whose answer was lost goes on. Found as runs that were stopped
+// although they ran, on days on which workers lose answers.
+func TestRunWithLostAnswerGoesOn(t *testing.T) {
+	bench := newBench(t)
+	bench.listed(nil, "u1", "u2")
+	start, _ := bench.loseStart()
+	decisions := bench.news(start.Order.Upstream, running(start.Run, 20))
+	assert.Equal(t, len(of[cell.StopRun](decisions)), 0)
+	decisions = bench.news(start.Order.Upstream, nil, ended(1, start.Run, cell.EndDone))
+	assert.Equal(t, bench.onlyAnswer(decisions).Result, cell.Completed)
+}
+
+// A watch that gets lost must not hide the end of a run for long. Found as
+// workers that stood idle for 0.45 s after one order in twenty.
+func TestOverdueRunIsLookedAt(t *testing.T) {
+	bench := newBench(t)
+	bench.listed(nil, "u1")
+	start := bench.submit(job("j", 1))[0]
+	bench.confirm(start)
+	looks := 0
+	for waited := time.Duration(0); waited < 200*time.Millisecond; waited += 25 * time.Millisecond {
+		for _, watch := range of[cell.Watch](bench.after(25 * time.Millisecond)) {
+			if watch.Look {
+				looks++
+			}
+		}
+	}
+	assert.Equal(t, looks, 1)
+}
+
 // A silent upstream may run its tasks until its lease is over on its own
 // clock, which may be slow. The tasks must not start elsewhere before that.
 func TestSilentUpstreamKeepsItsRunsUntilTheLeaseIsOver(t *testing.T) {
@@ -272,7 +330,7 @@
 		Number: 1,
 	}
 	bench.listed(map[string][]cell.RunningRun{"u1": running(unknown, 10)}, "u1")
-	for _, watch := range of[cell.Watch](bench.decisions) {
+	for _, watch := range of[cell.Watch](bench.last) {
 		assert.Equal(t, watch.Order.LeaseEnd, int64(0))
 	}
 	starts := bench.submit(job("j", 1))
@@ -308,15 +366,13 @@
 func TestMovedJobStartsOnlyAfterUpstreamsWereVerified(t *testing.T) {
 	bench := newBench(t)
 	bench.listed(nil, "u1", "u2")
-	bench.now = bench.now.Add(10 * time.Millisecond)
+	bench.settled(nil, "u1", "u2")
 	moved := job("j", 1)
 	moved.Generation = 1
 	moved.Quarantine = time.Second
 	assert.Equal(t, len(bench.submit(moved)), 0)
-	looks := of[cell.Watch](bench.decisions)
-	assert.Equal(t, len(looks), 2)
-	assert.Equal(t, len(of[cell.StartRun](bench.tell(bench.watched(looks[0], nil, nil)))), 0)
-	starts := of[cell.StartRun](bench.tell(bench.watched(looks[1], nil, nil)))
+	assert.Equal(t, len(of[cell.StartRun](bench.news("u1", nil))), 0)
+	starts := of[cell.StartRun](bench.news("u2", nil))
 	assert.Equal(t, len(starts), 1)
 	assert.Assert(t, starts[0].Run.Number > 1000, "numbers must rise over those of the last scheduler")
 }
@@ -342,7 +398,7 @@
 			bench.tell(cell.UpstreamsListed{
 				Upstreams: []cell.Upstream{row("u1"), gone},
 			})
-			bench.now = bench.now.Add(time.Millisecond)
+			bench.settled(nil, "u1")
 			moved := job("j", 1)
 			moved.Generation = 1
 			moved.Quarantine = time.Second
@@ -523,7 +579,7 @@
 
 	bench.cell = bench.newCell()
 	bench.listed(nil, "u1", "u2")
-	bench.now = bench.now.Add(time.Millisecond)
+	bench.settled(nil, "u1", "u2")
 	moved := job("j", 1)
 	moved.Generation = 1
 	moved.Quarantine = time.Second
@@ -540,7 +596,7 @@
 func TestUnverifiedJobIsNotReleased(t *testing.T) {
 	bench := newBench(t)
 	bench.listed(nil, "u1", "u2")
-	bench.now = bench.now.Add(time.Millisecond)
+	bench.settled(nil, "u1", "u2")
 	moved := job("j", 1)
 	moved.Generation = 1
 	moved.Quarantine = time.Second
@@ -550,3 +606,20 @@
 	bench.news("u2", nil)
 	assert.Equal(t, len(bench.cell.Release()), 1)
 }
+
+// A run that the last scheduler has just stopped works on for a moment and is
+// not listed. Found as two runs of one task 20 ms apart after a partition, by
+// the day scheduler-dies-in-zone-cut.
+func TestMovedJobWaitsForTheGraceOfStops(t *testing.T) {
+	bench := newBench(t)
+	bench.listed(nil, "u1")
+	bench.now = bench.now.Add(time.Millisecond)
+	moved := job("j", 1)
+	moved.Generation = 1
+	moved.Quarantine = time.Second
+	assert.Equal(t, len(bench.submit(moved)), 0)
+	bench.now = bench.now.Add(cell.DefaultLimits().StopGrace / 2)
+	assert.Equal(t, len(of[cell.StartRun](bench.news("u1", nil))), 0)
+	bench.now = bench.now.Add(cell.DefaultLimits().StopGrace)
+	assert.Equal(t, len(of[cell.StartRun](bench.news("u1", nil))), 1)
+}
--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -44,6 +44,10 @@
 	// WatchWait is how long a watch may wait for an end. It spaces the
 	// renewals of leases: a lease survives two lost watches.
 	WatchWait time.Duration
+	// OverdueAfter is how long a run may be overdue, and its upstream quiet,
+	// before the Cell looks at it. A watch that gets lost would hide the ends
+	// for WatchWait and more.
+	OverdueAfter time.Duration
 	// LookEvery spaces the looks at an upstream that does not answer.
 	LookEvery time.Duration
 	// StopGrace is the time that a worker may take to end a stopped run.
@@ -82,9 +86,6 @@
 	// expected run time, after which a run counts as standing still.
 	StillAfter time.Duration
 	StallShare float64
-	// LateFactor times the latency objective is the latest answer that is
-	// worth something.
-	LateFactor float64
 	// AnswerMargin is kept between an answer and the caller's deadline.
 	AnswerMargin time.Duration
 	// Overhead is the part of the objective that connections and messages use.
@@ -104,9 +105,10 @@
 		ClockSlack:    0.02,
 		LapseMargin:   100 * time.Millisecond,
 		WatchWait:     300 * time.Millisecond,
+		OverdueAfter:  60 * time.Millisecond,
 		LookEvery:     150 * time.Millisecond,
 		StopGrace:     50 * time.Millisecond,
-		StopRetry:     50 * time.Millisecond,
+		StopRetry:     10 * time.Millisecond,
 		AdoptWindow:   900 * time.Millisecond,
 		OrphanWindow:  300 * time.Millisecond,
 		ConcedeFor:    2500 * time.Millisecond,
@@ -120,7 +122,6 @@
 		UnhealthyFor:  300 * time.Millisecond,
 		StillAfter:    250 * time.Millisecond,
 		StallShare:    0.4,
-		LateFactor:    3,
 		AnswerMargin:  100 * time.Millisecond,
 		Overhead:      15 * time.Millisecond,
 		IdleShare:     0.3,
--- a/shared/request/cell/health.go
+++ b/shared/request/cell/health.go
@@ -118,9 +118,12 @@
 // progress notes how far a run is, and moves it where it stands still or
 // crawls.
 func (cell *Cell) progress(held *run, percent int) {
-	if held.state == runStarting {
+	if held.state == runStarting || held.state == runUnsure {
 		cell.confirm(held)
 	}
+	if ran := cell.now.Sub(held.startedAt()); percent > 0 && ran > minObserved {
+		held.dueAt = cell.now.Add(ran * time.Duration(100-percent) / time.Duration(percent))
+	}
 	if percent > held.percent {
 		held.percent = percent
 		held.percentAt = cell.now
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -53,7 +53,8 @@
 	safeAt time.Time
 	// safe is set once tasks may start.
 	safe bool
-	// started is set once a task may have run.
+	// ordered is set once a start was ordered, started once a task may have run.
+	ordered bool
 	started bool
 	// missing counts the tasks that are not done, active those with a run,
 	// queued those that wait.
@@ -90,6 +91,10 @@
 	}
 }
 
+// LateFactor times the latency objective is the latest answer that is worth
+// something.
+const LateFactor = 3
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -106,10 +111,9 @@
 		safeAt:      cell.now.Add(job.Quarantine),
 		submittedAt: cell.now,
 	}
-	expected := cell.config.Estimator.WorkMs(job.Kind, ms(held.longest))
-	allowed := job.Objective + time.Duration(job.Stretch*expected*float64(time.Millisecond))
+	allowed := job.Allowed(cell.config.Estimator.Ratio(job.Kind))
 	held.target = held.arrival.Add(allowed - cell.config.Limits.Overhead)
-	held.lateEnd = held.arrival.Add(time.Duration(cell.config.Limits.LateFactor * float64(allowed)))
+	held.lateEnd = held.arrival.Add(LateFactor * allowed)
 	for step, of := range job.Steps {
 		for index := range of.Count {
 			held.tasks = append(held.tasks, &task{
@@ -278,7 +282,7 @@
 // can have started is told as not run.
 func (cell *Cell) giveUp(held *jobState, reason string, retryAfter time.Duration) {
 	limits := cell.config.Limits
-	if held.started || held.active > 0 || held.job.Generation > 0 {
+	if held.started || held.active > 0 || !held.job.fresh() {
 		cell.finish(held, Answer{
 			Result: Interrupted,
 			Reason: reason,
@@ -298,7 +302,7 @@
 		cell.giveUp(held, "deadline", 0)
 		return
 	}
-	if held.started || held.active > 0 || held.job.Generation > 0 {
+	if held.started || held.active > 0 {
 		return
 	}
 	fastest := cell.fastest(held.job.Service)
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -35,13 +35,26 @@
 	// nothing but the runs at the upstreams in RunsAt.
 	Released bool     `cbor:"14,keyasint,omitempty"`
 	RunsAt   []string `cbor:"15,keyasint,omitempty"`
+	// NotStarted is set where no earlier Cell has ordered a start.
+	NotStarted bool `cbor:"16,keyasint,omitempty"`
 }
 
+// Allowed returns how long the job may take by its latency objective, if a
+// task takes ratio times its estimate.
+func (job *Job) Allowed(ratio float64) time.Duration {
+	return job.Objective + time.Duration(job.Stretch*ratio*float64(longestChain(job.Steps)))
+}
+
+// fresh reports whether no task can have run before this Cell had the job.
+func (job *Job) fresh() bool { return job.Generation == 0 || job.NotStarted }
+
 // Release tells an entry VM what a Cell that ends leaves of a job.
 type Release struct {
 	ID string `cbor:"1,keyasint"`
 	// RunsAt lists the upstreams at which runs of the job may exist.
 	RunsAt []string `cbor:"2,keyasint,omitempty"`
+	// NotStarted is set where no start was ordered.
+	NotStarted bool `cbor:"3,keyasint,omitempty"`
 	// Front is the entry VM with the job.
 	Front string `cbor:"-"`
 }
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -32,6 +32,10 @@
 	sentAt   time.Time
 	// confirmedAt is when the start's answer arrived, or the first listing.
 	confirmedAt time.Time
+	// doubtedAt is when the start's time was over without an answer.
+	doubtedAt time.Time
+	// dueAt is when the run should have ended.
+	dueAt time.Time
 	// stopAt is when the next stop is sent, stoppedAt when one was confirmed.
 	stopAt    time.Time
 	stoppedAt time.Time
@@ -50,6 +54,7 @@
 func (cell *Cell) start(held *jobState, next *task, at *upstream) {
 	next.state = taskActive
 	next.number++
+	held.ordered = true
 	held.queued--
 	held.active++
 	step := held.job.Steps[next.name.Step]
@@ -172,22 +177,23 @@
 	if held.owner != nil {
 		held.owner.started = true
 	}
-	if held.state == runStarting {
+	if held.state == runStarting || (held.state == runUnsure && held.reason == "") {
 		held.state = runRunning
 	}
+	held.dueAt = cell.now.Add(held.expected)
 }
 
-// doubt stops a run of which nobody knows whether it started. The stop makes
-// the upstream reject the order if it is carried out late.
+// doubt looks whether a run started whose order got no answer.
 func (cell *Cell) doubt(held *run) {
 	if held.state != runStarting {
 		return
 	}
 	held.state = runUnsure
+	held.doubtedAt = cell.now
 	if held.owner != nil {
 		held.owner.started = true
 	}
-	cell.stop(held, "start got no answer")
+	cell.lookNow(held.at)
 }
 
 // refuse makes the task of a refused start wait again. No run was started.
@@ -287,6 +293,15 @@
 			cell.gone(held, "not listed any more")
 		}
 	case runUnsure, runStopping:
+		if held.reason == "" {
+			// The order may still be carried out. The stop makes the upstream
+			// reject it.
+			if !reply.SentAt.Before(held.doubtedAt) {
+				cell.stop(held, "start got no answer")
+			}
+			return
+		}
+		// A run that is being stopped works on for the grace, and is not listed.
 		stopped := !held.stoppedAt.IsZero() &&
 			!reply.SentAt.Before(held.stoppedAt.Add(cell.config.Limits.StopGrace))
 		late := held.confirmedAt.IsZero() && held.leaseEnd > 0 && reply.Clock > held.leaseEnd
@@ -404,6 +419,7 @@
 	wanted.run = found
 	wanted.number = max(wanted.number, found.name.Number)
 	held.active++
+	held.ordered = true
 	held.started = true
 	found.owner = held
 	found.task = wanted
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -48,6 +48,9 @@
 	reclaimAt time.Time
 	// token is that of the last order.
 	token int64
+	// openedAt is when the upstream first accepted an order of this Cell after
+	// another process may have had it.
+	openedAt time.Time
 	// verifiedAt is when the last order was sent that the upstream accepted
 	// and answered with its runs.
 	verifiedAt time.Time
@@ -141,7 +144,7 @@
 		if !at.watching {
 			cell.watch(at)
 		}
-		if !at.lookAt.IsZero() && !at.lookAt.After(cell.now) {
+		if !at.lookAt.IsZero() && !at.lookAt.After(cell.now) || cell.overdue(at) {
 			cell.look(at)
 		}
 	}
@@ -150,6 +153,21 @@
 	}
 }
 
+// overdue reports whether a run should have ended and nothing was heard for a
+// while: the watch under way may have got lost.
+func (cell *Cell) overdue(at *upstream) bool {
+	quiet := cell.config.Limits.OverdueAfter
+	if cell.now.Sub(at.clockAt) < quiet {
+		return false
+	}
+	for _, held := range at.runs {
+		if held.state == runRunning && cell.now.Sub(held.dueAt) > quiet {
+			return true
+		}
+	}
+	return false
+}
+
 // claim takes an upstream that this process is to schedule.
 func (cell *Cell) claim(at *upstream) {
 	claim := ClaimNone
@@ -254,6 +272,15 @@
 	})
 }
 
+// lookNow looks at an upstream, or as soon as the look under way is over.
+func (cell *Cell) lookNow(at *upstream) {
+	if at.looking {
+		at.lookBy(cell.now)
+		return
+	}
+	cell.look(at)
+}
+
 // lookBy has a look made at a time, or earlier.
 func (at *upstream) lookBy(due time.Time) {
 	if at.lookAt.IsZero() || due.Before(at.lookAt) {
@@ -347,18 +374,21 @@
 	at.clock = event.Reply.Clock
 	at.clockAt = event.Reply.ReceivedAt
 	at.verifiedAt = event.Reply.SentAt
-	first := at.state == upstreamLooking
 	cell.countEnds(at, event.Ended)
 	cell.compare(at, event)
+	if at.state == upstreamLooking {
+		at.openedAt = event.Reply.ReceivedAt
+		at.lookBy(cell.now.Add(cell.config.Limits.StopGrace))
+	}
 	if at.state != upstreamOpen {
 		cell.setState(at, upstreamOpen, "answers")
 	}
-	if first {
-		at.lookAt = time.Time{}
-	}
 	if !at.watching {
 		cell.watch(at)
 	}
+	if !at.lookAt.IsZero() && !at.lookAt.After(cell.now) {
+		cell.look(at)
+	}
 	cell.placeable = true
 }
 
@@ -428,13 +458,22 @@
 	}
 	for _, id := range held.job.RunsAt {
 		at, known := cell.upstreams[id]
-		if !known || at.state != upstreamOpen || at.verifiedAt.Before(held.submittedAt) {
+		if !known || !cell.knowsRuns(at, held.submittedAt) {
 			return false
 		}
 	}
 	return true
 }
 
+// knowsRuns reports whether an upstream told its runs in answer to an order
+// that was sent after a time. A run that a process before this one has stopped
+// works on for the grace and is not listed, so the answer must be later than
+// that as well.
+func (cell *Cell) knowsRuns(at *upstream, since time.Time) bool {
+	graceOver := at.openedAt.Add(cell.config.Limits.StopGrace)
+	return at.state == upstreamOpen && !at.verifiedAt.Before(since) && !at.verifiedAt.Before(graceOver)
+}
+
 // verifiedSince reports whether all upstreams of a service told their runs in
 // answer to orders that were sent after a time, so that no other process can
 // have runs there that this one does not know. An upstream that left the list
@@ -446,7 +485,7 @@
 			continue
 		}
 		found = true
-		if at.state != upstreamOpen || at.verifiedAt.Before(since) {
+		if !cell.knowsRuns(at, since) {
 			return false
 		}
 	}
@@ -459,10 +498,6 @@
 		if at.listed.Service != service || at.state != upstreamOpen {
 			continue
 		}
-		if at.looking {
-			at.lookBy(cell.now)
-			continue
-		}
-		cell.look(at)
+		cell.lookNow(at)
 	}
 }
