Start no task whose withdrawn run may still exist

Ruled out: a second scheduler (both runs came from one process), late starts. Change: the cell counts the runs of each task that may exist, whoever wanted them. Test: TestResubmittedJobWaitsForItsStoppedRuns.

--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -16,6 +16,9 @@
 	// order holds the upstreams in order of their listing, so that equal
 	// events give equal decisions.
 	order []*upstream
+	// live counts the runs of each task that may exist, those that nobody wants
+	// any more included.
+	live map[TaskName]int
 	// orphans holds, by job, the runs of jobs that the Cell does not have.
 	orphans map[string][]*run
 	// earlyEnds holds, by job, the tasks that ended as done before their job
@@ -54,6 +57,7 @@
 		token:     config.NextToken(),
 		jobs:      make(map[string]*jobState),
 		upstreams: make(map[string]*upstream),
+		live:      make(map[TaskName]int),
 		orphans:   make(map[string][]*run),
 		earlyEnds: make(map[string][]TaskName),
 	}
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -623,3 +623,19 @@
 	bench.now = bench.now.Add(cell.DefaultLimits().StopGrace)
 	assert.Equal(t, len(of[cell.StartRun](bench.news("u1", nil))), 1)
 }
+
+// A job that comes again while the runs of its first submission are being
+// stopped must wait for their end. Found after a partition, when entry VMs
+// submitted jobs again that the scheduler had just withdrawn.
+func TestResubmittedJobWaitsForItsStoppedRuns(t *testing.T) {
+	bench := newBench(t)
+	bench.listed(nil, "u1", "u2", "u3")
+	start := bench.submit(job("j", 1))[0]
+	bench.confirm(start)
+	bench.tell(cell.FrontLost{
+		Front: front,
+	})
+	assert.Equal(t, len(bench.submit(job("j", 1))), 0)
+	decisions := bench.news(start.Order.Upstream, nil, ended(1, start.Run, cell.EndStopped))
+	assert.Equal(t, len(of[cell.StartRun](decisions)), 1)
+}
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -154,7 +154,7 @@
 		return
 	}
 	for _, next := range held.tasks {
-		if next.state != taskWaiting {
+		if next.state != taskWaiting || cell.live[next.name] > 0 {
 			continue
 		}
 		at := cell.choose(held, next, usable, idle, fastest)
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -87,6 +87,7 @@
 	held.at.runs[held.name] = held
 	held.at.free = held.at.free.minus(held.need)
 	held.at.used++
+	cell.live[held.name.Task]++
 }
 
 // gone forgets a run that has ended or will never start, and makes its task
@@ -97,6 +98,10 @@
 		return
 	}
 	delete(at.runs, held.name)
+	cell.live[held.name.Task]--
+	if cell.live[held.name.Task] == 0 {
+		delete(cell.live, held.name.Task)
+	}
 	if held.orphan {
 		held.orphan = false
 		at.orphans--
