--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -639,3 +639,47 @@
 	decisions := bench.news(start.Order.Upstream, nil, ended(1, start.Run, cell.EndStopped))
 	assert.Equal(t, len(of[cell.StartRun](decisions)), 1)
 }
+
+// An upstream that is cut off together with its home is left to the processes
+// on its side. Found after partitions: the scheduler took the upstreams of the
+// cut off domain back before the other scheduler had stood down, and stopped
+// all runs there.
+func TestUpstreamCutOffWithItsHomeIsLeftToOthers(t *testing.T) {
+	for _, test := range []struct {
+		claim cell.Claim
+		looks bool
+	}{
+		{cell.ClaimFirm, true},
+		{cell.ClaimWeak, false},
+		{cell.ClaimNone, false},
+	} {
+		bench := newBench(t)
+		bench.listed(nil, "u1")
+		bench.claim = test.claim
+		// lost leaves all orders without an answer, and those that follow.
+		var lost func(decisions []cell.Decision) int
+		lost = func(decisions []cell.Decision) int {
+			watches := of[cell.Watch](decisions)
+			count := len(watches)
+			for _, watch := range watches {
+				count += lost(bench.tell(cell.Watched{
+					Reply: cell.Reply{
+						Order:   watch.Order,
+						Outcome: cell.OutcomeUnknown,
+					},
+					Look: watch.Look,
+				}))
+			}
+			return count
+		}
+		lost(bench.last)
+		for range 40 {
+			lost(bench.after(100 * time.Millisecond))
+		}
+		looks := 0
+		for range 5 {
+			looks += lost(bench.after(100 * time.Millisecond))
+		}
+		assert.Equal(t, looks > 0, test.looks, "claim %d", test.claim)
+	}
+}
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -138,8 +138,11 @@
 		cell.claim(at)
 		cell.lapse(at)
 	case upstreamLooking, upstreamSilent:
-		cell.lookAgain(at)
 		cell.lapse(at)
+		if cell.leftToOthers(at) {
+			return
+		}
+		cell.lookAgain(at)
 	case upstreamOpen:
 		if !at.watching {
 			cell.watch(at)
@@ -294,6 +297,19 @@
 	}
 }
 
+// leftToOthers gives up an upstream that does not answer and whose home this
+// process does not see either: both may be cut off together, and a process on
+// their side schedules the upstream. Looking on would take it from that process
+// as soon as the partition ends.
+func (cell *Cell) leftToOthers(at *upstream) bool {
+	if at.missed < 2 || len(at.runs) > 0 || cell.config.Claims(at.listed) == ClaimFirm {
+		return false
+	}
+	cell.setState(at, upstreamForeign, "silent, and so is its home")
+	at.reclaimAt = cell.now.Add(cell.config.Limits.ReclaimFirm)
+	return true
+}
+
 // lapse gives up the runs of an upstream whose lease is surely over.
 func (cell *Cell) lapse(at *upstream) {
 	if len(at.runs) == 0 || cell.now.Before(cell.lapsedAt(at, at.leaseEnd)) {
