--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -49,8 +50,8 @@
 	Upstreams Upstreams
 	Logger    *logevent.Logger
 	Limits    cell.Limits
-	// Announce, if set, is called with each heartbeat period's list age
-	// wishes: true while this process schedules.
+	// Schedules, if set, is called when this process begins and ceases to
+	// schedule.
 	Schedules func(active bool)
 }
 
@@ -63,6 +64,7 @@
 	routes  atomic.Pointer[routing.Table]
 	ready   atomic.Bool
 	pending atomic.Pointer[map[string]int]
+	meters  *meters
 	loop    *loop
 }
 
@@ -72,6 +74,7 @@
 		options: options,
 		events:  make(chan event, eventQueue),
 		done:    make(chan struct{}),
+		meters:  newMeters(),
 	}
 	dispatcher.links = link.New(link.Options{
 		Dial: link.DialTCP,
@@ -188,6 +191,11 @@
 	return (*counts)[kind]
 }
 
+// WriteMetrics writes the metrics in the Prometheus text format.
+func (dispatcher *Dispatcher) WriteMetrics(writer io.Writer) {
+	dispatcher.meters.set.WritePrometheus(writer)
+}
+
 // SetRoutes hands over a routing table. One that is not newer is ignored.
 func (dispatcher *Dispatcher) SetRoutes(table *routing.Table) {
 	dispatcher.post(routesRead{
--- a/shared/process/dispatcher/held.go
+++ b/shared/process/dispatcher/held.go
@@ -173,6 +173,7 @@
 
 func (loop *loop) reply(held *heldJob, answer cell.Answer) {
 	delete(loop.held, held.job.ID)
+	loop.dispatcher.meters.answered(held.job.Kind, answer, loop.now.Sub(held.received))
 	event := logevent.JobAnswered
 	if answer.Result != cell.Completed {
 		event = logevent.JobGivenUp
@@ -195,6 +196,7 @@
 		return
 	}
 	delete(loop.held, event.id)
+	loop.dispatcher.meters.count(metricWithdrawn)
 	loop.log(logevent.JobWithdrawn, "job", event.id, "kind", held.job.Kind, "after", loop.now.Sub(held.received))
 	switch held.sentTo {
 	case "":
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -70,6 +70,7 @@
 	// told holds when a peer was last sent something that is spaced.
 	told      map[string]time.Time
 	pace      pace
+	gaugesAt  time.Time
 	beatAt    time.Time
 	membersAt time.Time
 	speedsAt  time.Time
@@ -116,6 +117,7 @@
 	case membersRead:
 		loop.learn(event.members)
 	case replied:
+		loop.dispatcher.meters.reply(event.event)
 		if loop.cell != nil && event.activation == loop.activation {
 			loop.measure(event)
 			loop.act(loop.cell.Handle(now, event.event))
@@ -154,6 +156,7 @@
 		loop.act(loop.cell.Handle(loop.now, cell.Tick{}))
 		loop.publishPending(loop.cell.Pending())
 	}
+	loop.gauges()
 	loop.dispatcher.ready.Store(!loop.view.Leaving() && loop.routes != nil && loop.leader != "")
 }
 
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -36,6 +36,7 @@
 func (loop *loop) activate() {
 	loop.activation++
 	loop.view.Activate()
+	loop.dispatcher.meters.count(metricTakeovers)
 	loop.fronts = make(map[string]string)
 	loop.cell = cell.New(loop.now, cell.Config{
 		Estimator: loop.estimator,
@@ -127,6 +128,7 @@
 		case cell.UpstreamChanged:
 			loop.log(logevent.UpstreamState, "upstream", decision.Upstream, "state", decision.State, "reason", decision.Reason)
 		case cell.RunLost:
+			loop.dispatcher.meters.count(metricRunsLost)
 			loop.log(logevent.RunLost, "upstream", decision.Upstream, "job", decision.Run.Task.Job,
 				"task", decision.Run.Task.Index, "run", decision.Run.Number, "reason", decision.Reason)
 		}
--- a/shared/request/cell/dump.go
+++ b/shared/request/cell/dump.go
@@ -47,3 +47,20 @@
 	}
 	return dump
 }
+
+// UpstreamStates counts the upstreams by what the Cell believes of them.
+func (cell *Cell) UpstreamStates() map[string]int {
+	counts := map[string]int{
+		"set-aside": 0,
+	}
+	for state := upstreamForeign; state <= upstreamSilent; state++ {
+		counts[state.String()] = 0
+	}
+	for _, at := range cell.order {
+		counts[at.state.String()]++
+		if at.asideUntil.After(cell.now) {
+			counts["set-aside"]++
+		}
+	}
+	return counts
+}
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -104,50 +104,69 @@
 	})
 }
 
+// The classes of waiting jobs, in the order in which they get upstreams.
+const (
+	// classOnTime: the job can meet its objective.
+	classOnTime = iota
+	// classLate: the job can't.
+	classLate
+	// classWorthless: the answer will be worth nothing.
+	classWorthless
+)
+
+// ranked is a waiting job with its place in the order.
+type ranked struct {
+	held  *jobState
+	class int
+	// at orders the jobs of a class: the latest time for a start that meets the
+	// objective, or the arrival.
+	at time.Time
+}
+
 // sortWaiting puts the jobs with the least slack to their objective first, and
 // those that can't meet it any more last.
 func (cell *Cell) sortWaiting(fastest map[string]float64) {
-	for _, held := range cell.waiting {
-		if _, known := fastest[held.job.Service]; !known {
-			fastest[held.job.Service] = cell.fastest(held.job.Service)
-		}
-	}
-	rank := func(held *jobState) (int, time.Time) {
-		need := cell.expected(held, held.longest, fastest[held.job.Service])
-		switch {
-		case !cell.now.Add(need).After(held.target):
-			return 0, held.target.Add(-need)
-		case !cell.now.Add(need).After(held.lateEnd):
-			return 1, held.arrival
-		default:
-			return 2, held.arrival
-		}
-	}
-	type ranked struct {
-		held  *jobState
-		class int
-		at    time.Time
-	}
 	all := make([]ranked, len(cell.waiting))
 	for i, held := range cell.waiting {
-		class, at := rank(held)
-		all[i] = ranked{
-			held:  held,
-			class: class,
-			at:    at,
+		speed, known := fastest[held.job.Service]
+		if !known {
+			speed = cell.fastest(held.job.Service)
+			fastest[held.job.Service] = speed
 		}
+		all[i] = cell.rank(held, speed)
 	}
-	slices.SortStableFunc(all, func(a, b ranked) int {
-		if a.class != b.class {
-			return a.class - b.class
-		}
-		return a.at.Compare(b.at)
-	})
+	slices.SortStableFunc(all, compareRanked)
 	for i := range all {
 		cell.waiting[i] = all[i].held
 	}
 }
 
+func compareRanked(a, b ranked) int {
+	if a.class != b.class {
+		return a.class - b.class
+	}
+	return a.at.Compare(b.at)
+}
+
+func (cell *Cell) rank(held *jobState, fastest float64) ranked {
+	found := ranked{
+		held: held,
+		at:   held.arrival,
+	}
+	need := cell.expected(held, held.longest, fastest)
+	end := cell.now.Add(need)
+	switch {
+	case !end.After(held.target):
+		found.class = classOnTime
+		found.at = held.target.Add(-need)
+	case !end.After(held.lateEnd):
+		found.class = classLate
+	default:
+		found.class = classWorthless
+	}
+	return found
+}
+
 // placeJob starts the waiting tasks of one job as far as there is room.
 func (cell *Cell) placeJob(held *jobState, usable []*upstream, idle bool, fastest float64) {
 	if !cell.safe(held) {
