Tell not run only where nobody had the job

Ruled out: the scheduler's own refusals, which know what it ordered. Tests: TestFrontTellsNotRunOnlyWhereNobodyHadTheJob, TestRepeatedSubmissionIsOfALaterGeneration.

--- a/shared/process/dispatcher/held.go
+++ b/shared/process/dispatcher/held.go
@@ -28,7 +28,8 @@
 	answers  []chan<- cell.Answer
 	// sentTo is the scheduler that has the job; empty if none has.
 	sentTo string
-	// sent counts the schedulers that had the job.
+	// sent counts the submissions. A scheduler may have taken each of them,
+	// also one that got no answer.
 	sent int
 	// safeAt is when no earlier scheduler acts on the job any more.
 	safeAt  time.Time
@@ -69,10 +70,8 @@
 	if loop.leader == "" || held.sentTo == loop.leader || loop.now.Before(held.retryAt) {
 		return
 	}
-	if held.sentTo == "" {
-		held.job.Generation = held.sent
-		held.sent++
-	}
+	held.job.Generation = held.sent
+	held.sent++
 	held.sentTo = loop.leader
 	job := held.job
 	job.Age = loop.now.Sub(held.received)
@@ -96,13 +95,13 @@
 	})
 }
 
-// submitAll sends all jobs to the scheduler again, which has some of them
-// already.
+// submitAll sends all jobs to the scheduler again after a connection broke. It
+// ignores those that it has.
 func (loop *loop) submitAll() {
 	for _, held := range loop.held {
 		if held.sentTo == loop.leader {
 			held.sentTo = ""
-			held.sent--
+			held.safeAt = loop.now.Add(quarantine)
 		}
 		loop.submit(held)
 	}
@@ -159,7 +158,10 @@
 		return
 	}
 	held.sentTo = ""
-	held.sent--
+	if held.sent == 1 {
+		// Nobody else had the job, so it is as new as before.
+		held.sent = 0
+	}
 	held.retryAt = loop.now.Add(resubmitAfter)
 }
 
