--- a/shared/process/dispatcher/held.go
+++ b/shared/process/dispatcher/held.go
@@ -54,6 +54,17 @@
 		held.answers = append(held.answers, event.answer)
 		return
 	}
+	if turnsAway(event.job.ID, loop.turned()) {
+		loop.log(logevent.JobGivenUp, "job", event.job.ID, "kind", event.job.Kind, "result", string(cell.NotRun),
+			"reason", "scheduler full")
+		event.answer <- cell.Answer{
+			ID:         event.job.ID,
+			Result:     cell.NotRun,
+			Reason:     "scheduler full",
+			RetryAfter: noScheduler,
+		}
+		return
+	}
 	held = &heldJob{
 		job:      event.job,
 		received: loop.now.Add(-event.job.Age),
@@ -65,6 +76,18 @@
 	loop.submit(held)
 }
 
+// turned returns the share of new jobs that the scheduler wants turned away.
+func (loop *loop) turned() float64 {
+	if loop.cell != nil {
+		return loop.pace.turned
+	}
+	beat, known := loop.view.Beat(loop.leader)
+	if !known {
+		return 0
+	}
+	return beat.Turned
+}
+
 // submit sends a job to the scheduler, unless it has it.
 func (loop *loop) submit(held *heldJob) {
 	if loop.leader == "" || held.sentTo == loop.leader || loop.now.Before(held.retryAt) {
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -152,6 +152,7 @@
 	loop.expireCancels()
 	loop.yield()
 	if loop.cell != nil {
+		loop.pace.turn(loop.now)
 		loop.dropLostFronts()
 		loop.act(loop.cell.Handle(loop.now, cell.Tick{}))
 		loop.publishPending(loop.cell.Pending())
@@ -387,6 +388,7 @@
 		ListAge:   loop.listAge(),
 		Period:    loop.view.Period(),
 		Settled:   loop.view.Settled(),
+		Turned:    loop.pace.turned,
 	}
 	if loop.routes != nil {
 		beat.RoutesVersion = loop.routes.Version
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -45,7 +45,9 @@
 		Limits:    loop.options.Limits,
 	})
 	loop.pace = pace{
-		since: loop.now,
+		since:    loop.now,
+		turnedAt: loop.now,
+		turned:   loop.turned(),
 	}
 	loop.log(logevent.SchedulerStarted, "token", loop.token, "live", loop.view.LiveCount(),
 		"upstreams", len(loop.upstreams), "list-age", loop.listAge())
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -72,6 +72,9 @@
 	Period time.Duration `cbor:"10,keyasint"`
 	// Settled is set once the sender has listened long enough to take over.
 	Settled bool `cbor:"11,keyasint,omitempty"`
+	// Turned is the share of new jobs that the sender, if it schedules, wants
+	// turned away.
+	Turned float64 `cbor:"12,keyasint,omitempty"`
 }
 
 // remote is what is known of another process.
