--- a/shared/process/dispatcher/held.go
+++ b/shared/process/dispatcher/held.go
@@ -198,13 +198,17 @@
 
 func (loop *loop) reply(held *heldJob, answer cell.Answer) {
 	delete(loop.held, held.job.ID)
-	loop.dispatcher.meters.answered(held.job.Kind, answer, loop.now.Sub(held.received))
+	took := loop.now.Sub(held.received)
+	loop.dispatcher.meters.answered(held.job.Kind, answer, took)
 	event := logevent.JobAnswered
-	if answer.Result != cell.Completed {
+	switch {
+	case answer.Result != cell.Completed:
 		event = logevent.JobGivenUp
+	case took > held.job.Allowed(1):
+		event = logevent.JobLate
 	}
 	loop.log(event, "job", answer.ID, "kind", held.job.Kind, "result", string(answer.Result),
-		"reason", answer.Reason, "took", loop.now.Sub(held.received), "schedulers", held.sent)
+		"reason", answer.Reason, "took", took, "allowed", held.job.Allowed(1), "schedulers", held.sent)
 	for _, waiting := range held.answers {
 		waiting <- answer
 	}
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -427,7 +427,6 @@
 	loop.log(logevent.ProcessStopping)
 	loop.view.Leave()
 	loop.dispatcher.ready.Store(false)
-	loop.standDown("leaving")
 	loop.elect()
 	loop.beatAll(false)
 }
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -254,6 +254,12 @@
 		Level:  log.InfoLevel,
 		Text:   "request refused before it became a job",
 	}
+	JobLate = Event{
+		Number: 716,
+		Name:   "job-late",
+		Level:  log.InfoLevel,
+		Text:   "job completed after its latency objective",
+	}
 	RunPlaced = Event{
 		Number: 721,
 		Name:   "run-placed",
@@ -326,7 +332,7 @@
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow,
-		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused,
+		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
 	}
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -285,11 +285,8 @@
 	return highest
 }
 
-// Leave takes this process out of scheduling for good.
-func (view *View) Leave() {
-	view.leaving = true
-	view.activeSince = time.Time{}
-}
+// Leave keeps this process from scheduling as long as there is another.
+func (view *View) Leave() { view.leaving = true }
 
 // Leaving reports whether Leave was called.
 func (view *View) Leaving() bool { return view.leaving }
@@ -314,6 +311,7 @@
 // candidate is a process that may be chosen.
 type candidate struct {
 	member    Member
+	leaving   bool
 	activeFor time.Duration
 	followers int
 	settled   bool
@@ -321,31 +319,29 @@
 	strong bool
 }
 
-// candidates returns the live processes that are not leaving.
+// candidates returns the live processes.
 func (view *View) candidates() []candidate {
 	followers := make(map[string]int)
 	followers[view.follows]++
 	var found []candidate
-	if !view.leaving {
-		found = append(found, candidate{
-			member:    view.self,
-			activeFor: view.ActiveFor(),
-			settled:   view.Settled(),
-		})
-	}
+	found = append(found, candidate{
+		member:    view.self,
+		leaving:   view.leaving,
+		activeFor: view.ActiveFor(),
+		settled:   view.Settled(),
+	})
 	for _, address := range view.Addresses() {
 		held := view.remotes[address]
 		if !view.live(held) {
 			continue
 		}
 		followers[held.beat.Follows]++
-		if !held.beat.Leaving {
-			found = append(found, candidate{
-				member:    held.beat.Member,
-				activeFor: view.activeNow(held),
-				settled:   held.beat.Settled,
-			})
-		}
+		found = append(found, candidate{
+			member:    held.beat.Member,
+			leaving:   held.beat.Leaving,
+			activeFor: view.activeNow(held),
+			settled:   held.beat.Settled,
+		})
 	}
 	strongest := 0.0
 	for i := range found {
@@ -394,7 +390,7 @@
 // Leader returns the process that schedules: among those that do, the one with
 // the most followers, and the longest of these. Where none does, it is the
 // live and settled process with the highest rank among the strongest, and active
-// is false.
+// is false. A process that is leaving comes after all others.
 func (view *View) Leader() (leader Member, active, found bool) {
 	var best candidate
 	for _, other := range view.candidates() {
@@ -407,6 +403,9 @@
 }
 
 func ahead(a, b candidate) bool {
+	if a.leaving != b.leaving {
+		return b.leaving
+	}
 	if (a.activeFor > 0) != (b.activeFor > 0) {
 		return a.activeFor > 0
 	}
