--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -221,6 +221,9 @@
 // any more. Jobs that callers wait for go on.
 func (dispatcher *Dispatcher) Leave() { dispatcher.post(leaveAsked{}) }
 
+// GiveUp answers all jobs that callers wait for, at the end of a planned stop.
+func (dispatcher *Dispatcher) GiveUp() { dispatcher.post(giveUpAsked{}) }
+
 // State returns the state dump.
 func (dispatcher *Dispatcher) State(ctx context.Context) (State, error) {
 	dump := make(chan State, 1)
--- a/shared/process/dispatcher/events.go
+++ b/shared/process/dispatcher/events.go
@@ -54,6 +54,8 @@
 	}
 	// leaveAsked begins a planned stop.
 	leaveAsked struct{}
+	// giveUpAsked ends a planned stop: all jobs are answered.
+	giveUpAsked struct{}
 	// dumpAsked asks for the state.
 	dumpAsked struct {
 		dump chan<- State
@@ -70,5 +72,6 @@
 func (membersRead) isEvent()   {}
 func (replied) isEvent()       {}
 func (leaveAsked) isEvent()    {}
+func (giveUpAsked) isEvent()   {}
 func (dumpAsked) isEvent()     {}
 func (ticked) isEvent()        {}
--- a/shared/process/dispatcher/held.go
+++ b/shared/process/dispatcher/held.go
@@ -251,21 +251,27 @@
 			loop.submit(held)
 			continue
 		}
-		answer := cell.Answer{
-			ID:     held.job.ID,
-			Result: cell.Interrupted,
-			Reason: "deadline",
-		}
-		if held.sent == 0 || (held.sentTo == "" && held.notStarted) {
-			answer.Result = cell.NotRun
-			answer.Reason = "no scheduler"
-			answer.RetryAfter = noScheduler
-		}
-		loop.withdrawSent(held)
-		loop.reply(held, answer)
+		loop.giveUp(held, "deadline")
 	}
 }
 
+// giveUp answers a job that will not be completed in time. Only one that no
+// scheduler can have started is told as not run.
+func (loop *loop) giveUp(held *heldJob, reason string) {
+	answer := cell.Answer{
+		ID:     held.job.ID,
+		Result: cell.Interrupted,
+		Reason: reason,
+	}
+	if held.sent == 0 || (held.sentTo == "" && held.notStarted) {
+		answer.Result = cell.NotRun
+		answer.Reason = "no scheduler"
+		answer.RetryAfter = noScheduler
+	}
+	loop.withdrawSent(held)
+	loop.reply(held, answer)
+}
+
 func (loop *loop) withdrawSent(held *heldJob) {
 	if held.sentTo != "" && held.sentTo != loop.view.Self().Address {
 		loop.send(held.sentTo, link.Message{
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -68,8 +68,10 @@
 	cancels      map[uint64]pendingCancel
 	cancelNumber uint64
 	// told holds when a peer was last sent something that is spaced.
-	told      map[string]time.Time
-	pace      pace
+	told map[string]time.Time
+	pace pace
+	// settled is what the last heartbeats told.
+	settled   bool
 	gaugesAt  time.Time
 	beatAt    time.Time
 	membersAt time.Time
@@ -124,6 +126,10 @@
 		}
 	case leaveAsked:
 		loop.leave()
+	case giveUpAsked:
+		for _, held := range loop.held {
+			loop.giveUp(held, "stopping")
+		}
 	case dumpAsked:
 		event.dump <- loop.state()
 	case ticked:
@@ -146,6 +152,10 @@
 	for _, address := range loop.view.Forget() {
 		loop.dispatcher.links.Close(address)
 	}
+	if settled := loop.view.Settled(); settled != loop.settled {
+		loop.settled = settled
+		loop.beatAll(false)
+	}
 	loop.elect()
 	loop.beat()
 	loop.tickHeld()
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -19,7 +19,7 @@
 	case leader.Address == self && loop.cell != nil:
 		loop.follow(self, "this process schedules")
 	case leader.Address == self:
-		if loop.view.Settled() {
+		if loop.view.MayActivate() {
 			loop.activate()
 		}
 	default:
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -28,6 +28,10 @@
 	// them. At 600 ms a region was without a scheduler for 0.9 s after all
 	// processes had started.
 	settleTime = 250 * time.Millisecond
+	// activateAfter is when a settled process begins to schedule. In between it
+	// hears which of the others are settled; without that all processes of a
+	// region that start together began at once.
+	activateAfter = settleTime + 50*time.Millisecond
 	// sameAge is the difference of two ages that delays of heartbeats explain.
 	// Without it each of two processes could take itself for the older one.
 	sameAge = 150 * time.Millisecond
@@ -126,6 +130,12 @@
 	}
 }
 
+// MayActivate reports whether this process may begin to schedule, if it is the
+// leader.
+func (view *View) MayActivate() bool {
+	return view.Settled() && view.now.Sub(view.started) >= activateAfter
+}
+
 // Abstain keeps this process from scheduling for a time, unless there is no
 // other.
 func (view *View) Abstain(length time.Duration) {
--- a/shared/version/region/view_test.go
+++ b/shared/version/region/view_test.go
@@ -80,7 +80,7 @@
 	switch {
 	case !found:
 		view.Follow("")
-	case leader.Address == self && !network.active[number] && view.Settled():
+	case leader.Address == self && !network.active[number] && view.MayActivate():
 		network.active[number] = true
 		view.Activate()
 		view.Follow(self)
