Give way to strong VMs, and recover sooner from turning jobs away

Change: a weak scheduler counts as none once a strong VM has settled. Test: TestWeakSchedulerGivesWayToAStrongOne.

--- a/shared/process/dispatcher/pace.go
+++ b/shared/process/dispatcher/pace.go
@@ -18,9 +18,10 @@
 	slowPace = 40 * time.Millisecond
 	// slowFor is how long the average must stay above slowPace.
 	slowFor = 400 * time.Millisecond
-	// warmUp is the time after the start of a scheduler in which its pace
-	// says nothing, because all upstreams are taken over at once.
-	warmUp = time.Second
+	// warmUp is the time after the start of a scheduler in which its pace does
+	// not make it yield: it opens connections to all upstreams and takes over
+	// all jobs at once, which is slow on any VM.
+	warmUp = 5 * time.Second
 )
 
 const (
@@ -32,15 +33,18 @@
 	turnEvery = 200 * time.Millisecond
 	// turnUp and turnDown are the steps of that share, and maxTurned bounds it.
 	// It rises fast, since a scheduler that falls behind serves nobody.
-	turnUp = 0.08
+	turnUp    = 0.08
+	turnDown  = 0.02
+	maxTurned = 0.8
+	// turnDownFast is the step down while a start takes less than half of
+	// fullPace. At 0.02 a region took 10 s to serve all again after a restart.
+	turnDownFast = 0.06
 	// soundShare is the share of the rate at which a process kept up below
 	// which it counts as slow, soundDecay forgets that rate within a minute, and
 	// rateGain smooths the rate over half a second.
 	soundShare = 0.8
 	soundDecay = 0.997
 	rateGain   = 0.4
-	turnDown   = 0.02
-	maxTurned  = 0.8
 )
 
 // pace is how fast this process schedules.
@@ -113,11 +117,14 @@
 	if pace.average < fullPace {
 		pace.soundRate = max(pace.soundRate, pace.rate)
 	}
-	if pace.average > fullPace && now.Sub(pace.since) >= warmUp {
+	switch {
+	case pace.average > fullPace:
 		pace.turned = min(pace.turned+turnUp, maxTurned)
-		return
+	case pace.average > fullPace/2:
+		pace.turned = max(pace.turned-turnDown, 0)
+	default:
+		pace.turned = max(pace.turned-turnDownFast, 0)
 	}
-	pace.turned = max(pace.turned-turnDown, 0)
 }
 
 // turnsAway reports whether a job is among the share that is turned away. The
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -356,7 +356,9 @@
 	strongest := 0.0
 	for i := range found {
 		found[i].followers = followers[found[i].member.Address]
-		strongest = max(strongest, found[i].member.Weight)
+		if found[i].settled && !found[i].leaving {
+			strongest = max(strongest, found[i].member.Weight)
+		}
 	}
 	for i := range found {
 		found[i].strong = found[i].member.Weight >= strongShare*strongest
@@ -412,14 +414,18 @@
 	return best.member, best.activeFor > 0, found
 }
 
+// able reports whether a process schedules and is strong enough to go on. A weak
+// one that began while the others had not started gives way to a strong one.
+func (candidate candidate) able() bool { return candidate.activeFor > 0 && candidate.strong }
+
 func ahead(a, b candidate) bool {
 	if a.leaving != b.leaving {
 		return b.leaving
 	}
-	if (a.activeFor > 0) != (b.activeFor > 0) {
-		return a.activeFor > 0
+	if a.able() != b.able() {
+		return a.able()
 	}
-	if a.activeFor > 0 {
+	if a.able() {
 		if a.followers != b.followers {
 			return a.followers > b.followers
 		}
--- a/shared/version/region/view_test.go
+++ b/shared/version/region/view_test.go
@@ -311,3 +311,24 @@
 	network.run(3)
 	assert.DeepEqual(t, network.schedulers(), []int{0})
 }
+
+// A weak VM that began to schedule before the strong ones had started must give
+// way to them. Found after a restart of a region of unequal VMs, which a weak
+// one went on to schedule and served next to nobody.
+func TestWeakSchedulerGivesWayToAStrongOne(t *testing.T) {
+	network := newNetwork(9)
+	for number := range network.views {
+		of := member(number)
+		if number > 0 {
+			of.Weight = 0.1
+		}
+		network.views[number] = region.New(network.now, of)
+	}
+	network.connected = func(from, to int) bool { return from != 0 && to != 0 }
+	network.run(10)
+	network.active[0] = false
+	network.views[0] = region.New(network.now, member(0))
+	network.connected = func(int, int) bool { return true }
+	network.run(10)
+	assert.DeepEqual(t, network.schedulers(), []int{0})
+}
