--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -48,9 +48,8 @@
 	view      *region.View
 	estimator *estimate.Estimator
 	// leader is the process that this one submits to; empty if none is known.
-	leader      string
-	leaderBegan time.Time
-	held        map[string]*heldJob
+	leader string
+	held   map[string]*heldJob
 
 	// cell is nil while this process does not schedule; activation numbers
 	// the Cells of this process.
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -1,13 +1,8 @@
 package region
 
 import (
-	"math"
 	"sort"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"tanagerfall/shared/request/cell"
 )
 
 const (
@@ -16,7 +11,7 @@
 	// heartbeatPerPeer stretches the period in a large region, so that the
 	// messages of a process grow no faster than 100 a second.
 	heartbeatPerPeer = 10 * time.Millisecond
-	// SilenceLimit is the number of periods after which a silent process
+	// silencePeriods is the number of periods after which a silent process
 	// counts as gone. At 3.5 periods a process that runs five times slower
 	// still passes.
 	silencePeriods = 3.5
@@ -318,201 +313,8 @@
 // Follow tells which process this one submits to.
 func (view *View) Follow(address string) { view.follows = address }
 
-// candidate is a process that may be chosen.
-type candidate struct {
-	member    Member
-	leaving   bool
-	activeFor time.Duration
-	followers int
-	settled   bool
-	// strong processes have nearly as much processor time as any.
-	strong bool
-}
-
-// candidates returns the live processes.
-func (view *View) candidates() []candidate {
-	followers := make(map[string]int)
-	followers[view.follows]++
-	var found []candidate
-	found = append(found, candidate{
-		member:    view.self,
-		leaving:   view.leaving,
-		activeFor: view.ActiveFor(),
-		settled:   view.Settled(),
-	})
-	for _, address := range view.Addresses() {
-		held := view.remotes[address]
-		if !view.live(held) {
-			continue
-		}
-		followers[held.beat.Follows]++
-		found = append(found, candidate{
-			member:    held.beat.Member,
-			leaving:   held.beat.Leaving,
-			activeFor: view.activeNow(held),
-			settled:   held.beat.Settled,
-		})
-	}
-	strongest := 0.0
-	for i := range found {
-		found[i].followers = followers[found[i].member.Address]
-		if found[i].settled && !found[i].leaving {
-			strongest = max(strongest, found[i].member.Weight)
-		}
-	}
-	for i := range found {
-		found[i].strong = found[i].member.Weight >= strongShare*strongest
-	}
-	return found
-}
-
-// strongShare is the share of the highest weight from which a process is
-// preferred for scheduling. Weaker ones carry a part of the region's load only.
-const strongShare = 0.75
-
-// CanYield reports whether another process could schedule as well as this one:
-// one that is settled, not much weaker, and no process has yielded lately. If
-// one has, it is the load that is too high and not a VM that is slow.
-func (view *View) CanYield() bool {
-	able := false
-	for _, held := range view.remotes {
-		if !view.live(held) || held.beat.Leaving {
-			continue
-		}
-		if !held.beat.Settled && view.now.Sub(held.learned) > settledBy {
-			return false
-		}
-		able = able || (held.beat.Settled && held.beat.Member.Weight >= strongShare*view.self.Weight)
-	}
-	return able
-}
-
-// settledBy is when a process that is not settled is abstaining and not new.
-const settledBy = 2 * time.Second
-
-// activeNow returns how long a process has scheduled by now, going by its last
-// heartbeat.
-func (view *View) activeNow(held *remote) time.Duration {
-	if held.beat.ActiveFor == 0 {
-		return 0
-	}
-	return held.beat.ActiveFor + view.now.Sub(held.heardAt)
-}
-
-// Leader returns the process that schedules: among those that do, the one with
-// the most followers, and the longest of these. Where none does, it is the
-// live and settled process with the highest rank among the strongest, and active
-// is false. A process that is leaving comes after all others.
-func (view *View) Leader() (leader Member, active, found bool) {
-	var best candidate
-	for _, other := range view.candidates() {
-		if !found || ahead(other, best) {
-			best = other
-			found = true
-		}
-	}
-	return best.member, best.activeFor > 0, found
-}
-
-// able reports whether a process schedules and is strong enough to go on. A weak
-// one that began while the others had not started gives way to a strong one.
-func (candidate candidate) able() bool { return candidate.activeFor > 0 && candidate.strong }
-
-func ahead(a, b candidate) bool {
-	if a.leaving != b.leaving {
-		return b.leaving
-	}
-	if a.able() != b.able() {
-		return a.able()
-	}
-	if a.able() {
-		if a.followers != b.followers {
-			return a.followers > b.followers
-		}
-		if difference := a.activeFor - b.activeFor; difference > sameAge || difference < -sameAge {
-			return difference > 0
-		}
-	}
-	if a.settled != b.settled {
-		return a.settled
-	}
-	if strongA, strongB := a.strong, b.strong; strongA != strongB {
-		return strongA
-	}
-	rankA, rankB := rank(a.member, "leader"), rank(b.member, "leader")
-	if rankA != rankB {
-		return rankA > rankB
-	}
-	return a.member.Address < b.member.Address
-}
-
-// rank is the weighted rendezvous score of a process for a key.
-func rank(member Member, key string) float64 {
-	digest := xxhash.Sum64String(member.Address + "/" + key)
-	unit := (float64(digest>>11) + 0.5) / (1 << 53)
-	return -math.Max(member.Weight, 0.001) / math.Log(unit)
-}
-
 // Settled reports whether this process has listened long enough to take over,
 // and does not abstain.
 func (view *View) Settled() bool {
 	return view.now.Sub(view.started) >= settleTime && !view.now.Before(view.abstainUntil)
 }
-
-// Claim says whether this process, if it schedules, may take an upstream. The
-// home of an upstream is a process of its failure domain. A process takes the
-// upstreams whose home follows it, and those of homes that are gone if most of
-// the processes follow it. So two schedulers that begin to see each other
-// after a partition do not take upstreams from each other before one of them
-// has stood down.
-func (view *View) Claim(upstream cell.Upstream) cell.Claim {
-	home := view.home(upstream)
-	if view.followsSelf(home) {
-		return cell.ClaimFirm
-	}
-	if !view.Live(home) && 2*view.followerCount() > 1+len(view.remotes) {
-		return cell.ClaimWeak
-	}
-	return cell.ClaimNone
-}
-
-// home returns the address of the process that an upstream goes with.
-func (view *View) home(upstream cell.Upstream) string {
-	members := view.Members()
-	sameDomain := false
-	for _, member := range members {
-		sameDomain = sameDomain || member.Domain == upstream.Domain
-	}
-	home := view.self.Address
-	best := -1.0
-	for _, member := range members {
-		if sameDomain && member.Domain != upstream.Domain {
-			continue
-		}
-		if score := rank(member, upstream.ID); score > best {
-			home = member.Address
-			best = score
-		}
-	}
-	return home
-}
-
-func (view *View) followsSelf(address string) bool {
-	if address == view.self.Address {
-		return true
-	}
-	held, known := view.remotes[address]
-	return known && view.live(held) && held.beat.Follows == view.self.Address
-}
-
-// followerCount returns the number of live processes that follow this one,
-// itself included.
-func (view *View) followerCount() int {
-	count := 1
-	for address := range view.remotes {
-		if view.followsSelf(address) {
-			count++
-		}
-	}
-	return count
-}
