--- /dev/null
+++ b/shared/process/logevent/logger_test.go
@@ -0,0 +1,82 @@
+package logevent
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+}
+
+func (writer blockedWriter) Write(data []byte) (int, error) {
+	<-writer.release
+	return len(data), nil
+}
+
+// A reader that stops reading must not hold the process up: lines that find the
+// queue full are dropped and counted.
+func TestBlockedReaderHoldsNothingUp(t *testing.T) {
+	writer := blockedWriter{
+		release: make(chan struct{}),
+	}
+	logger := NewBounded(writer, log.InfoLevel, "vm", Budget{
+		Queue: 10,
+	})
+	began := time.Now()
+	for range 1000 {
+		logger.Log(JobGivenUp, "job", "j")
+	}
+	logger.Close(20 * time.Millisecond)
+	assert.Assert(t, time.Since(began) < time.Second)
+	assert.Assert(t, logger.Dropped() >= 980, "%d dropped", logger.Dropped())
+	close(writer.release)
+}
+
+// buffer is a writer that can be read while it is written.
+type buffer struct {
+	mutex sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (buffer *buffer) Write(data []byte) (int, error) {
+	buffer.mutex.Lock()
+	defer buffer.mutex.Unlock()
+	return buffer.bytes.Write(data)
+}
+
+func (buffer *buffer) String() string {
+	buffer.mutex.Lock()
+	defer buffer.mutex.Unlock()
+	return buffer.bytes.String()
+}
+
+// An event that comes too often must not push others out, and what is left out
+// is counted.
+func TestBudgetIsByEvent(t *testing.T) {
+	written := &buffer{}
+	logger := NewBounded(written, log.InfoLevel, "vm", Budget{
+		Queue:          1000,
+		LinesPerSecond: 5,
+	})
+	for range 50 {
+		logger.Log(JobGivenUp, "job", "j")
+	}
+	logger.Log(SchedulerStarted, "token", 7)
+	logger.Log(JobAccepted, "job", "below the level")
+	logger.Close(time.Second)
+	text := written.String()
+	// The lines may fall into two seconds.
+	lines := strings.Count(text, "event=E713")
+	assert.Assert(t, lines >= 5 && lines <= 10, "%d lines", lines)
+	assert.Equal(t, strings.Count(text, "event=E701"), 1)
+	assert.Equal(t, strings.Count(text, "event=E711"), 0)
+	assert.Assert(t, strings.Contains(text, "of=E713"), text)
+}
