--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -84,7 +84,11 @@
 	if err != nil {
 		return Report{}, eris.Wrap(err, "making a directory")
 	}
-	defer os.RemoveAll(directory)
+	defer func() {
+		if err := os.RemoveAll(directory); err != nil {
+			fmt.Fprintln(os.Stderr, "soak: the settings stay:", err)
+		}
+	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	held := &region{
