Count runs that lapse or cross a restart unanswered as possibly run

Cause: a start whose answer had not been handled when its upstream's lease was over, or its restart was told, was forgotten, and its job could be told as not run. Ruled out by reading: starts that were not sent, refusals of workers, the entry VM's own answers (held_test.go). Change: such runs count as possibly run. Test: TestUnansweredStartThatLapsesMayHaveRun, which fails without it (not-run in place of interrupted).

--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -721,3 +721,28 @@
 	assert.Equal(t, len(of[cell.StartRun](decisions)), 0)
 	assert.Equal(t, len(of[cell.StopRun](decisions)), 0)
 }
+
+// A start whose answer is still under way when the upstream's lease is over may
+// have run, so its job must not be told as not run. Likely the cause of one
+// REFUSED on a day on which the scheduler was seconds behind.
+func TestUnansweredStartThatLapsesMayHaveRun(t *testing.T) {
+	bench := newBench(t)
+	bench.listed(nil, "u1")
+	bench.submit(job("j", 1))
+	var answers []cell.AnswerJob
+	for range 3 {
+		for range 3 {
+			bench.tell(cell.Watched{
+				Reply: cell.Reply{
+					Order: cell.Order{
+						Upstream: "u1",
+					},
+					Outcome: cell.OutcomeUnknown,
+				},
+			})
+		}
+		answers = append(answers, of[cell.AnswerJob](bench.after(700*time.Millisecond))...)
+	}
+	assert.Equal(t, len(answers), 1)
+	assert.Equal(t, answers[0].Answer.Result, cell.Interrupted)
+}
--- a/shared/request/cell/lease.go
+++ b/shared/request/cell/lease.go
@@ -30,6 +30,7 @@
 		return
 	}
 	for _, held := range at.runs {
+		held.mayHaveRun()
 		cell.gone(held, "lapsed")
 	}
 }
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -182,9 +182,7 @@
 		held.confirmedAt = cell.now
 		held.percentAt = cell.now
 	}
-	if held.owner != nil {
-		held.owner.started = true
-	}
+	held.mayHaveRun()
 	if held.state == runStarting || (held.state == runUnsure && held.reason == "") {
 		held.state = runRunning
 	}
@@ -198,10 +196,15 @@
 	}
 	held.state = runUnsure
 	held.doubtedAt = cell.now
+	held.mayHaveRun()
+	cell.lookNow(held.at)
+}
+
+// mayHaveRun keeps the run's job from being told as not run.
+func (held *run) mayHaveRun() {
 	if held.owner != nil {
 		held.owner.started = true
 	}
-	cell.lookNow(held.at)
 }
 
 // refuse makes the task of a refused start wait again. No run was started.
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -366,6 +366,7 @@
 			continue
 		}
 		// The order may have reached the new process.
+		held.mayHaveRun()
 		held.state = runUnsure
 		held.confirmedAt = time.Time{}
 		held.doubtedAt = cell.now
