Give the orders of a scheduler with many upstreams to relays

Cause: on the grown sites one process schedules 350 upstreams, and each start costs it two HTTP exchanges (the start and the watch that brings its end), about 90 of 111 us. In every burst the strongest VM's processor was full: its starts slowed down, jobs were turned away and the scheduler yielded.

Ruled out: a cheaper HTTP client or decoder (at most halves the cost); a scheduler for each cell with spill (a second level of placement, and each takeover has several schedulers to settle).

Change: a scheduler with 128 upstreams or more hands its orders in batches to the other entry VMs, by rendezvous hashing within the upstream's failure domain. They carry them out and send the answers back. A lost or late relay is to the cell a lost or delayed order. Small regions send as before.

Tests: relay tracker tables; a region of four processes in which a relay or the scheduler dies or leaves.

--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/version/region"
 	"tanagerfall/shared/version/routing"
@@ -25,6 +26,19 @@
 	Upstreams *Upstreams        `cbor:"11,keyasint,omitempty"`
 	Speeds    *Speeds           `cbor:"12,keyasint,omitempty"`
 	Released  *Released         `cbor:"13,keyasint,omitempty"`
+	Orders    *Orders           `cbor:"14,keyasint,omitempty"`
+	Replies   *Replies          `cbor:"15,keyasint,omitempty"`
+}
+
+// Orders asks the receiver to carry orders out for the sender.
+type Orders struct {
+	Rows []relay.Order `cbor:"1,keyasint"`
+}
+
+// Replies answers Orders of one incarnation of the receiver.
+type Replies struct {
+	To   uint64        `cbor:"1,keyasint"`
+	Rows []relay.Reply `cbor:"2,keyasint"`
 }
 
 // Withdraw tells the scheduler that the sender no longer waits for a job.
--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"tanagerfall/shared/connection/link"
+	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
@@ -34,20 +35,17 @@
 // ErrStopped is returned by calls after the control loop has ended.
 var ErrStopped = eris.New("the dispatcher has stopped")
 
-// Upstreams carries orders to upstreams. Each call returns when the answer is
-// known or the time of the order is over.
-type Upstreams interface {
-	Start(ctx context.Context, order cell.StartRun) cell.StartReplied
-	Stop(ctx context.Context, order cell.StopRun) cell.StopReplied
-	Watch(ctx context.Context, order cell.Watch) cell.Watched
-}
-
 // Options are what a Dispatcher is made of.
 type Options struct {
 	Self region.Member
 	// Peers are addresses to try before any process announced itself.
-	Peers     []string
-	Upstreams Upstreams
+	Peers []string
+	// Upstreams carries the orders of this process out, and those that it
+	// relays.
+	Upstreams relay.Upstreams
+	// RelayFrom is the number of upstreams from which a scheduler gives its
+	// orders to relays.
+	RelayFrom int
 	Logger    *logevent.Logger
 	Limits    cell.Limits
 	// Schedules, if set, is called when this process begins and ceases to
@@ -97,6 +95,7 @@
 		cancels:    make(map[uint64]pendingCancel),
 		told:       make(map[string]time.Time),
 		goneAt:     make(map[string]time.Time),
+		replies:    make(map[destination][]relay.Reply),
 	}
 	return dispatcher
 }
@@ -133,6 +132,9 @@
 		case event := <-dispatcher.events:
 			loop.handle(time.Now(), event)
 		}
+		if len(dispatcher.events) == 0 || loop.batched >= maxBatch {
+			loop.flush()
+		}
 	}
 }
 
--- a/shared/process/dispatcher/events.go
+++ b/shared/process/dispatcher/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerfall/shared/connection/link"
+	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/version/region"
 	"tanagerfall/shared/version/routing"
@@ -52,6 +53,11 @@
 		// began is when the control loop gave the order.
 		began time.Time
 	}
+	// carried brings the answer to an order of another process's Cell.
+	carried struct {
+		to    destination
+		reply relay.Reply
+	}
 	// leaveAsked begins a planned stop.
 	leaveAsked struct{}
 	// giveUpAsked ends a planned stop: all jobs are answered.
@@ -71,6 +77,7 @@
 func (upstreamsRead) isEvent() {}
 func (membersRead) isEvent()   {}
 func (replied) isEvent()       {}
+func (carried) isEvent()       {}
 func (leaveAsked) isEvent()    {}
 func (giveUpAsked) isEvent()   {}
 func (dumpAsked) isEvent()     {}
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagerfall/shared/connection/link"
+	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
@@ -58,6 +59,16 @@
 	token      int64
 	// fronts holds the entry VMs with jobs in the Cell, by address.
 	fronts map[string]string
+	// relays is nil while this process does not schedule; suspects are those
+	// that were logged last.
+	relays   *relay.Tracker
+	suspects []string
+	// carrying counts the orders that are carried out for other processes,
+	// replies holds the answers that are not sent yet, and batched counts those
+	// and the orders for relays.
+	carrying int
+	replies  map[destination][]relay.Reply
+	batched  int
 
 	routes    *routing.Table
 	upstreams []cell.Upstream
@@ -118,11 +129,12 @@
 	case membersRead:
 		loop.learn(event.members)
 	case replied:
-		loop.dispatcher.meters.reply(event.event)
 		if loop.cell != nil && event.activation == loop.activation {
-			loop.measure(event)
-			loop.act(loop.cell.Handle(now, event.event))
+			loop.orderReplied(event.event, event.began)
 		}
+	case carried:
+		loop.carrying--
+		loop.sendReply(event.to, event.reply)
 	case leaveAsked:
 		loop.leave()
 	case giveUpAsked:
@@ -163,6 +175,7 @@
 	if loop.cell != nil {
 		loop.pace.turn(loop.now)
 		loop.dropLostFronts()
+		loop.tickRelays()
 		loop.act(loop.cell.Handle(loop.now, cell.Tick{}))
 		loop.publishPending(loop.cell.Pending())
 	}
@@ -191,6 +204,7 @@
 			loop.submitAll()
 		}
 	case link.Down:
+		loop.relayBroke(event.Address)
 		if event.Refused {
 			loop.view.Refused(event.Address)
 			loop.elect()
@@ -227,6 +241,10 @@
 		}
 		loop.view.StoodDown(message.From)
 		loop.elect()
+	case message.Orders != nil:
+		loop.carry(message.From, message.Incarnation, message.Orders.Rows)
+	case message.Replies != nil:
+		loop.relayed(*message.Replies)
 	case message.Speeds != nil:
 		for id, speed := range message.Speeds.Upstreams {
 			loop.estimator.Declare(id, speed)
@@ -326,6 +344,9 @@
 	}
 	loop.listedAt = readAt
 	loop.upstreams = loop.keepGone(rows)
+	if loop.relays != nil {
+		loop.relays.SetUpstreams(loop.upstreams)
+	}
 	loop.tell(cell.UpstreamsListed{
 		Upstreams: loop.upstreams,
 	})
--- a/shared/process/dispatcher/pace.go
+++ b/shared/process/dispatcher/pace.go
@@ -66,12 +66,12 @@
 }
 
 // measure takes note of how long a start took.
-func (loop *loop) measure(event replied) {
-	started, isStart := event.event.(cell.StartReplied)
+func (loop *loop) measure(event cell.Event, began time.Time) {
+	started, isStart := event.(cell.StartReplied)
 	if !isStart || started.Reply.Outcome != cell.OutcomeDone {
 		return
 	}
-	loop.pace.add(loop.now, loop.now.Sub(event.began))
+	loop.pace.add(loop.now, loop.now.Sub(began))
 }
 
 func (pace *pace) add(now time.Time, took time.Duration) {
--- a/shared/process/dispatcher/region_test.go
+++ b/shared/process/dispatcher/region_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,8 +42,10 @@
 	workers map[string]*fakeWorker
 	// taskTime is how long each task runs.
 	taskTime time.Duration
-	twice    []string
-	done     map[cell.TaskName]int
+	// relayFrom is the number of upstreams from which relays are used.
+	relayFrom int
+	twice     []string
+	done      map[cell.TaskName]int
 }
 
 func newFleet(taskTime time.Duration, count int) *fakeFleet {
@@ -49,7 +53,9 @@
 		began:    time.Now(),
 		workers:  make(map[string]*fakeWorker),
 		taskTime: taskTime,
-		done:     make(map[cell.TaskName]int),
+		// Tests that are not about relays do without.
+		relayFrom: math.MaxInt,
+		done:      make(map[cell.TaskName]int),
 	}
 	for number := range count {
 		fleet.workers[fmt.Sprintf("w%d", number)] = &fakeWorker{
@@ -218,6 +224,7 @@
 
 // node is one process of a region on loopback.
 type node struct {
+	carried    *countingFleet
 	dispatcher *dispatcher.Dispatcher
 	cancel     context.CancelFunc
 	stopped    chan struct{}
@@ -257,6 +264,9 @@
 func startNode(t *testing.T, fleet *fakeFleet, number int, listener net.Listener, peers []string) *node {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
+	carried := &countingFleet{
+		fakeFleet: fleet,
+	}
 	started := dispatcher.New(dispatcher.Options{
 		Self: region.Member{
 			Address:     listener.Addr().String(),
@@ -266,11 +276,13 @@
 			Incarnation: uint64(number + 1),
 		},
 		Peers:     peers,
-		Upstreams: fleet,
+		Upstreams: carried,
 		Logger:    logevent.New(io.Discard, log.ErrorLevel, "test"),
 		Limits:    cell.DefaultLimits(),
+		RelayFrom: fleet.relayFrom,
 	})
 	held := &node{
+		carried:    carried,
 		dispatcher: started,
 		cancel:     cancel,
 		stopped:    make(chan struct{}),
@@ -376,6 +388,64 @@
 	}
 }
 
+// countingFleet counts the starts of one process.
+type countingFleet struct {
+	*fakeFleet
+	starts atomic.Int64
+}
+
+// Start counts and carries out.
+func (fleet *countingFleet) Start(ctx context.Context, order cell.StartRun) cell.StartReplied {
+	fleet.starts.Add(1)
+	return fleet.fakeFleet.Start(ctx, order)
+}
+
+// Orders through relays keep what direct orders keep: all jobs complete, no
+// task runs twice at once, whoever dies.
+func TestJobsSurviveWithRelays(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// dead is the process that dies, counted from the scheduler; it leaves
+		// in good order where leaves is set.
+		dead   int
+		leaves bool
+	}{
+		{
+			name: "relay dies",
+			dead: 1,
+		},
+		{
+			name: "scheduler dies",
+		},
+		{
+			name:   "relay leaves",
+			dead:   1,
+			leaves: true,
+		},
+		{
+			name:   "scheduler leaves",
+			leaves: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			fleet := newFleet(300*time.Millisecond, 12)
+			fleet.relayFrom = 1
+			nodes := startRegion(t, fleet, 4)
+			scheduler := schedulerOf(t, nodes)
+			dead := (scheduler + test.dead) % len(nodes)
+			lost, disturbance := dead, nodes[dead].kill
+			if test.leaves {
+				lost, disturbance = -1, nodes[dead].dispatcher.Leave
+			}
+			answers := disturb(t, nodes, lost, disturbance)
+			fleet.check(t, answers)
+			if test.dead != 0 {
+				assert.Equal(t, nodes[scheduler].carried.starts.Load(), int64(0), "the scheduler relays its starts")
+			}
+		})
+	}
+}
+
 // The jobs of the surviving entry VMs must complete when the scheduler dies,
 // and no task may run twice at once.
 func TestJobsSurviveTheSchedulersDeath(t *testing.T) {
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerfall/shared/connection/link"
+	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
 )
@@ -38,6 +39,10 @@
 	loop.view.Activate()
 	loop.dispatcher.meters.count(metricTakeovers)
 	loop.fronts = make(map[string]string)
+	loop.relays = relay.New(loop.activation, loop.options.RelayFrom)
+	loop.relays.SetUpstreams(loop.upstreams)
+	loop.relays.SetMembers(loop.now, loop.view.Relays())
+	loop.suspects = nil
 	loop.cell = cell.New(loop.now, cell.Config{
 		Estimator: loop.estimator,
 		Claims:    loop.view.Claim,
@@ -80,7 +85,9 @@
 	}
 	loop.log(logevent.SchedulerStopped, "reason", reason)
 	loop.release(loop.cell.Release())
+	loop.flush()
 	loop.cell = nil
+	loop.relays = nil
 	loop.activation++
 	loop.view.Deactivate()
 	if loop.options.Schedules != nil {
@@ -118,13 +125,19 @@
 		switch decision := decision.(type) {
 		case cell.StartRun:
 			loop.logPlaced(decision)
-			loop.order(func() cell.Event { return loop.options.Upstreams.Start(loop.ctx, decision) })
+			loop.order(relay.Order{
+				Start: &decision,
+			})
 		case cell.StopRun:
 			loop.log(logevent.RunStopped, "upstream", decision.Order.Upstream, "job", decision.Run.Task.Job,
 				"task", decision.Run.Task.Index, "run", decision.Run.Number, "reason", decision.Reason)
-			loop.order(func() cell.Event { return loop.options.Upstreams.Stop(loop.ctx, decision) })
+			loop.order(relay.Order{
+				Stop: &decision,
+			})
 		case cell.Watch:
-			loop.order(func() cell.Event { return loop.options.Upstreams.Watch(loop.ctx, decision) })
+			loop.order(relay.Order{
+				Watch: &decision,
+			})
 		case cell.AnswerJob:
 			loop.sendAnswer(decision)
 		case cell.UpstreamChanged:
@@ -142,22 +155,6 @@
 		"run", decision.Run.Number, "upstream", decision.Order.Upstream, "expected-ms", int(decision.ExpectedMs))
 }
 
-// order carries one order out and brings its answer back to the Cell that gave
-// it.
-func (loop *loop) order(call func() cell.Event) {
-	activation := loop.activation
-	dispatcher := loop.dispatcher
-	began := loop.now
-	go func() {
-		event := call()
-		dispatcher.post(replied{
-			activation: activation,
-			event:      event,
-			began:      began,
-		})
-	}()
-}
-
 func (loop *loop) sendAnswer(decision cell.AnswerJob) {
 	if decision.Front == loop.selfName() {
 		loop.answered(loop.view.Self().Address, decision.Answer)
--- a/shared/process/dispatcher/state.go
+++ b/shared/process/dispatcher/state.go
@@ -19,6 +19,8 @@
 	RoutesVersion int64           `json:"routes-version"`
 	ListAgeMs     int64           `json:"list-age-ms"`
 	Held          int             `json:"held-jobs"`
+	Carrying      int             `json:"relayed-orders"`
+	Suspects      []string        `json:"suspected-relays,omitempty"`
 	Cell          *cell.Dump      `json:"cell,omitempty"`
 }
 
@@ -33,6 +35,8 @@
 		Members:   loop.view.Members(),
 		ListAgeMs: int64(loop.listAge() / time.Millisecond),
 		Held:      len(loop.held),
+		Carrying:  loop.carrying,
+		Suspects:  loop.suspects,
 	}
 	if loop.routes != nil {
 		state.RoutesVersion = loop.routes.Version
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -224,6 +224,12 @@
 		Level:  log.WarnLevel,
 		Text:   "this process is too slow to schedule and leaves it to another",
 	}
+	RelaysSuspected = Event{
+		Number: 706,
+		Name:   "relays-suspected",
+		Level:  log.InfoLevel,
+		Text:   "set of relays that get no orders for a time changed",
+	}
 	JobAccepted = Event{
 		Number: 711,
 		Name:   "job-accepted",
@@ -331,7 +337,7 @@
 		JobFailed, JobRefused,
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
-		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow,
+		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -118,27 +118,27 @@
 
 // TaskName names a task of a job.
 type TaskName struct {
-	Job   string
-	Step  int
-	Index int
+	Job   string `cbor:"1,keyasint"`
+	Step  int    `cbor:"2,keyasint,omitempty"`
+	Index int    `cbor:"3,keyasint,omitempty"`
 }
 
 // RunName names one start of a task.
 type RunName struct {
-	Task   TaskName
-	Number int
+	Task   TaskName `cbor:"1,keyasint"`
+	Number int      `cbor:"2,keyasint"`
 }
 
 // Order is the part that all orders to an upstream have in common.
 type Order struct {
-	Upstream string
-	Address  string
+	Upstream string `cbor:"1,keyasint"`
+	Address  string `cbor:"2,keyasint"`
 	// Token is the fencing token. The upstream ignores orders with a lower
 	// token than the highest that it has seen.
-	Token int64
+	Token int64 `cbor:"3,keyasint"`
 	// LeaseEnd is the time on the upstream's clock, in ms, until which
 	// everything on it may run; 0 renews nothing.
-	LeaseEnd int64
+	LeaseEnd int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Outcome says what came of an order.
@@ -204,17 +204,17 @@
 
 // RunningRun is a run that an upstream lists as running.
 type RunningRun struct {
-	Run RunName
+	Run RunName `cbor:"1,keyasint"`
 	// Percent is the progress, 0 to 100.
-	Percent int
+	Percent int `cbor:"2,keyasint,omitempty"`
 }
 
 // EndedRun is an end that an upstream lists until it is acknowledged.
 type EndedRun struct {
-	Run RunName
+	Run RunName `cbor:"1,keyasint"`
 	// Sequence numbers the ends of one incarnation from 1.
-	Sequence int64
-	End      End
+	Sequence int64 `cbor:"2,keyasint"`
+	End      End   `cbor:"3,keyasint,omitempty"`
 }
 
 // Event is something that happened, told to a Cell.
@@ -280,26 +280,26 @@
 type (
 	// StartRun asks for a start. One StartReplied must follow.
 	StartRun struct {
-		Order Order
-		Run   RunName
-		Spec  string
+		Order Order   `cbor:"1,keyasint"`
+		Run   RunName `cbor:"2,keyasint"`
+		Spec  string  `cbor:"3,keyasint"`
 		// ExpectedMs is the predicted run time.
-		ExpectedMs float64
+		ExpectedMs float64 `cbor:"-"`
 	}
 	// StopRun asks for a stop. One StopReplied must follow.
 	StopRun struct {
-		Order  Order
-		Run    RunName
-		Reason string
+		Order  Order   `cbor:"1,keyasint"`
+		Run    RunName `cbor:"2,keyasint"`
+		Reason string  `cbor:"-"`
 	}
 	// Watch asks for the runs of an upstream. One Watched must follow.
 	Watch struct {
-		Order Order
+		Order Order `cbor:"1,keyasint"`
 		// Seen acknowledges the ends up to this sequence number.
-		Seen int64
+		Seen int64 `cbor:"2,keyasint,omitempty"`
 		// Wait is how long the upstream may hold the answer until a run ends.
-		Wait time.Duration
-		Look bool
+		Wait time.Duration `cbor:"3,keyasint,omitempty"`
+		Look bool          `cbor:"4,keyasint,omitempty"`
 	}
 	// AnswerJob carries the answer of a job to an entry VM.
 	AnswerJob struct {
--- a/shared/version/region/election.go
+++ b/shared/version/region/election.go
@@ -128,15 +128,16 @@
 	if strongA, strongB := a.strong, b.strong; strongA != strongB {
 		return strongA
 	}
-	rankA, rankB := rank(a.member, "leader"), rank(b.member, "leader")
+	rankA, rankB := Rank(a.member, "leader"), Rank(b.member, "leader")
 	if rankA != rankB {
 		return rankA > rankB
 	}
 	return a.member.Address < b.member.Address
 }
 
-// rank is the weighted rendezvous score of a process for a key.
-func rank(member Member, key string) float64 {
+// Rank returns the weighted rendezvous score of a process for a key, which is
+// above 0.
+func Rank(member Member, key string) float64 {
 	digest := xxhash.Sum64String(member.Address + "/" + key)
 	unit := (float64(digest>>11) + 0.5) / (1 << 53)
 	return -math.Max(member.Weight, 0.001) / math.Log(unit)
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -272,6 +272,18 @@
 	return members
 }
 
+// Relays returns the other live processes that are not leaving, sorted by
+// address.
+func (view *View) Relays() []Member {
+	var relays []Member
+	for _, address := range view.Addresses() {
+		if held := view.remotes[address]; view.live(held) && !held.beat.Leaving {
+			relays = append(relays, held.beat.Member)
+		}
+	}
+	return relays
+}
+
 // Beat returns the last heartbeat of a process.
 func (view *View) Beat(address string) (Heartbeat, bool) {
 	held, known := view.remotes[address]
