Extend the soak: proxies, draining workers, slow clocks, plan probes

Cause: the soak could not cut, silence or delay connections, never drained a worker, and saw nothing of the configuration in force, so four guards had no seed that could fail without them.

Change: seeds from 1000 on play an extended schedule with a proxy before each worker and each process's address for peers (silence, reset, one way, delay), draining workers whose older reports arrive late, worker clocks up to 2% slow, a store that refuses, limits or hangs, and versions in a row; a probe per process holds that a version that was served stays served. Seeds below 1000 keep their schedules.

Ruled out: extending the old schedule in place; seeds 3 and 12 would have lost the faults that they are kept for.

--- a/soak/check/checker.go
+++ b/soak/check/checker.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// PlanWentBack takes note that a process no longer serves a version of the
+// configuration that it served before.
+func (checker *Checker) PlanWentBack(process string, version int) {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	checker.fault("%s does not serve version %d any more", process, version)
+}
+
 // Count adds one to a count of the report.
 func (checker *Checker) Count(name string) {
 	checker.mutex.Lock()
--- /dev/null
+++ b/soak/proxy/doc.go
@@ -0,0 +1,2 @@
+// Package proxy forwards TCP connections on loopback and disturbs them.
+package proxy
--- a/soak/region/disturb.go
+++ b/soak/region/disturb.go
@@ -20,7 +20,7 @@
 func (region *region) disturb(ctx context.Context) {
 	wait(ctx, settle)
 	for ctx.Err() == nil {
-		kind := region.random.IntN(9)
+		kind := region.random.IntN(region.kinds())
 		process := region.processes[region.random.IntN(len(region.processes))]
 		number := region.random.IntN(len(region.workers))
 		worker := region.workers[number]
@@ -54,8 +54,10 @@
 			region.mutex.Lock()
 			region.publish()
 			region.mutex.Unlock()
-			region.store.SetDown(true)
-			time.AfterFunc(long, func() { region.store.SetDown(false) })
+			region.store.SetOutage(region.outage())
+			time.AfterFunc(long, func() { region.store.SetOutage(standin.None) })
+		default:
+			region.disturbMore(kind, number, long)
 		}
 		wait(ctx, minGap+time.Duration(region.random.Int64N(int64(gapSpan))))
 	}
--- a/soak/region/process.go
+++ b/soak/region/process.go
@@ -22,9 +22,13 @@
 	program  string
 	settings string
 	ip       string
-	mutex    sync.Mutex
-	command  *exec.Cmd
-	done     chan struct{}
+	// arguments are added to the command line.
+	arguments []string
+	mutex     sync.Mutex
+	// starts counts the incarnations.
+	starts  int
+	command *exec.Cmd
+	done    chan struct{}
 }
 
 // The ports of all processes; each has an address of its own.
@@ -33,6 +37,8 @@
 	readyPort   = 18167
 	controlPort = 18166
 	peerPort    = 18720
+	// hiddenPort is where a process listens for its peers behind a proxy.
+	hiddenPort = 18721
 )
 
 // newProcess returns a process that is not started. Each seed has loopback
@@ -68,10 +74,12 @@
 	if process.command != nil {
 		return
 	}
-	command := exec.Command(process.program, "serve", "--settings", process.settings, "--log-level", "error")
+	arguments := append([]string{"serve", "--settings", process.settings, "--log-level", "error"}, process.arguments...)
+	command := exec.Command(process.program, arguments...)
 	if err := command.Start(); err != nil {
 		return
 	}
+	process.starts++
 	process.command = command
 	process.done = make(chan struct{})
 	go func() {
--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"tanagerfall/soak/check"
+	"tanagerfall/soak/proxy"
 	"tanagerfall/soak/standin"
 )
 
@@ -74,8 +75,12 @@
 	addresses []string
 	draining  map[int]bool
 	processes []*process
-	mutex     sync.Mutex
-	version   int
+	// workerProxies and peerProxies stand before the workers and the processes
+	// of an extended run.
+	workerProxies []*proxy.Proxy
+	peerProxies   []*proxy.Proxy
+	mutex         sync.Mutex
+	version       int
 }
 
 // Run runs one seed. The error tells what kept it from running.
@@ -108,6 +113,9 @@
 		if err != nil {
 			return Report{}, err
 		}
+		if address, err = held.hideWorker(ctx, worker, address); err != nil {
+			return Report{}, err
+		}
 		held.workers = append(held.workers, worker)
 		held.addresses = append(held.addresses, address)
 	}
@@ -118,6 +126,9 @@
 		if err != nil {
 			return Report{}, err
 		}
+		if err := held.hideProcess(ctx, started, number); err != nil {
+			return Report{}, err
+		}
 		held.processes = append(held.processes, started)
 		started.start()
 		defer started.kill()
@@ -145,14 +156,22 @@
 	return listener.Addr().String(), nil
 }
 
-// publish writes the next version of the configuration.
+// publish writes the next version of the configuration. Each version of an
+// extended run adds a route that tells it from the earlier ones.
 func (region *region) publish() {
 	region.version++
-	region.store.Put("keyed.op", "config", fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example",`+
-		`"path-prefix":"/q/","timeout-ms":1500,"target-latency-ms":1000,"service":"s","max-attempts":3,"stretch":4}],`+
-		`"services":[{"name":"s"}],"limits":{}}`, region.version))
+	const route = `{"name":%q,"host":"h.example","path-prefix":%q,"timeout-ms":1500,"target-latency-ms":1000,` +
+		`"service":"s","max-attempts":3,"stretch":4}`
+	routes := []string{fmt.Sprintf(route, "r", "/q/")}
+	for version := 1; region.extended() && version <= region.version; version++ {
+		routes = append(routes, fmt.Sprintf(route, fmt.Sprint("r", version), versionPath(version)))
+	}
+	region.store.Put("keyed.op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{}}`,
+		region.version, strings.Join(routes, ",")))
 }
 
+func versionPath(version int) string { return fmt.Sprintf("/v%d/", version) }
+
 // register writes the workers' reports.
 func (region *region) register(ctx context.Context) {
 	for seq := 1; ctx.Err() == nil; seq++ {
@@ -161,10 +180,14 @@
 			state := "ready"
 			if region.draining[number] {
 				state = "draining"
+				worker.Drain()
 			}
 			region.store.Put("keyed.servers", worker.ID, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z%d","slots":8,`+
 				`"state":%q,"seq":%d,"born":%d,"capacity":{"cpu":16000,"mem-mb":1000}}`,
 				region.addresses[number], number%3, state, seq, worker.Born()))
+			if region.draining[number] {
+				region.lateReport(number, seq-1)
+			}
 		}
 		region.mutex.Unlock()
 		time.Sleep(registerEvery)
@@ -179,6 +202,11 @@
 	all, end := context.WithTimeout(ctx, 2*settle+region.options.Length+recovery)
 	defer end()
 	go region.disturb(faulty)
+	if region.extended() {
+		for _, process := range region.processes {
+			go region.probe(all, process)
+		}
+	}
 	pause := time.Duration(float64(time.Second) / region.options.JobsPerSecond)
 	random := rand.New(rand.NewPCG(region.options.Seed, 2))
 	began := time.Now()
--- a/soak/standin/store.go
+++ b/soak/standin/store.go
@@ -16,10 +16,23 @@
 type Store struct {
 	mutex  sync.Mutex
 	topics map[string][]record
-	// Down refuses all calls while it is set.
-	down bool
+	outage Outage
 }
 
+// Outage says how the store fails.
+type Outage int
+
+// The outages.
+const (
+	// None answers.
+	None Outage = iota
+	// Refusing answers 503, Limiting 429.
+	Refusing
+	Limiting
+	// Hanging does not answer.
+	Hanging
+)
+
 type record struct {
 	key, value string
 }
@@ -31,11 +44,11 @@
 	}
 }
 
-// SetDown makes the store refuse calls, or answer them.
-func (store *Store) SetDown(down bool) {
+// SetOutage makes the store fail, or answer.
+func (store *Store) SetOutage(outage Outage) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	store.down = down
+	store.outage = outage
 }
 
 // Put appends a record.
@@ -52,12 +65,16 @@
 func (store *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	topic := request.URL.Query().Get("topic")
 	store.mutex.Lock()
-	down := store.down
+	outage := store.outage
 	records := store.topics[topic]
 	store.mutex.Unlock()
 	switch {
-	case down:
+	case outage == Refusing:
 		writer.WriteHeader(http.StatusServiceUnavailable)
+	case outage == Limiting:
+		writer.WriteHeader(http.StatusTooManyRequests)
+	case outage == Hanging:
+		<-request.Context().Done()
 	case strings.HasSuffix(request.URL.Path, "log-newest"):
 		writeNewest(writer, records)
 	case strings.HasSuffix(request.URL.Path, "log-read"):
