Give begun jobs up when a late answer is worth nothing

Cause: a job of which some tasks had started was kept until 100 ms before its caller's deadline, although its other tasks found no room and three times its objective had passed.

--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -307,6 +307,9 @@
 		return
 	}
 	if held.started || held.active > 0 {
+		if held.queued > 0 && cell.now.After(held.lateEnd) {
+			cell.giveUp(held, "overload", 0)
+		}
 		return
 	}
 	expected := held.expected(held.longest, cell.fastest(held.job.Service))
