Explain failed jobs from logs: tanagerctl explain

Change: the last line of a job that was not completed tells how many of its tasks were done, running and waiting. tanagerctl explain reads logs, names one cause per job by its ID, and counts what stays unexplained. It calls nothing.

--- a/shared/process/dispatcher/held.go
+++ b/shared/process/dispatcher/held.go
@@ -207,8 +207,14 @@
 	case took > held.job.Allowed(1):
 		event = logevent.JobLate
 	}
-	loop.log(event, "job", answer.ID, "kind", held.job.Kind, "result", string(answer.Result),
-		"reason", answer.Reason, "took", took, "allowed", held.job.Allowed(1), "schedulers", held.sent)
+	pairs := []any{
+		"job", answer.ID, "kind", held.job.Kind, "result", string(answer.Result),
+		"reason", answer.Reason, "took", took, "allowed", held.job.Allowed(1), "schedulers", held.sent,
+	}
+	if progress := answer.Progress; progress != nil {
+		pairs = append(pairs, "done", progress.Done, "running", progress.Running, "waiting", progress.Waiting)
+	}
+	loop.log(event, pairs...)
 	for _, waiting := range held.answers {
 		waiting <- answer
 	}
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -246,6 +246,13 @@
 // finish answers a job and forgets it.
 func (cell *Cell) finish(held *jobState, answer Answer) {
 	answer.ID = held.job.ID
+	if answer.Result != Completed {
+		answer.Progress = &Progress{
+			Done:    len(held.tasks) - held.missing,
+			Running: held.active,
+			Waiting: held.missing - held.active,
+		}
+	}
 	switch answer.Result {
 	case Completed:
 		cell.counters.Completed++
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -350,4 +350,14 @@
 	Reason string `cbor:"3,keyasint,omitempty"`
 	// RetryAfter is set for NotRun: when the job is worth submitting again.
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	// Progress is how far a job came that was not completed; nil where the
+	// answer is not a scheduler's.
+	Progress *Progress `cbor:"5,keyasint,omitempty"`
+}
+
+// Progress counts the tasks of a job.
+type Progress struct {
+	Done    int `cbor:"1,keyasint,omitempty"`
+	Running int `cbor:"2,keyasint,omitempty"`
+	Waiting int `cbor:"3,keyasint,omitempty"`
 }
--- /dev/null
+++ b/tanagerctl/command/explain.go
@@ -0,0 +1,110 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"tanagerfall/tanagerctl/explanation"
+)
+
+func newExplain(flags *flags) *cobra.Command {
+	var job string
+	var summary bool
+	command := &cobra.Command{
+		Use:   "explain FILE...",
+		Short: "Explains from logs of entry VMs why jobs were refused, failed or late",
+		Long: "Explains from logs of entry VMs why jobs were refused, failed or late.\n" +
+			"FILE is a log of the users' platform, or - for standard input. No VM and no platform is called.",
+		Example: "  tanagerctl explain --job 5c0e7a21d94b36f8 vm-*.log\n  tanagerctl explain --summary vm-*.log",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return eris.Wrap(errUsage, "explain needs a log")
+			}
+			return nil
+		},
+		RunE: func(command *cobra.Command, args []string) error {
+			logs := explanation.NewLogs()
+			for _, name := range args {
+				if err := readLog(command, logs, name); err != nil {
+					return err
+				}
+			}
+			found := logs.Explain(job)
+			if flags.output == outputJSON {
+				return eris.Wrap(json.NewEncoder(command.OutOrStdout()).Encode(found), "writing")
+			}
+			if summary {
+				return writeSummary(command, found)
+			}
+			return writeExplanations(command, found)
+		},
+	}
+	command.Flags().StringVar(&job, "job", "", "ID of one job (default: all)")
+	command.Flags().BoolVar(&summary, "summary", false, "count the jobs by result and cause")
+	return command
+}
+
+func readLog(command *cobra.Command, logs *explanation.Logs, name string) error {
+	if name == "-" {
+		return logs.Read(command.InOrStdin())
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return eris.Wrapf(errUsage, "%v", err)
+	}
+	defer file.Close()
+	return logs.Read(file)
+}
+
+func writeExplanations(command *cobra.Command, found []explanation.Explanation) error {
+	writer := tabwriter.NewWriter(command.OutOrStdout(), 0, 0, 2, ' ', 0)
+	fmt.Fprintln(writer, "JOB\tVM\tAT\tRESULT\tCAUSE\tDETAIL")
+	for _, row := range found {
+		fmt.Fprintf(writer, "%s\t%s\t%s\t%s\t%s\t%s\n", row.Job, row.VM, row.At, row.Result, row.Cause, row.Detail)
+	}
+	return eris.Wrap(writer.Flush(), "writing")
+}
+
+func writeSummary(command *cobra.Command, found []explanation.Explanation) error {
+	type key struct{ result, cause string }
+	counts := make(map[key]int)
+	explained := 0
+	for _, row := range found {
+		counts[key{
+			result: row.Result,
+			cause:  row.Cause,
+		}]++
+		if row.Cause != explanation.Unexplained {
+			explained++
+		}
+	}
+	keys := make([]key, 0, len(counts))
+	for held := range counts {
+		keys = append(keys, held)
+	}
+	slices.SortFunc(keys, func(a, b key) int {
+		if counts[a] != counts[b] {
+			return counts[b] - counts[a]
+		}
+		if a.result+a.cause < b.result+b.cause {
+			return -1
+		}
+		return 1
+	})
+	writer := tabwriter.NewWriter(command.OutOrStdout(), 0, 0, 2, ' ', 0)
+	fmt.Fprintln(writer, "JOBS\tRESULT\tCAUSE")
+	for _, held := range keys {
+		fmt.Fprintf(writer, "%d\t%s\t%s\n", counts[held], held.result, held.cause)
+	}
+	if err := writer.Flush(); err != nil {
+		return eris.Wrap(err, "writing")
+	}
+	_, err := fmt.Fprintf(command.OutOrStdout(), "%d of %d explained\n", explained, len(found))
+	return eris.Wrap(err, "writing")
+}
--- a/tanagerctl/command/root.go
+++ b/tanagerctl/command/root.go
@@ -84,7 +84,7 @@
 	persistent.StringVarP(&flags.output, "output", "o", outputTable, "table or json")
 	persistent.DurationVar(&flags.timeout, "timeout", defaultTimeout, "how long to try")
 	mustComplete(root, "output", outputTable, outputJSON)
-	root.AddCommand(newPlan(flags), newVM(flags))
+	root.AddCommand(newPlan(flags), newVM(flags), newExplain(flags))
 	return root
 }
 
