Do not act on messages that a cut or a pause held up

The inbound side of a process was silent for 1.7 s; then it read a job that its entry VM had given to another scheduler since, and the withdrawal 5 ms later. In between it started the job as a new one.

Ruled out: relays losing orders (no lost order of these tasks in the logs); the quarantine (the job came as new, generation 0); load (it fails on a quiet machine).

Change: messages carry the number of their stream and the sender's elapsed time. A receiver drops messages of a replaced stream, and tells by how much a message was delayed beyond the fastest one of its sender. From 600 ms on a heartbeat does not count, a job is declined and so submitted anew if it is still wanted, and orders are answered as not sent.

--- a/shared/connection/link/links.go
+++ b/shared/connection/link/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,6 +34,9 @@
 	writeTimeout = time.Second
 )
 
+// ErrReplaced ends a stream whose sender has opened a later one.
+var ErrReplaced = eris.New("the peer has opened a later stream")
+
 // ErrOverflow is the reason of a stream whose peer takes messages too slowly.
 var ErrOverflow = eris.New("messages wait for the peer")
 
@@ -44,6 +48,9 @@
 	// Received carries a message of a peer.
 	Received struct {
 		Message Message
+		// Delay is how much longer the message was under way than the fastest
+		// one of its sender, including its time in the sender's queue.
+		Delay time.Duration
 	}
 	// Up tells that messages to a peer go out on a new stream.
 	Up struct {
@@ -75,6 +82,10 @@
 	options Options
 	mutex   sync.Mutex
 	remotes map[string]*remote
+	// streams numbers the streams to all peers, so that a peer can tell an
+	// earlier one from a later one.
+	streams atomic.Uint64
+	created time.Time
 }
 
 type remote struct {
@@ -90,6 +101,7 @@
 	return &Links{
 		options: options,
 		remotes: make(map[string]*remote),
+		created: time.Now(),
 	}
 }
 
@@ -148,6 +160,7 @@
 	if !known {
 		return
 	}
+	message.Elapsed = time.Since(links.created)
 	select {
 	case to.queue <- message:
 	default:
@@ -214,6 +227,7 @@
 	links.options.Notify(Up{
 		Address: to.address,
 	})
+	number := links.streams.Add(1)
 	for {
 		select {
 		case <-ctx.Done():
@@ -223,6 +237,7 @@
 		case <-to.reset:
 			return true, ErrOverflow
 		case message := <-to.queue:
+			message.Stream = number
 			if err := stream.MsgSend(&message, peer.Encoding{}); err != nil {
 				return true, err
 			}
@@ -247,6 +262,9 @@
 func Serve(ctx context.Context, listener net.Listener, notify func(event Event)) error {
 	server := drpcserver.NewWithOptions(receiver{
 		notify: notify,
+		origins: &origins{
+			senders: make(map[string]origin),
+		},
 	}, drpcserver.Options{
 		Manager: drpcmanager.Options{
 			Reader: drpcwire.ReaderOptions{
@@ -259,7 +277,8 @@
 
 // receiver handles the streams of peers.
 type receiver struct {
-	notify func(event Event)
+	notify  func(event Event)
+	origins *origins
 }
 
 // HandleRPC receives the messages of one stream until it ends.
@@ -269,8 +288,57 @@
 		if err := stream.MsgRecv(&message, peer.Encoding{}); err != nil {
 			return err
 		}
+		delay, accepted := receiver.origins.accept(time.Now(), message)
+		if !accepted {
+			return ErrReplaced
+		}
 		receiver.notify(Received{
 			Message: message,
+			Delay:   delay,
 		})
 	}
 }
+
+// origins holds what is known of the senders, by address. What a cut holds up
+// arrives after it, on a stream that has been replaced or on one that goes on.
+// Found as a process that scheduled beside another one, because an old
+// heartbeat told that the other one did not, and as a job that was started for
+// an entry VM that had given it to another scheduler.
+type origins struct {
+	mutex   sync.Mutex
+	senders map[string]origin
+}
+
+// origin is one incarnation of a sender.
+type origin struct {
+	incarnation uint64
+	// stream is the last one.
+	stream uint64
+	// base is the least difference between the time of arrival and the sender's
+	// time.
+	base time.Time
+}
+
+// accept returns by how much a message was delayed. It returns false where a
+// later stream of the sender is known.
+func (origins *origins) accept(now time.Time, message Message) (time.Duration, bool) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	held, known := origins.senders[message.From]
+	sent := now.Add(-message.Elapsed)
+	if !known || held.incarnation != message.Incarnation {
+		held = origin{
+			incarnation: message.Incarnation,
+			base:        sent,
+		}
+	}
+	if message.Stream < held.stream {
+		return 0, false
+	}
+	held.stream = message.Stream
+	if sent.Before(held.base) {
+		held.base = sent
+	}
+	origins.senders[message.From] = held
+	return sent.Sub(held.base), true
+}
--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -15,6 +15,11 @@
 	From        string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 
+	// Stream numbers the streams that the sender opened.
+	Stream uint64 `cbor:"16,keyasint,omitempty"`
+	// Elapsed is the sender's time, counted from the start of its process.
+	Elapsed time.Duration `cbor:"17,keyasint,omitempty"`
+
 	Heartbeat *region.Heartbeat `cbor:"3,keyasint,omitempty"`
 	Submit    *cell.Job         `cbor:"4,keyasint,omitempty"`
 	Withdraw  *Withdraw         `cbor:"5,keyasint,omitempty"`
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -34,6 +34,10 @@
 	// what a cut off process started. It exceeds the partitions that the rules
 	// are made for.
 	keepGoneFor = 15 * time.Second
+	// staleAfter is the delay from which a message counts as held up. It is
+	// below the silence after which a process counts as gone, and above the
+	// time for which a busy process leaves messages unread.
+	staleAfter = 600 * time.Millisecond
 	// cancelWait is how long a caller's cancellation waits for the scheduler.
 	cancelWait = time.Second
 )
@@ -197,6 +201,10 @@
 func (loop *loop) linked(event link.Event) {
 	switch event := event.(type) {
 	case link.Received:
+		if event.Delay > staleAfter {
+			loop.receiveStale(event.Message, event.Delay)
+			return
+		}
 		loop.receive(event.Message)
 	case link.Up:
 		loop.sendBeat(event.Address, true)
@@ -252,6 +260,30 @@
 	}
 }
 
+// receiveStale takes a message that a cut or a pause held up. What its sender
+// believes or wants may have changed since: it is not counted as heard, a job
+// is declined, so that its entry VM submits it anew if it still wants that, and
+// orders are not carried out.
+func (loop *loop) receiveStale(message link.Message, delay time.Duration) {
+	switch {
+	case message.Heartbeat != nil, message.Released != nil:
+	case message.Submit != nil:
+		loop.log(logevent.MessageStale, "member", message.From, "job", message.Submit.ID, "delay", delay)
+		loop.decline(message.From, message.Submit.ID)
+	case message.Orders != nil:
+		loop.log(logevent.MessageStale, "member", message.From, "orders", len(message.Orders.Rows), "delay", delay)
+		to := destination{
+			address:     message.From,
+			incarnation: message.Incarnation,
+		}
+		for _, order := range message.Orders.Rows {
+			loop.sendReply(to, relay.Summarize(order.Number, nil))
+		}
+	default:
+		loop.receive(message)
+	}
+}
+
 // tell hands an event to the Cell, if this process schedules.
 func (loop *loop) tell(event cell.Event) {
 	if loop.cell != nil {
--- a/shared/process/dispatcher/region_test.go
+++ b/shared/process/dispatcher/region_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"tanagerfall/shared/connection/link"
+	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/process/dispatcher"
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
@@ -446,6 +447,52 @@
 	}
 }
 
+// What a cut or a pause held up must not be acted on: a job that its entry VM has
+// given to another scheduler since was started here as well (soak seed 1001).
+func TestStaleMessagesAreNotActedOn(t *testing.T) {
+	fleet := newFleet(300*time.Millisecond, 12)
+	nodes := startRegion(t, fleet, 3)
+	scheduler := nodes[schedulerOf(t, nodes)]
+	notify := func(delay time.Duration, message link.Message) {
+		message.From = "127.0.0.1:1"
+		message.Incarnation = 9
+		scheduler.dispatcher.Notify(link.Received{
+			Message: message,
+			Delay:   delay,
+		})
+		_, err := scheduler.dispatcher.State(t.Context())
+		assert.NilError(t, err)
+	}
+	job := testJob("job", 3, 5*time.Second)
+	order := link.Message{
+		Orders: &link.Orders{
+			Rows: []relay.Order{{
+				Number: 1,
+				Start: &cell.StartRun{
+					Order: cell.Order{
+						Upstream: "w0",
+						Token:    1 << 60,
+						LeaseEnd: time.Since(fleet.began).Milliseconds() + 1000,
+					},
+				},
+			}},
+		},
+	}
+	notify(2*time.Second, link.Message{
+		Submit: &job,
+	})
+	notify(2*time.Second, order)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, scheduler.carried.starts.Load(), int64(0))
+	notify(0, link.Message{
+		Submit: &job,
+	})
+	notify(0, order)
+	time.Sleep(100 * time.Millisecond)
+	// The job's start at w0 may meet the order's higher token and be repeated.
+	assert.Assert(t, scheduler.carried.starts.Load() >= 4, "the same messages in time are acted on")
+}
+
 // The jobs of the surviving entry VMs must complete when the scheduler dies,
 // and no task may run twice at once.
 func TestJobsSurviveTheSchedulersDeath(t *testing.T) {
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -173,11 +173,7 @@
 // submitted takes a job of a peer's caller.
 func (loop *loop) submitted(from string, incarnation uint64, job cell.Job) {
 	if loop.cell == nil {
-		loop.send(from, link.Message{
-			Decline: &link.Decline{
-				ID: job.ID,
-			},
-		})
+		loop.decline(from, job.ID)
 		return
 	}
 	front := frontName(from, incarnation)
@@ -188,6 +184,15 @@
 	})
 }
 
+// decline tells an entry VM that this process does not take a job.
+func (loop *loop) decline(front, id string) {
+	loop.send(front, link.Message{
+		Decline: &link.Decline{
+			ID: id,
+		},
+	})
+}
+
 // dropLostFronts withdraws the jobs of entry VMs that went silent.
 func (loop *loop) dropLostFronts() {
 	for address, front := range loop.fronts {
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -230,6 +230,12 @@
 		Level:  log.InfoLevel,
 		Text:   "set of relays that get no orders for a time changed",
 	}
+	MessageStale = Event{
+		Number: 707,
+		Name:   "message-stale",
+		Level:  log.InfoLevel,
+		Text:   "message was held up for too long and is declined",
+	}
 	JobAccepted = Event{
 		Number: 711,
 		Name:   "job-accepted",
@@ -337,7 +343,7 @@
 		JobFailed, JobRefused,
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
-		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected,
+		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
--- a/soak/main.go
+++ b/soak/main.go
@@ -29,6 +29,7 @@
 	flags.IntVar(&options.Workers, "workers", 12, "number of workers")
 	flags.DurationVar(&options.Length, "length", 15*time.Second, "time under faults")
 	flags.Float64Var(&options.JobsPerSecond, "rate", 20, "jobs a second")
+	flags.StringVar(&options.Logs, "logs", "", "directory for the processes' logs")
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		report, err := region.Run(command.Context(), options)
 		if err != nil {
--- a/soak/region/process.go
+++ b/soak/region/process.go
@@ -24,7 +24,9 @@
 	ip       string
 	// arguments are added to the command line.
 	arguments []string
-	mutex     sync.Mutex
+	// logs takes what all incarnations write; nil drops it.
+	logs  *os.File
+	mutex sync.Mutex
 	// starts counts the incarnations.
 	starts  int
 	command *exec.Cmd
@@ -74,8 +76,15 @@
 	if process.command != nil {
 		return
 	}
-	arguments := append([]string{"serve", "--settings", process.settings, "--log-level", "error"}, process.arguments...)
+	level := "error"
+	if process.logs != nil {
+		level = "debug"
+	}
+	arguments := append([]string{"serve", "--settings", process.settings, "--log-level", level}, process.arguments...)
 	command := exec.Command(process.program, arguments...)
+	if process.logs != nil {
+		command.Stdout = process.logs
+	}
 	if err := command.Start(); err != nil {
 		return
 	}
--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 	Workers       int
 	Length        time.Duration
 	JobsPerSecond float64
+	// Logs is the directory for the processes' logs; empty for none.
+	Logs string
 }
 
 const (
@@ -126,6 +129,13 @@
 		if err != nil {
 			return Report{}, err
 		}
+		if options.Logs != "" {
+			started.logs, err = os.Create(filepath.Join(options.Logs, fmt.Sprintf("vm-%d.log", number)))
+			if err != nil {
+				return Report{}, eris.Wrap(err, "opening a log")
+			}
+			defer started.logs.Close()
+		}
 		if err := held.hideProcess(ctx, started, number); err != nil {
 			return Report{}, err
 		}
