--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
@@ -19,21 +18,6 @@
 	// tokenStep separates the fencing tokens of one process; the rest of a
 	// token tells processes apart.
 	tokenStep = 1024
-	// routesEvery spaces the copies of the routing table for one peer, and
-	// gives it time to read the table itself.
-	routesEvery = 500 * time.Millisecond
-	// listStale is the age of the scheduler's list of upstreams from which
-	// peers send it theirs, and listFresh the age of a list worth sending.
-	listStale = 1500 * time.Millisecond
-	listFresh = time.Second
-	// speedsEvery spaces the messages that tell the learned speeds.
-	speedsEvery = 5 * time.Second
-	// membersEvery spaces the heartbeats that carry all known processes.
-	membersEvery = 2 * time.Second
-	// keepGoneFor is how long an upstream that left the list may still run
-	// what a cut off process started. It exceeds the partitions that the rules
-	// are made for.
-	keepGoneFor = 15 * time.Second
 	// staleAfter is the delay from which a message counts as held up. It is
 	// below the silence after which a process counts as gone, and above the
 	// time for which a busy process leaves messages unread.
@@ -265,6 +249,7 @@
 // is declined, so that its entry VM submits it anew if it still wants that, and
 // orders are not carried out.
 func (loop *loop) receiveStale(message link.Message, delay time.Duration) {
+	loop.dispatcher.meters.count(metricStale)
 	switch {
 	case message.Heartbeat != nil, message.Released != nil:
 	case message.Submit != nil:
@@ -291,68 +276,6 @@
 	}
 }
 
-func (loop *loop) heard(beat region.Heartbeat) {
-	address := beat.Member.Address
-	known := loop.view.Live(address)
-	replaced := loop.view.Heard(beat)
-	loop.dispatcher.links.Open(loop.ctx, address)
-	loop.learn(beat.Members)
-	if !known {
-		loop.log(logevent.MemberJoined, "member", address, "name", beat.Member.Name)
-	}
-	if loop.cell != nil {
-		front := frontName(address, beat.Member.Incarnation)
-		held, has := loop.fronts[address]
-		if has && (replaced || held != front || beat.Follows != loop.view.Self().Address) {
-			delete(loop.fronts, address)
-			loop.tell(cell.FrontLost{
-				Front: held,
-			})
-		}
-	}
-	if address == loop.leader {
-		if loop.cell == nil {
-			loop.publishPending(beat.Pending)
-		}
-		if replaced {
-			loop.follow("", "scheduler restarted")
-		}
-	}
-	loop.helpOut(address, beat)
-	loop.elect()
-}
-
-// helpOut sends a peer what it lacks.
-func (loop *loop) helpOut(address string, beat region.Heartbeat) {
-	if loop.routes != nil && beat.RoutesVersion < loop.routes.Version && loop.due("routes "+address, routesEvery) {
-		loop.send(address, link.Message{
-			Routes: loop.routes,
-		})
-	}
-	if beat.ActiveFor > 0 && beat.ListAge > listStale && !loop.listedAt.IsZero() {
-		age := loop.now.Sub(loop.listedAt)
-		if age < listFresh && loop.due("list "+address, listStale) {
-			loop.send(address, link.Message{
-				Upstreams: &link.Upstreams{
-					Rows: loop.upstreams,
-					Age:  age,
-				},
-			})
-		}
-	}
-}
-
-// due reports whether something was last done longer ago than a period, and
-// counts it as done now.
-func (loop *loop) due(what string, period time.Duration) bool {
-	last, known := loop.told[what]
-	if known && loop.now.Sub(last) < period {
-		return false
-	}
-	loop.told[what] = loop.now
-	return known
-}
-
 func (loop *loop) send(address string, message link.Message) {
 	self := loop.view.Self()
 	message.From = self.Address
@@ -360,128 +283,6 @@
 	loop.dispatcher.links.Send(address, message)
 }
 
-func (loop *loop) adoptRoutes(table *routing.Table, source string) {
-	if loop.routes != nil && table.Version <= loop.routes.Version {
-		return
-	}
-	loop.routes = table
-	loop.dispatcher.routes.Store(table)
-	loop.log(logevent.PlanAdopted, "version", table.Version, "routes", len(table.Routes), "source", source)
-}
-
-func (loop *loop) adoptUpstreams(rows []cell.Upstream, age time.Duration) {
-	readAt := loop.now.Add(-age)
-	if readAt.Before(loop.listedAt) {
-		return
-	}
-	loop.listedAt = readAt
-	loop.upstreams = loop.keepGone(rows)
-	if loop.relays != nil {
-		loop.relays.SetUpstreams(loop.upstreams)
-	}
-	loop.tell(cell.UpstreamsListed{
-		Upstreams: loop.upstreams,
-	})
-}
-
-// keepGone adds the upstreams that left the list lately.
-func (loop *loop) keepGone(rows []cell.Upstream) []cell.Upstream {
-	listed := make(map[string]bool, len(rows))
-	for _, row := range rows {
-		if !row.Gone {
-			listed[row.ID] = true
-			delete(loop.goneAt, row.ID)
-		}
-	}
-	kept := slices.DeleteFunc(slices.Clone(rows), func(row cell.Upstream) bool { return row.Gone })
-	for _, row := range loop.upstreams {
-		if listed[row.ID] {
-			continue
-		}
-		if !row.Gone {
-			loop.goneAt[row.ID] = loop.now
-			row.Gone = true
-		}
-		if loop.now.Sub(loop.goneAt[row.ID]) > keepGoneFor {
-			delete(loop.goneAt, row.ID)
-			continue
-		}
-		kept = append(kept, row)
-	}
-	return kept
-}
-
-func (loop *loop) listAge() time.Duration {
-	if loop.listedAt.IsZero() {
-		return time.Hour
-	}
-	return loop.now.Sub(loop.listedAt)
-}
-
-func (loop *loop) beat() {
-	if loop.now.Sub(loop.beatAt) < loop.view.Period() {
-		return
-	}
-	withMembers := loop.now.Sub(loop.membersAt) >= membersEvery
-	if withMembers {
-		loop.membersAt = loop.now
-	}
-	loop.beatAll(withMembers)
-	if loop.cell != nil && loop.now.Sub(loop.speedsAt) >= speedsEvery {
-		loop.speedsAt = loop.now
-		loop.tellSpeeds()
-	}
-}
-
-func (loop *loop) beatAll(withMembers bool) {
-	loop.beatAt = loop.now
-	for _, address := range loop.view.Addresses() {
-		loop.sendBeat(address, withMembers)
-	}
-}
-
-func (loop *loop) sendBeat(address string, withMembers bool) {
-	beat := region.Heartbeat{
-		Member:    loop.view.Self(),
-		Leaving:   loop.view.Leaving(),
-		ActiveFor: loop.view.ActiveFor(),
-		Follows:   loop.leader,
-		Token:     loop.token,
-		ListAge:   loop.listAge(),
-		Period:    loop.view.Period(),
-		Settled:   loop.view.Settled(),
-		Turned:    loop.pace.turned,
-	}
-	if loop.routes != nil {
-		beat.RoutesVersion = loop.routes.Version
-	}
-	if withMembers {
-		beat.Members = loop.view.Members()
-	}
-	if loop.cell != nil {
-		beat.Pending = loop.cell.Pending()
-	}
-	loop.send(address, link.Message{
-		Heartbeat: &beat,
-	})
-}
-
-func (loop *loop) tellSpeeds() {
-	speeds := make(map[string]float64, len(loop.upstreams))
-	for _, row := range loop.upstreams {
-		speeds[row.ID] = loop.estimator.Speed(row.ID)
-	}
-	for _, address := range loop.view.Addresses() {
-		if loop.view.Live(address) {
-			loop.send(address, link.Message{
-				Speeds: &link.Speeds{
-					Upstreams: speeds,
-				},
-			})
-		}
-	}
-}
-
 func (loop *loop) leave() {
 	if loop.view.Leaving() {
 		return
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -26,6 +26,9 @@
 	metricUpstreams  = "tanagerfall_region_upstreams"
 	metricTakeovers  = "tanagerfall_region_takeovers_total"
 	metricSuppressed = "tanagerfall_region_log_lines_dropped_total"
+	metricRelayed    = "tanagerfall_region_relayed_orders"
+	metricRelayLost  = "tanagerfall_region_relayed_orders_lost_total"
+	metricStale      = "tanagerfall_region_stale_messages_total"
 )
 
 // Metrics returns the names of all metrics.
@@ -33,6 +36,7 @@
 	return []string{
 		metricAnswers, metricSeconds, metricWithdrawn, metricOrders, metricOrderTime, metricRunsLost, metricSchedules,
 		metricLive, metricHeld, metricListAge, metricVersion, metricUpstreams, metricTakeovers, metricSuppressed,
+		metricRelayed, metricRelayLost, metricStale,
 	}
 }
 
@@ -103,6 +107,7 @@
 		meters.gauge(metricVersion, float64(loop.routes.Version))
 	}
 	meters.gauge(metricSuppressed, float64(loop.options.Logger.Dropped()))
+	meters.gauge(metricRelayed, float64(loop.carrying))
 	if loop.cell == nil {
 		return
 	}
--- a/shared/process/dispatcher/relays.go
+++ b/shared/process/dispatcher/relays.go
@@ -131,6 +131,7 @@
 
 func (loop *loop) ordersLost(events []cell.Event) {
 	for _, event := range events {
+		loop.dispatcher.meters.count(metricRelayLost)
 		loop.orderReplied(event, loop.now)
 	}
 }
