Give each soak seed addresses of its own; let a link test wait longer

TestMessagesOfReplacedStreamsAreDropped measured a delay of 299.985 ms where it held a message up for 300: the delay is told against the fastest message, whose own way took some time.

Change: the address holds the whole seed up to 62500. The test holds the message up for 50 ms more than it asks for; the bound of 300 ms stays.

--- a/shared/connection/link/link_test.go
+++ b/shared/connection/link/link_test.go
@@ -148,7 +148,8 @@
 	second := <-conns
 	second.hold()
 	send("late")
-	time.Sleep(late)
+	// The delay is told against the fastest message, which was under way as well.
+	time.Sleep(late + 50*time.Millisecond)
 	second.pass(t)
 	select {
 	case delayed := <-events:
--- a/soak/region/process.go
+++ b/soak/region/process.go
@@ -64,7 +64,7 @@
 }
 
 func loopback(seed uint64, number int) string {
-	return fmt.Sprintf("127.0.%d.%d", 1+seed%250, number+1)
+	return fmt.Sprintf("127.%d.%d.%d", seed/250%250, 1+seed%250, number+1)
 }
 
 func address(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
