--- a/shared/process/dispatcher/region_test.go
+++ b/shared/process/dispatcher/region_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -193,11 +194,16 @@
 type countingFleet struct {
 	*fakeFleet
 	starts atomic.Int64
+	// hangs keeps starts from being carried out and answered.
+	hangs atomic.Bool
 }
 
 // Start counts and carries out.
 func (fleet *countingFleet) Start(ctx context.Context, order cell.StartRun) cell.StartReplied {
 	fleet.starts.Add(1)
+	if fleet.hangs.Load() {
+		<-ctx.Done()
+	}
 	return fleet.fakeFleet.Start(ctx, order)
 }
 
@@ -247,6 +253,113 @@
 	}
 }
 
+// A relay that takes orders and answers none must not keep its jobs waiting.
+func TestJobsSurviveAHangingRelay(t *testing.T) {
+	fleet := newFleet(100*time.Millisecond, 12)
+	fleet.relayFrom = 1
+	nodes := startRegion(t, fleet, 4)
+	scheduler := schedulerOf(t, nodes)
+	hanging := nodes[(scheduler+1)%len(nodes)]
+	hanging.carried.hangs.Store(true)
+	began := time.Now()
+	answers := disturb(t, nodes, -1, func() {})
+	fleet.check(t, answers)
+	assert.Assert(t, hanging.carried.starts.Load() > 0)
+	assert.Assert(t, time.Since(began) < 4*time.Second, "the jobs took %v", time.Since(began))
+}
+
+// hangRelays starts a region whose relays take starts and answer none, and a
+// job in it. It returns the scheduler, and the addresses of the relays.
+func hangRelays(t *testing.T) (scheduler *node, relays []string) {
+	t.Helper()
+	fleet := newFleet(300*time.Millisecond, 12)
+	fleet.relayFrom = 1
+	nodes := startRegion(t, fleet, 4)
+	scheduler = nodes[schedulerOf(t, nodes)]
+	started := func() (count int64) {
+		for _, node := range nodes {
+			count += node.carried.starts.Load()
+		}
+		return count
+	}
+	for _, node := range nodes {
+		node.carried.hangs.Store(true)
+		state, err := node.dispatcher.State(t.Context())
+		assert.NilError(t, err)
+		if node != scheduler {
+			relays = append(relays, state.Self.Address)
+		}
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = scheduler.dispatcher.Submit(ctx, testJob("job", 3, 5*time.Second)) })
+	t.Cleanup(func() {
+		leave()
+		group.Wait()
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if started() == 0 {
+			return poll.Continue("no start")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	return scheduler, relays
+}
+
+// count returns the starts with an outcome in the metrics of a process.
+func (node *node) count(t *testing.T, outcome string) bool {
+	t.Helper()
+	_, err := node.dispatcher.State(t.Context())
+	assert.NilError(t, err)
+	var text strings.Builder
+	node.dispatcher.WriteMetrics(&text)
+	return strings.Contains(text.String(), fmt.Sprintf(`{call="start",outcome=%q}`, outcome))
+}
+
+// A connection that breaks tells at once that the orders on it are lost. Found
+// out by their time alone, the tasks would wait for it.
+func TestBrokenRelayLosesItsOrdersAtOnce(t *testing.T) {
+	scheduler, relays := hangRelays(t)
+	for _, address := range relays {
+		scheduler.dispatcher.Notify(link.Down{
+			Address: address,
+		})
+	}
+	assert.Assert(t, scheduler.count(t, "unknown"))
+}
+
+// Numbers of orders begin anew with a process, so answers for the one before it
+// must not be taken for its own.
+func TestRepliesForAnotherIncarnationAreIgnored(t *testing.T) {
+	scheduler, relays := hangRelays(t)
+	state, err := scheduler.dispatcher.State(t.Context())
+	assert.NilError(t, err)
+	replies := func(to uint64) {
+		var rows []relay.Reply
+		for epoch := range uint64(4) {
+			for number := range uint64(200) {
+				rows = append(rows, relay.Reply{
+					Number:  epoch<<40 + number,
+					Outcome: cell.OutcomeFull,
+				})
+			}
+		}
+		scheduler.dispatcher.Notify(link.Received{
+			Message: link.Message{
+				From: relays[0],
+				Replies: &link.Replies{
+					To:   to,
+					Rows: rows,
+				},
+			},
+		})
+	}
+	replies(state.Self.Incarnation + 1)
+	assert.Assert(t, !scheduler.count(t, "full"))
+	replies(state.Self.Incarnation)
+	assert.Assert(t, scheduler.count(t, "full"), "the numbers are those of the orders")
+}
+
 // What a cut or a pause held up must not be acted on: a job that its entry VM has
 // given to another scheduler since was started here as well (soak seed 1001).
 func TestStaleMessagesAreNotActedOn(t *testing.T) {
--- a/shared/version/region/view_test.go
+++ b/shared/version/region/view_test.go
@@ -332,3 +332,23 @@
 	network.run(10)
 	assert.DeepEqual(t, network.schedulers(), []int{0})
 }
+
+// A process that is leaving or gone must not be given orders to carry out: they
+// would be lost with it.
+func TestRelaysAreLiveAndStay(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	view := region.New(now, member(0))
+	hear := func(number int, leaving bool) {
+		view.Heard(region.Heartbeat{
+			Member:  member(number),
+			Period:  region.HeartbeatEvery,
+			Leaving: leaving,
+		})
+	}
+	hear(1, false)
+	view.Learn([]region.Member{member(2)})
+	view.Advance(now.Add(2*time.Second), 0)
+	hear(3, false)
+	hear(4, true)
+	assert.DeepEqual(t, view.Relays(), []region.Member{member(3)})
+}
