--- a/entry/control/lending.go
+++ b/entry/control/lending.go
@@ -179,9 +179,10 @@
 func (loop *Loop) requestSlots(now time.Time) {
 	coreShortage := loop.config.Core.Shortage()
 	shortage := fleet.Shortage{
-		Slots:  coreShortage.Slots,
-		Need:   coreShortage.Need,
-		Quotas: loop.lending.wantedQuotas,
+		Slots:         coreShortage.Slots,
+		Need:          coreShortage.Need,
+		Quotas:        loop.lending.wantedQuotas,
+		OwnsUpstreams: len(loop.lending.owned) > 0,
 	}
 	if shortage.Slots == 0 && len(shortage.Quotas) == 0 {
 		return
--- a/shared/connection/peer/messages.go
+++ b/shared/connection/peer/messages.go
@@ -207,6 +207,8 @@
 	Accelerators int `cbor:"7,keyasint,omitempty"`
 	// Quotas lists the wanted shares of team caps, independent of Slots.
 	Quotas []QuotaCount `cbor:"8,keyasint,omitempty"`
+	// NoUpstreams is set if the borrower owns no upstream, as a leaving VM.
+	NoUpstreams bool `cbor:"9,keyasint,omitempty"`
 }
 
 // SlotGrant is a number of lent slots on one worker.
--- a/shared/version/fleet/borrower.go
+++ b/shared/version/fleet/borrower.go
@@ -30,6 +30,8 @@
 	Need placement.Need
 	// Quotas holds the missing shares of team caps.
 	Quotas []peer.QuotaCount
+	// OwnsUpstreams is set if this VM has slots of its own. A leaving VM has none.
+	OwnsUpstreams bool
 }
 
 // LendingPeer is an entry VM of the failure domain that may lend slots, with the
@@ -142,6 +144,7 @@
 				MemoryMb:      shortage.Need.MemoryMb,
 				Accelerators:  shortage.Need.Accelerators,
 				Quotas:        shortage.Quotas,
+				NoUpstreams:   !shortage.OwnsUpstreams,
 			},
 		},
 		sentAt:   now,
--- a/shared/version/fleet/lender.go
+++ b/shared/version/fleet/lender.go
@@ -18,7 +18,8 @@
 	// maxLoanSlots is the maximum number of slots of one loan.
 	maxLoanSlots = 64
 	// reserveFraction is the fraction of its idle slots that a lender keeps, so
-	// that the next jobs of its own callers do not need to borrow.
+	// that the next jobs of its own callers do not need to borrow. Nothing is kept
+	// from a borrower without upstreams, whose jobs have no other slots to wait for.
 	reserveFraction = 0.25
 )
 
@@ -165,7 +166,11 @@
 		}
 		return free[i].Upstream.ID < free[j].Upstream.ID
 	})
-	remaining := min(request.Slots, maxLoanSlots, total-int(float64(total)*reserveFraction+0.999))
+	reserve := int(float64(total)*reserveFraction + 0.999)
+	if request.NoUpstreams {
+		reserve = 0
+	}
+	remaining := min(request.Slots, maxLoanSlots, total-reserve)
 	for _, candidate := range free {
 		if remaining <= 0 {
 			return
--- a/shared/version/fleet/lending_test.go
+++ b/shared/version/fleet/lending_test.go
@@ -177,3 +177,35 @@
 		Quotas:        []peer.QuotaCount{{Quota: testQuota, Slots: slots}},
 	}
 }
+
+// Guards against jobs that wait for their deadline at a leaving VM, which owns no
+// upstream any more, while a peer keeps its last idle slot in reserve
+// (TestScripts/rolling-nine: jobs were refused after 10 s).
+func TestLastIdleSlotIsLentToBorrowerWithoutUpstreams(t *testing.T) {
+	borrowed := func(ownsUpstreams bool) int {
+		lender := fleet.NewLender(fleet.Self{Address: "lender", Incarnation: 1})
+		borrower := fleet.NewBorrower(fleet.Self{Address: "a", Incarnation: 1})
+		shortage := fleet.Shortage{
+			Slots:         7,
+			OwnsUpstreams: ownsUpstreams,
+		}
+		peers := []fleet.LendingPeer{{
+			Address: "lender",
+			Load: peer.Load{
+				Slots: 2,
+				Used:  1,
+			},
+		}}
+		request, due := borrower.NextRequest(startTime, shortage, peers)
+		assert.Assert(t, due)
+		response := lender.Lend(startTime, &request.Request, newOffer(1, 1, 0))
+		borrower.HandleResponse(startTime, response)
+		slots := 0
+		for _, upstream := range borrower.Upstreams(startTime) {
+			slots += upstream.Slots
+		}
+		return slots
+	}
+	assert.Equal(t, borrowed(false), 1)
+	assert.Equal(t, borrowed(true), 0, "a borrower that owns upstreams can wait for them")
+}
