Divide large regions into cells by failure domain

Change: region.ChooseDivision divides a region whose upstreams exceed the budget of its strongest process (700 a core, 15 a Mbit/s) or that has more than 64 processes. Each failure domain is then a cell with its own scheduler, members and takeover. No process elects itself before it knows the division, with a bound of 4 s. Schedulers report headroom to each other every 0.4 s; a job that waited 10 ms and can't have run is handed to a cell with room (shared/request/ spill), at most 40% of what that cell reported. An entry VM whose cell has no scheduler, or sheds, sends jobs to other cells. A job that another cell may have started waits for its whole quarantine. Cancellations reach all cells. The list of workers is read by schedulers (0.4 s) and five standbys (1.5 s) a cell, by the others every minute; long polls of the others last 20 s. A Member tells its link's bandwidth, and relays are used from fewer upstreams on a weak VM.

Tests with processes on loopback: TestFullCellHandsJobsToOthers, TestHandedOverJobsSurviveSchedulerCrash, TestCellWithoutSchedulerUsesOthers, TestCancellationReachesAllCells.

--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -39,6 +39,28 @@
 	Released  *Released      `cbor:"13,keyasint,omitempty"`
 	Orders    *OrderBatch    `cbor:"14,keyasint,omitempty"`
 	Replies   *ReplyBatch    `cbor:"15,keyasint,omitempty"`
+	Cells     *CellStates    `cbor:"18,keyasint,omitempty"`
+}
+
+// CellStates is sent between the schedulers of a divided region, and by a scheduler
+// to the entry VMs of its cell.
+type CellStates struct {
+	Cells []CellState `cbor:"1,keyasint"`
+}
+
+// CellState is the report of one cell's scheduler.
+type CellState struct {
+	// Scheduler is the process that schedules the cell; its failure domain names
+	// the cell.
+	Scheduler region.Member `cbor:"1,keyasint"`
+	// Headroom is the capacity, in thousandths of a core, that neither runs nor
+	// waiting tasks need, by service.
+	Headroom map[string]int `cbor:"2,keyasint,omitempty"`
+	// PendingJobs counts, by kind, the jobs of the cell of which no task has
+	// started.
+	PendingJobs map[string]int `cbor:"3,keyasint,omitempty"`
+	// Age is the time since the scheduler made the report.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // OrderBatch is sent by a scheduler to a relay, which executes the orders.
@@ -70,6 +92,8 @@
 // not accept the job, usually because it does not schedule.
 type Decline struct {
 	JobID string `cbor:"1,keyasint"`
+	// Target, if set, is the scheduler of another cell that has room for the job.
+	Target string `cbor:"2,keyasint,omitempty"`
 }
 
 // Cancel requests that the scheduler cancel a job, whichever entry VM submitted
--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -53,12 +53,31 @@
 	Logger    *logevent.Logger
 	// Limits configures the Cell with which this process schedules.
 	Limits cell.Limits
-	// OnSchedulingChange, if set, is called on the control goroutine with true
-	// when this process starts to schedule, and with false when it steps down. It
-	// must not block.
-	OnSchedulingChange func(active bool)
+	// OnRoleChange, if set, is called on the control goroutine with the new role of
+	// this process. It must not block.
+	OnRoleChange func(role Role)
 }
 
+// Role is what a process does for the scheduling of its cell. It decides how recent
+// its list of upstreams has to be.
+type Role int32
+
+// Values of Role.
+const (
+	// RoleMember is the role of a process that would schedule only if several
+	// others were lost.
+	RoleMember Role = iota
+	// RoleStandby is the role of a process that is among the first to take over
+	// from the scheduler, and so needs a list of upstreams that is not old.
+	RoleStandby
+	// RoleScheduler is the role of the process that schedules.
+	RoleScheduler
+)
+
+// standbys is the number of processes that are ready to take over. Some may be lost
+// together with the scheduler, and the store may refuse some.
+const standbys = 5
+
 // Dispatcher runs the control loop of an entry VM. Its methods are safe for
 // concurrent use.
 type Dispatcher struct {
@@ -105,6 +124,8 @@
 		lastSentAt:     make(map[string]time.Time),
 		removedAt:      make(map[string]time.Time),
 		queuedReplies:  make(map[remoteScheduler][]relay.Reply),
+		role:           RoleStandby,
+		neighbours:     newNeighbours(),
 	}
 	return dispatcher
 }
--- a/shared/process/dispatcher/fake_fleet_test.go
+++ b/shared/process/dispatcher/fake_fleet_test.go
@@ -31,7 +31,9 @@
 	// taskTime is how long the run of each task takes.
 	taskTime time.Duration
 	// relayFrom is the number of upstreams from which relays are used.
-	relayFrom      int
+	relayFrom int
+	// weight is the processor time of each process in cores.
+	weight         float64
 	concurrentRuns []string
 	completedRuns  map[cell.TaskName]int
 }
@@ -44,6 +46,7 @@
 		taskTime:  taskTime,
 		// Only the tests of relays lower this number.
 		relayFrom:     math.MaxInt,
+		weight:        1,
 		completedRuns: make(map[cell.TaskName]int),
 	}
 	for number := range count {
--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -22,6 +22,9 @@
 	speedsInterval = 5 * time.Second
 	// membersInterval is the time between heartbeats that list all known processes.
 	membersInterval = 2 * time.Second
+	// divisionInterval is the minimum time between answers to a process of another
+	// cell that does not know the division.
+	divisionInterval = 200 * time.Millisecond
 )
 
 // handleHeartbeat updates the membership from a peer's heartbeat. If the peer has
@@ -30,8 +33,14 @@
 	address := heartbeat.Member.Address
 	wasLive := loop.view.Live(address)
 	replaced := loop.view.HandleHeartbeat(heartbeat)
-	loop.dispatcher.links.Open(loop.ctx, address)
 	loop.addMembers(heartbeat.Members)
+	loop.applyDivision(loop.view.AdoptDivision(heartbeat.Division))
+	if !loop.view.InCell(address) {
+		loop.foreignEntryVMRestarted(heartbeat)
+		loop.answerForeignHeartbeat(heartbeat)
+		return
+	}
+	loop.dispatcher.links.Open(loop.ctx, address)
 	if !wasLive {
 		loop.log(logevent.MemberJoined, "member", address, "name", heartbeat.Member.Name)
 	}
@@ -57,6 +66,18 @@
 	loop.elect()
 }
 
+// answerForeignHeartbeat answers a process of another cell that does not know yet
+// that the region is divided, as one that starts: it learns the division and the
+// members of its own cell.
+func (loop *loop) answerForeignHeartbeat(heartbeat region.Heartbeat) {
+	address := heartbeat.Member.Address
+	if heartbeat.Division == region.DividedByDomain || !loop.sendDue("division "+address, divisionInterval) {
+		return
+	}
+	loop.dispatcher.links.Open(loop.ctx, address)
+	loop.sendHeartbeat(address, true)
+}
+
 // sendNewerState sends a peer the routing table if the peer's is older, and a
 // scheduler the list of upstreams if its list is stale.
 func (loop *loop) sendNewerState(address string, heartbeat region.Heartbeat) {
@@ -112,6 +133,28 @@
 	for _, address := range loop.view.PeerAddresses() {
 		loop.sendHeartbeat(address, withMembers)
 	}
+	for _, address := range loop.foreignPeers() {
+		loop.useForeignLink(address)
+		loop.sendHeartbeat(address, false)
+	}
+	if loop.cell != nil && loop.view.Division() == region.DividedByDomain {
+		loop.sendCellStates()
+	}
+}
+
+// sendCellStates sends the reports of all cells to the processes of the cell, which
+// need them if this scheduler is lost or sheds jobs.
+func (loop *loop) sendCellStates() {
+	states := link.Message{
+		Cells: &link.CellStates{
+			Cells: loop.cellStates(),
+		},
+	}
+	for _, address := range loop.view.PeerAddresses() {
+		if loop.view.Live(address) {
+			loop.send(address, states)
+		}
+	}
 }
 
 func (loop *loop) sendHeartbeat(address string, withMembers bool) {
@@ -125,15 +168,19 @@
 		Interval:        loop.view.HeartbeatInterval(),
 		Eligible:        loop.view.Eligible(),
 		ShedShare:       loop.loadMonitor.shedShare,
+		Division:        loop.view.Division(),
 	}
 	if loop.routes != nil {
 		heartbeat.RoutesVersion = loop.routes.Version
 	}
 	if withMembers {
 		heartbeat.Members = loop.view.Members()
+		if !loop.view.InCell(address) {
+			heartbeat.Members = loop.view.Roster()
+		}
 	}
 	if loop.cell != nil {
-		heartbeat.PendingJobs = loop.cell.Pending()
+		heartbeat.PendingJobs = loop.regionPending()
 	}
 	loop.send(address, link.Message{
 		Heartbeat: &heartbeat,
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -31,6 +31,14 @@
 	// scheduler is the address of the scheduler that has the job; empty if none
 	// has.
 	scheduler string
+	// foreignScheduler is the address of the scheduler of another cell that the job
+	// goes to; empty if it goes to that of the own cell.
+	foreignScheduler string
+	// submittedAt is when the job was last submitted.
+	submittedAt time.Time
+	// runsElsewhere is set if a scheduler of another cell than that of the next
+	// submission may have started the job.
+	runsElsewhere bool
 	// submissions counts the submissions to schedulers. Each may have been
 	// accepted, even if no answer came.
 	submissions int
@@ -61,7 +69,13 @@
 		job.waiters = append(job.waiters, event.answer)
 		return
 	}
-	if shouldShed(event.job.ID, loop.shedShare()) {
+	job = &heldJob{
+		job:        event.job,
+		receivedAt: loop.now.Add(-event.job.Age),
+		deadline:   loop.now.Add(event.job.TimeLeft),
+		waiters:    []chan<- cell.Answer{event.answer},
+	}
+	if shouldShed(event.job.ID, loop.shedShare()) && !loop.chooseForeignScheduler(job) {
 		loop.log(logevent.JobGivenUp, "job", event.job.ID, "kind", event.job.Kind, "result", string(cell.NotRun),
 			"reason", "scheduler full")
 		event.answer <- cell.Answer{
@@ -72,12 +86,6 @@
 		}
 		return
 	}
-	job = &heldJob{
-		job:        event.job,
-		receivedAt: loop.now.Add(-event.job.Age),
-		deadline:   loop.now.Add(event.job.TimeLeft),
-		waiters:    []chan<- cell.Answer{event.answer},
-	}
 	loop.heldJobs[event.job.ID] = job
 	loop.log(logevent.JobAccepted, "job", event.job.ID, "kind", event.job.Kind, "left", event.job.TimeLeft)
 	loop.submit(job)
@@ -95,16 +103,37 @@
 	return heartbeat.ShedShare
 }
 
-// submit submits a job to the scheduler, unless the scheduler has it already or
+// destination returns the address of the scheduler that a job goes to: that of the
+// cell, or of another cell if the job was sent there or the own cell has no
+// scheduler. It is empty if there is none.
+func (loop *loop) destination(heldJob *heldJob) string {
+	if heldJob.foreignScheduler == "" && loop.leader == "" && heldJob.scheduler == "" {
+		loop.chooseForeignScheduler(heldJob)
+	}
+	if heldJob.foreignScheduler != "" {
+		return heldJob.foreignScheduler
+	}
+	return loop.leader
+}
+
+// submit submits a job to its scheduler, unless the scheduler has it already or
 // its retry delay has not passed.
 func (loop *loop) submit(heldJob *heldJob) {
-	if loop.leader == "" || heldJob.scheduler == loop.leader || loop.now.Before(heldJob.retryAt) {
+	if loop.now.Before(heldJob.retryAt) {
+		return
+	}
+	scheduler := loop.destination(heldJob)
+	if scheduler == "" || heldJob.scheduler == scheduler {
 		return
 	}
 	heldJob.job.Generation = heldJob.submissions
 	heldJob.submissions++
-	heldJob.scheduler = loop.leader
+	heldJob.scheduler = scheduler
+	heldJob.submittedAt = loop.now
 	job := heldJob.job
+	isForeign := scheduler == heldJob.foreignScheduler
+	// Runs of an earlier scheduler of the own cell are elsewhere for a foreign one.
+	job.RunsElsewhere = heldJob.runsElsewhere || (isForeign && job.Generation > 0)
 	job.Age = loop.now.Sub(heldJob.receivedAt)
 	job.TimeLeft = heldJob.deadline.Sub(loop.now)
 	job.Quarantine = max(heldJob.quarantineEnd.Sub(loop.now), 0)
@@ -114,14 +143,19 @@
 	heldJob.released = false
 	heldJob.runsAt = nil
 	heldJob.notStarted = false
-	if loop.leader == loop.view.Self().Address {
+	if scheduler == loop.view.Self().Address {
 		loop.notifyCell(cell.JobSubmitted{
 			EntryVM: loop.selfName(),
 			Job:     job,
 		})
 		return
 	}
-	loop.send(loop.leader, link.Message{
+	if isForeign {
+		// The heartbeat shows the other scheduler that this process is live.
+		loop.useForeignLink(scheduler)
+		loop.sendHeartbeat(scheduler, false)
+	}
+	loop.send(scheduler, link.Message{
 		Submit: &job,
 	})
 }
@@ -153,7 +187,7 @@
 	loop.leader = leader
 	loop.view.Follow(leader)
 	for _, heldJob := range loop.heldJobs {
-		if heldJob.scheduler != "" {
+		if heldJob.scheduler != "" && heldJob.foreignScheduler == "" {
 			if previousLeader != loop.view.Self().Address {
 				loop.withdrawFromScheduler(heldJob)
 			}
@@ -178,25 +212,31 @@
 	if !known || heldJob.scheduler != from {
 		return
 	}
-	heldJob.scheduler = ""
-	heldJob.quarantineEnd = loop.now.Add(quarantine)
+	heldJob.leaveScheduler(loop.now)
 	heldJob.released = true
 	heldJob.runsAt = release.RunsAt
 	heldJob.notStarted = release.NotStarted
 }
 
 // handleDecline schedules another submission of a job that the scheduler did not
-// accept.
-func (loop *loop) handleDecline(from, id string) {
+// accept. The job goes to target, the scheduler of another cell, unless that is
+// empty.
+func (loop *loop) handleDecline(from, id, target string) {
 	heldJob, known := loop.heldJobs[id]
 	if !known || heldJob.scheduler != from {
 		return
 	}
 	heldJob.scheduler = ""
+	heldJob.foreignScheduler = ""
 	if heldJob.submissions == 1 {
 		// No other scheduler had the job, so the next submission is its first.
 		heldJob.submissions = 0
 	}
+	if target != "" {
+		heldJob.assignForeign(target)
+		loop.submit(heldJob)
+		return
+	}
 	heldJob.retryAt = loop.now.Add(resubmitDelay)
 }
 
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -66,12 +66,15 @@
 	// queuedCount counts the queued replies and the orders queued for relays.
 	queuedCount int
 
+	// role is the role that was last reported to the options.
+	role      Role
 	routes    *routing.Table
 	upstreams []cell.Upstream
 	// listReadAt is when the list of upstreams was read; zero before the first.
 	listReadAt time.Time
 	// removedAt holds when upstreams left the list, by ID.
-	removedAt map[string]time.Time
+	removedAt  map[string]time.Time
+	neighbours *neighbours
 	// pendingCancels holds the cancellations sent to the scheduler, by number.
 	pendingCancels   map[uint64]pendingCancel
 	lastCancelNumber uint64
@@ -87,10 +90,12 @@
 	speedsSentAt     time.Time
 }
 
-// pendingCancel is a cancellation that the scheduler has not answered.
+// pendingCancel is a cancellation that the schedulers have not answered.
 type pendingCancel struct {
-	jobKnown  chan<- bool
-	expiresAt time.Time
+	jobKnown chan<- bool
+	// unanswered is the number of schedulers that have not answered.
+	unanswered int
+	expiresAt  time.Time
 }
 
 // entryVMName returns the name of one incarnation of an entry VM, by which the
@@ -168,6 +173,7 @@
 	for _, address := range loop.view.RemoveExpired() {
 		loop.dispatcher.links.Close(address)
 	}
+	loop.updateDivision()
 	if eligible := loop.view.Eligible(); eligible != loop.sentEligible {
 		loop.sentEligible = eligible
 		loop.sendHeartbeats(false)
@@ -182,12 +188,36 @@
 		loop.removeLostEntryVMs()
 		loop.updateRelays()
 		loop.executeDecisions(loop.cell.Handle(loop.now, cell.Tick{}))
-		loop.publishPendingJobs(loop.cell.Pending())
+		loop.spillJobs()
+		loop.publishPendingJobs(loop.regionPending())
 	}
+	loop.checkForeignJobs()
+	loop.reportCell()
+	loop.closeForeignLinks()
 	loop.updateGauges()
 	loop.dispatcher.ready.Store(!loop.view.Leaving() && loop.routes != nil && loop.leader != "")
 }
 
+// updateDivision decides whether the region is divided, once enough is known.
+func (loop *loop) updateDivision() {
+	loop.applyDivision(loop.view.UpdateDivision(len(loop.upstreams)))
+}
+
+// applyDivision closes the connections to peers that are no longer in the cell of
+// this process, and connects to the members of the cell.
+func (loop *loop) applyDivision(removed []string, changed bool) {
+	if !changed {
+		return
+	}
+	loop.log(logevent.RegionDivided, "division", loop.view.Division().String(), "members", len(loop.view.Roster()),
+		"upstreams", len(loop.upstreams))
+	for _, address := range removed {
+		loop.dispatcher.links.Close(address)
+	}
+	loop.addMembers(loop.view.CellMembers())
+	loop.passUpstreams()
+}
+
 // publishPendingJobs makes the counts of pending jobs available to PendingJobs.
 func (loop *loop) publishPendingJobs(countsByKind map[string]int) {
 	loop.dispatcher.pendingJobs.Store(&countsByKind)
@@ -213,8 +243,13 @@
 		loop.sendHeartbeat(event.Address, true)
 		if event.Address == loop.leader {
 			loop.resubmitAll()
+		} else if !loop.view.InCell(event.Address) {
+			loop.resubmitForeignJobs(event.Address)
 		}
 	case link.Down:
+		if _, isForeign := loop.neighbours.usedAt[event.Address]; isForeign {
+			loop.neighbours.brokenAt[event.Address] = loop.now
+		}
 		loop.handleRelayDisconnect(event.Address)
 		if event.Refused {
 			loop.view.HandleRefusal(event.Address)
@@ -237,7 +272,7 @@
 	case message.Answer != nil:
 		loop.handleAnswer(message.From, *message.Answer)
 	case message.Decline != nil:
-		loop.handleDecline(message.From, message.Decline.JobID)
+		loop.handleDecline(message.From, message.Decline.JobID, message.Decline.Target)
 	case message.Cancel != nil:
 		loop.handlePeerCancel(message.From, *message.Cancel)
 	case message.Cancelled != nil:
@@ -256,6 +291,8 @@
 		loop.executeRelayedOrders(message.From, message.Incarnation, message.Orders.Orders)
 	case message.Replies != nil:
 		loop.handleRelayReplies(*message.Replies)
+	case message.Cells != nil:
+		loop.handleCellStates(message.From, message.Cells.Cells)
 	case message.Speeds != nil:
 		for id, speed := range message.Speeds.Upstreams {
 			loop.estimator.Declare(id, speed)
@@ -270,7 +307,7 @@
 func (loop *loop) handleStaleMessage(message link.Message, delay time.Duration) {
 	loop.dispatcher.instruments.increment(metricStaleMessages)
 	switch {
-	case message.Heartbeat != nil, message.Released != nil:
+	case message.Heartbeat != nil, message.Released != nil, message.Cells != nil:
 	case message.Submit != nil:
 		loop.log(logevent.MessageStale, "member", message.From, "job", message.Submit.ID, "delay", delay)
 		loop.sendDecline(message.From, message.Submit.ID)
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -100,6 +100,7 @@
 		return
 	}
 	loop.gaugesUpdatedAt = loop.now
+	loop.updateRole()
 	instruments := loop.dispatcher.instruments
 	isScheduler := 0.0
 	if loop.cell != nil {
--- /dev/null
+++ b/shared/process/dispatcher/neighbours_test.go
@@ -0,0 +1,146 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"tanagerfall/shared/request/cell"
+)
+
+// startDividedRegion starts three processes in each of three failure domains, which
+// are too weak to schedule all 90 upstreams, and waits until each domain has a
+// scheduler and the schedulers know each other.
+func startDividedRegion(t *testing.T, fleet *fakeFleet) []*regionProcess {
+	t.Helper()
+	fleet.weight = 0.1
+	processes := startProcesses(t, fleet, 9)
+	awaitSchedulers(t, processes, 3)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, process := range processes {
+			state, err := process.dispatcher.State(t.Context())
+			if err != nil || len(state.Neighbours) != 2 {
+				return poll.Continue("%d neighbours: %v", len(state.Neighbours), err)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	return processes
+}
+
+// schedulerOf returns the index of the process that schedules the cell of another.
+func schedulerOf(t *testing.T, processes []*regionProcess, member int) int {
+	t.Helper()
+	for number := member % 3; number < len(processes); number += 3 {
+		state, err := processes[number].dispatcher.State(t.Context())
+		if err == nil && state.IsScheduler {
+			return number
+		}
+	}
+	t.Fatalf("no process of domain-%d schedules", member%3)
+	return -1
+}
+
+// burst submits jobs of three tasks at one process, disturbs the region while they
+// run, and returns the answers by job ID.
+func burst(t *testing.T, process *regionProcess, jobs int, disturbance func()) map[string]cell.Answer {
+	t.Helper()
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	answers := make(map[string]cell.Answer)
+	for number := range jobs {
+		group.Go(func() {
+			id := fmt.Sprintf("job-%d", number)
+			answer, err := process.dispatcher.Submit(context.Background(), testJob(id, 3, 8*time.Second))
+			assert.Check(t, err == nil)
+			mutex.Lock()
+			defer mutex.Unlock()
+			answers[id] = answer
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	disturbance()
+	group.Wait()
+	return answers
+}
+
+// Guards against callers of one domain that wait for its upstreams while those of
+// other domains are idle: 60 jobs of three tasks need three times what the 30
+// upstreams of the domain can run at once.
+func TestFullCellHandsJobsToOthers(t *testing.T) {
+	fleet := newFleet(300*time.Millisecond, 90)
+	processes := startDividedRegion(t, fleet)
+	entryVM := (schedulerOf(t, processes, 0) + 3) % len(processes)
+	startedAt := time.Now()
+	answers := burst(t, processes[entryVM], 60, func() {})
+	fleet.checkAnswers(t, answers)
+	assert.Assert(t, time.Since(startedAt) < 900*time.Millisecond, "the burst took %v", time.Since(startedAt))
+	state, err := processes[schedulerOf(t, processes, 0)].dispatcher.State(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, state.Cell.Counters.HandedOver > 0)
+}
+
+// Guards against lost jobs and concurrent runs of one task when the scheduler of a
+// cell dies that has handed jobs to others, or one that has got them.
+func TestHandedOverJobsSurviveSchedulerCrash(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		domain int
+	}{
+		{"own scheduler", 0},
+		{"scheduler of another cell", 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			fleet := newFleet(300*time.Millisecond, 90)
+			processes := startDividedRegion(t, fleet)
+			entryVM := (schedulerOf(t, processes, 0) + 3) % len(processes)
+			victim := schedulerOf(t, processes, test.domain)
+			answers := burst(t, processes[entryVM], 60, processes[victim].kill)
+			fleet.checkAnswers(t, answers)
+		})
+	}
+}
+
+// Guards against jobs that wait for a new scheduler of their cell although other
+// cells have room: the entry VM notices the loss after about 0.25 s.
+func TestCellWithoutSchedulerUsesOthers(t *testing.T) {
+	fleet := newFleet(50*time.Millisecond, 90)
+	processes := startDividedRegion(t, fleet)
+	scheduler := schedulerOf(t, processes, 0)
+	entryVM := processes[(scheduler+3)%len(processes)]
+	for number := scheduler % 3; number < len(processes); number += 3 {
+		if processes[number] != entryVM {
+			processes[number].kill()
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	answers := burst(t, entryVM, 5, func() {})
+	fleet.checkAnswers(t, answers)
+}
+
+// Guards against a cancellation that reaches only the cell of the entry VM that
+// received it, and against one that reports a job as unknown before all cells have
+// answered.
+func TestCancellationReachesAllCells(t *testing.T) {
+	fleet := newFleet(3*time.Second, 90)
+	processes := startDividedRegion(t, fleet)
+	answered := make(chan cell.Answer, 1)
+	go func() {
+		answer, err := processes[1].dispatcher.Submit(context.Background(), testJob("cancelled", 2, 5*time.Second))
+		assert.Check(t, err == nil)
+		answered <- answer
+	}()
+	waitForRuns(t, fleet, 2)
+	known, err := processes[0].dispatcher.Cancel(t.Context(), "cancelled")
+	assert.NilError(t, err)
+	assert.Assert(t, known)
+	assert.Equal(t, (<-answered).Result, cell.Interrupted)
+	known, err = processes[0].dispatcher.Cancel(t.Context(), "cancelled")
+	assert.NilError(t, err)
+	assert.Assert(t, !known)
+}
--- a/shared/process/dispatcher/platform_lists.go
+++ b/shared/process/dispatcher/platform_lists.go
@@ -36,11 +36,19 @@
 	}
 	loop.listReadAt = readAt
 	loop.upstreams = loop.retainRemoved(upstreams)
-	if loop.relays != nil {
-		loop.relays.SetUpstreams(loop.upstreams)
+	loop.passUpstreams()
+}
+
+// passUpstreams passes the upstreams of this process's cell to the Cell and the
+// relays, if this process schedules.
+func (loop *loop) passUpstreams() {
+	if loop.cell == nil {
+		return
 	}
+	cellUpstreams := loop.view.Upstreams(loop.upstreams)
+	loop.relays.SetUpstreams(cellUpstreams)
 	loop.notifyCell(cell.UpstreamsListed{
-		Upstreams: loop.upstreams,
+		Upstreams: cellUpstreams,
 	})
 }
 
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -40,8 +40,7 @@
 	loop.view.Activate()
 	loop.dispatcher.instruments.increment(metricTakeovers)
 	loop.entryVMs = make(map[string]string)
-	loop.relays = relay.New(loop.activation, loop.options.RelayFrom)
-	loop.relays.SetUpstreams(loop.upstreams)
+	loop.relays = relay.New(loop.activation, relayThreshold(loop.options.RelayFrom, loop.view.Self().Weight))
 	loop.relays.SetMembers(loop.now, loop.view.RelayCandidates())
 	loop.suspectedRelays = nil
 	loop.cell = cell.New(loop.now, cell.Config{
@@ -57,16 +56,42 @@
 	}
 	loop.log(logevent.SchedulerStarted, "token", loop.token, "live", loop.view.LiveCount(),
 		"upstreams", len(loop.upstreams), "list-age", loop.listAge())
-	if loop.options.OnSchedulingChange != nil {
-		loop.options.OnSchedulingChange(true)
-	}
-	loop.notifyCell(cell.UpstreamsListed{
-		Upstreams: loop.upstreams,
-	})
+	loop.updateRole()
+	loop.passUpstreams()
 	loop.follow(loop.view.Self().Address, "this process schedules")
 	loop.sendHeartbeats(false)
 }
 
+// relayThreshold returns the number of upstreams from which on a scheduler with
+// the given processor time, in cores, uses relays. limit is the number for a
+// scheduler with 0.4 of a core or more.
+func relayThreshold(limit int, weight float64) int {
+	const fullWeight = 0.4
+	if weight >= fullWeight || weight <= 0 {
+		return limit
+	}
+	return max(int(float64(limit)*weight/fullWeight), 1)
+}
+
+// updateRole reports a change of this process's role. A process counts as standby
+// until it has found that enough others come before it.
+func (loop *loop) updateRole() {
+	role := RoleMember
+	switch {
+	case loop.cell != nil:
+		role = RoleScheduler
+	case loop.view.IsStandby(standbys):
+		role = RoleStandby
+	}
+	if role == loop.role {
+		return
+	}
+	loop.role = role
+	if loop.options.OnRoleChange != nil {
+		loop.options.OnRoleChange(role)
+	}
+}
+
 // nextToken returns a fencing token that is higher than all known ones. It is
 // derived from the time of day, so that a restarted process needs no stored
 // state; if the clock jumps back, the tokens that peers report keep it rising.
@@ -92,9 +117,7 @@
 	loop.relays = nil
 	loop.activation++
 	loop.view.Deactivate()
-	if loop.options.OnSchedulingChange != nil {
-		loop.options.OnSchedulingChange(false)
-	}
+	loop.updateRole()
 	if loop.leader == loop.view.Self().Address {
 		loop.follow("", "this process stepped down")
 	}
@@ -182,7 +205,12 @@
 		return
 	}
 	entryVM := entryVMName(address, incarnation)
+	_, known := loop.entryVMs[address]
 	loop.entryVMs[address] = entryVM
+	if !known && !loop.view.InCell(address) {
+		loop.useForeignLink(address)
+		loop.sendHeartbeat(address, false)
+	}
 	loop.notifyCell(cell.JobSubmitted{
 		EntryVM: entryVM,
 		Job:     job,
@@ -205,8 +233,10 @@
 			continue
 		}
 		delete(loop.entryVMs, address)
-		loop.log(logevent.MemberLost, "member", address)
-		loop.dispatcher.links.Reset(address)
+		if loop.view.InCell(address) {
+			loop.log(logevent.MemberLost, "member", address)
+			loop.dispatcher.links.Reset(address)
+		}
 		loop.notifyCell(cell.EntryVMLost{
 			EntryVM: entryVM,
 		})
@@ -215,21 +245,32 @@
 
 // handleCancelRequest passes a caller's cancellation to the scheduler.
 func (loop *loop) handleCancelRequest(event cancelRequested) {
+	schedulers := loop.otherSchedulers()
 	if loop.cell != nil {
-		event.jobKnown <- loop.cancelInCell(event.id)
-		return
+		if known := loop.cancelInCell(event.id); known || len(schedulers) == 0 {
+			event.jobKnown <- known
+			return
+		}
+	} else {
+		schedulers = append(schedulers, loop.leader)
 	}
 	loop.lastCancelNumber++
 	loop.pendingCancels[loop.lastCancelNumber] = pendingCancel{
-		jobKnown:  event.jobKnown,
-		expiresAt: loop.now.Add(cancelTimeout),
+		jobKnown:   event.jobKnown,
+		unanswered: len(schedulers),
+		expiresAt:  loop.now.Add(cancelTimeout),
+	}
+	for _, scheduler := range schedulers {
+		if !loop.view.InCell(scheduler) {
+			loop.useForeignLink(scheduler)
+		}
+		loop.send(scheduler, link.Message{
+			Cancel: &link.Cancel{
+				JobID:         event.id,
+				RequestNumber: loop.lastCancelNumber,
+			},
+		})
 	}
-	loop.send(loop.leader, link.Message{
-		Cancel: &link.Cancel{
-			JobID:         event.id,
-			RequestNumber: loop.lastCancelNumber,
-		},
-	})
 }
 
 // cancelInCell cancels a job in the Cell and reports whether the Cell knew it.
@@ -244,6 +285,9 @@
 	if loop.cell == nil {
 		return
 	}
+	if !loop.view.InCell(from) {
+		loop.useForeignLink(from)
+	}
 	loop.send(from, link.Message{
 		Cancelled: &link.Cancelled{
 			RequestNumber: cancel.RequestNumber,
@@ -252,12 +296,20 @@
 	})
 }
 
-// handleCancelResult passes the scheduler's result to the caller that cancelled.
+// handleCancelResult passes the result to the caller that cancelled: as soon as a
+// scheduler had the job, or when none did.
 func (loop *loop) handleCancelResult(result link.Cancelled) {
-	if pendingCancel, known := loop.pendingCancels[result.RequestNumber]; known {
-		pendingCancel.jobKnown <- result.Found
-		delete(loop.pendingCancels, result.RequestNumber)
+	pendingCancel, known := loop.pendingCancels[result.RequestNumber]
+	if !known {
+		return
+	}
+	pendingCancel.unanswered--
+	if !result.Found && pendingCancel.unanswered > 0 {
+		loop.pendingCancels[result.RequestNumber] = pendingCancel
+		return
 	}
+	pendingCancel.jobKnown <- result.Found
+	delete(loop.pendingCancels, result.RequestNumber)
 }
 
 // expireCancels drops cancellations that the scheduler did not answer in time. The
--- a/shared/process/dispatcher/state.go
+++ b/shared/process/dispatcher/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/request/spill"
 	"tanagerfall/shared/version/region"
 )
 
@@ -25,6 +26,10 @@
 	LiveProcesses int `json:"live"`
 	// Members lists all known processes, this one included.
 	Members []region.Member `json:"members"`
+	// Division says how this process takes the region to be divided.
+	Division string `json:"division"`
+	// Neighbours lists the recent reports of the schedulers of other cells.
+	Neighbours []spill.Report `json:"neighbours,omitempty"`
 	// RoutesVersion is the version of the routing table in force; 0 if none.
 	RoutesVersion int64 `json:"routes-version"`
 	// ListAgeMs is the age of the list of upstreams in ms; an hour if there is none.
@@ -50,6 +55,8 @@
 		Token:           loop.token,
 		LiveProcesses:   loop.view.LiveCount(),
 		Members:         loop.view.Members(),
+		Division:        loop.view.Division().String(),
+		Neighbours:      loop.neighbours.planner.Reports(loop.now),
 		ListAgeMs:       int64(loop.listAge() / time.Millisecond),
 		HeldJobs:        len(loop.heldJobs),
 		RelayedOrders:   loop.relayedOrders,
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -240,6 +240,18 @@
 		Level:  log.InfoLevel,
 		Text:   "message was delayed too long and is declined",
 	}
+	RegionDivided = Event{
+		Number: 708,
+		Name:   "region-divided",
+		Level:  log.InfoLevel,
+		Text:   "this process determined how the region is divided among schedulers",
+	}
+	JobHandedOver = Event{
+		Number: 709,
+		Name:   "job-handed-over",
+		Level:  log.DebugLevel,
+		Text:   "job that waits goes to another cell",
+	}
 	JobAccepted = Event{
 		Number: 711,
 		Name:   "job-accepted",
@@ -347,7 +359,7 @@
 		JobFailed, JobRefused,
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
-		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale,
+		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -40,8 +40,10 @@
 	rankedBuffer []rankedJob
 	// placementPending is set when a change may allow a task to be placed.
 	placementPending bool
-	decisions        []Decision
-	counters         Counters
+	// averageNeed is the moving average of the cores of a task, in thousandths.
+	averageNeed float64
+	decisions   []Decision
+	counters    Counters
 }
 
 // Counters counts the actions of a Cell for metrics and the state dump.
@@ -61,6 +63,8 @@
 	MovedRuns   int64 `json:"moved"`
 	Claimed     int64 `json:"taken"`
 	Fenced      int64 `json:"fenced"`
+	// HandedOver counts the jobs that went to another cell.
+	HandedOver int64 `json:"handed-over"`
 }
 
 // New returns a Cell that claims upstreams from now on as config.Claims allows.
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -223,6 +223,52 @@
 	assert.Equal(t, answer.Reason, "overload")
 }
 
+// Guards against jobs that wait in a full cell while another has room, and against
+// handing over a job that may have run: it would run twice.
+func TestOnlyJobsThatCannotHaveRunAreSurplus(t *testing.T) {
+	harness := newHarness(t)
+	harness.listUpstreams(nil, "u1")
+	for _, start := range harness.submit(testJob("running", 2)) {
+		harness.confirm(start)
+	}
+	spilled := testJob("spilled", 2)
+	spilled.Spilled = true
+	resubmitted := testJob("resubmitted", 2)
+	resubmitted.Generation = 1
+	for _, job := range []cell.Job{testJob("waiting", 2), spilled, resubmitted} {
+		assert.Equal(t, len(harness.submit(job)), 0)
+	}
+	assert.Equal(t, len(harness.cell.Surplus()), 0, "a job waits a moment for an upstream of its own cell")
+	assert.Equal(t, harness.cell.Headroom()[service], -42_000)
+	harness.advance(20 * time.Millisecond)
+	assert.DeepEqual(t, harness.cell.Surplus(), []cell.Surplus{{
+		ID:         "waiting",
+		Service:    service,
+		MilliCores: 14_000,
+	}})
+	assert.Equal(t, len(harness.cell.HandOver("running")), 0)
+	assert.DeepEqual(t, harness.cell.HandOver("waiting"), []string{entryVM})
+	assert.Equal(t, len(harness.cell.HandOver("waiting")), 0)
+	assert.Equal(t, len(harness.cell.Surplus()), 0)
+}
+
+// Guards against a second run of a task that another cell has started: polls of the
+// own upstreams don't show that run, so the job must wait for its quarantine.
+func TestJobWithRunsElsewhereWaitsForItsQuarantine(t *testing.T) {
+	harness := newHarness(t)
+	harness.listUpstreams(nil, "u1")
+	harness.passStopGrace(nil, "u1")
+	job := testJob("j", 1)
+	job.Generation = 1
+	job.Quarantine = 1200 * time.Millisecond
+	job.RunsElsewhere = true
+	job.Stretch = 20
+	assert.Equal(t, len(harness.submit(job)), 0)
+	harness.now = harness.now.Add(100 * time.Millisecond)
+	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.answerPoll("u1", nil))), 0, "the cell's upstreams don't run it")
+	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.advance(1200*time.Millisecond))), 1)
+}
+
 // A job is answered when its last task is done, not before.
 func TestJobCompletesWithItsLastTask(t *testing.T) {
 	harness := newHarness(t)
--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -100,6 +100,9 @@
 	// IdleShare is the share of free cores above which a task gets the fastest
 	// upstream instead of the slowest one that meets the objective.
 	IdleShare float64
+	// SurplusAfter is how long a job waits for a start before it may be handed to
+	// another cell.
+	SurplusAfter time.Duration
 	// MinRetryAfter and MaxRetryAfter bound the retry delay advised to callers
 	// whose jobs were refused.
 	MinRetryAfter time.Duration
@@ -134,6 +137,7 @@
 		AnswerMargin:          100 * time.Millisecond,
 		Overhead:              15 * time.Millisecond,
 		IdleShare:             0.3,
+		SurplusAfter:          10 * time.Millisecond,
 		MinRetryAfter:         time.Second,
 		MaxRetryAfter:         5 * time.Second,
 	}
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -40,6 +40,12 @@
 	RunsAt []string `cbor:"15,keyasint,omitempty"`
 	// NotStarted is set if no earlier Cell has ordered a start.
 	NotStarted bool `cbor:"16,keyasint,omitempty"`
+	// Spilled is set if another cell has handed the job over, or should have had
+	// it. It is not handed over again.
+	Spilled bool `cbor:"17,keyasint,omitempty"`
+	// RunsElsewhere is set if runs of the job may exist on upstreams of another
+	// cell, so that only the end of the quarantine shows that they are over.
+	RunsElsewhere bool `cbor:"18,keyasint,omitempty"`
 }
 
 // LatencyBudget returns how long the job may take by its latency objective if
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -81,6 +81,7 @@
 	task.currentRun = run
 	cell.addRun(run)
 	cell.counters.Starts++
+	cell.recordNeed(step.Need.MilliCores)
 	cell.decide(StartRun{
 		Order:      order,
 		Run:        run.name,
--- a/shared/request/cell/takeover.go
+++ b/shared/request/cell/takeover.go
@@ -74,6 +74,9 @@
 // started: those on the upstreams in its Release, or on any upstream of the service if
 // it did not send one.
 func (cell *Cell) runsVerified(job *jobState) bool {
+	if job.submitted.RunsElsewhere {
+		return false
+	}
 	if !job.submitted.Released {
 		return cell.serviceVerifiedSince(job.submitted.Service, job.submittedAt)
 	}
--- a/shared/version/region/claim.go
+++ b/shared/version/region/claim.go
@@ -13,7 +13,7 @@
 	if view.isFollower(home) {
 		return cell.ClaimFirm
 	}
-	if !view.Live(home) && 2*view.followerCount() > 1+len(view.peers) {
+	if !view.Live(home) && 2*view.followerCount() > 1+view.cellPeerCount() {
 		return cell.ClaimWeak
 	}
 	return cell.ClaimNone
@@ -23,6 +23,16 @@
 // an upstream. Processes of other failure domains count only if the domain of
 // the upstream has none.
 func (view *View) home(upstream cell.Upstream) string {
+	if home, cached := view.homes[upstream.ID]; cached {
+		return home
+	}
+	home := view.chooseHome(upstream)
+	view.homes[upstream.ID] = home
+	return home
+}
+
+// chooseHome computes the result of home.
+func (view *View) chooseHome(upstream cell.Upstream) string {
 	members := view.Members()
 	sameDomain := false
 	for _, member := range members {
@@ -49,7 +59,7 @@
 		return true
 	}
 	peer, ok := view.peers[address]
-	return ok && view.live(peer) && peer.heartbeat.Follows == view.self.Address
+	return ok && view.live(peer) && view.inCell(peer.heartbeat.Member) && peer.heartbeat.Follows == view.self.Address
 }
 
 // followerCount returns the number of live processes that follow this one,
--- a/shared/version/region/election.go
+++ b/shared/version/region/election.go
@@ -30,9 +30,8 @@
 		activeFor: view.ActiveFor(),
 		eligible:  view.Eligible(),
 	})
-	for _, address := range view.PeerAddresses() {
-		peer := view.peers[address]
-		if !view.live(peer) {
+	for _, peer := range view.peers {
+		if !view.live(peer) || !view.inCell(peer.heartbeat.Member) {
 			continue
 		}
 		followers[peer.heartbeat.Follows]++
@@ -69,7 +68,7 @@
 func (view *View) CanYield() bool {
 	canYield := false
 	for _, peer := range view.peers {
-		if !view.live(peer) || peer.heartbeat.Leaving {
+		if !view.live(peer) || peer.heartbeat.Leaving || !view.inCell(peer.heartbeat.Member) {
 			continue
 		}
 		if !peer.heartbeat.Eligible && view.now.Sub(peer.learnedAt) > eligibleWithin {
@@ -112,6 +111,20 @@
 	return best.member, best.activeFor > 0, found
 }
 
+// IsStandby reports whether this process is among the first count processes that
+// would begin to schedule if the present scheduler were lost.
+func (view *View) IsStandby(count int) bool {
+	processes := view.candidates()
+	self := processes[0]
+	before := 0
+	for _, process := range processes[1:] {
+		if process.activeFor == 0 && preferred(process, self) {
+			before++
+		}
+	}
+	return before < count
+}
+
 // canContinue reports whether a process schedules and is strong enough to go
 // on. A weak process that became scheduler before the others had started is
 // replaced by a strong one.
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -36,6 +36,10 @@
 	// removeAfter is the silence after which a process is no longer a member. It
 	// is longer than the partitions that the election is designed for.
 	removeAfter = 60 * time.Second
+	// removeForeignAfter is the silence after which a process of another cell is no
+	// longer a peer. Heartbeats cross cells only while one of the two holds jobs of
+	// the other, or starts.
+	removeForeignAfter = 3 * time.Second
 )
 
 // Member is a process that may schedule.
@@ -48,6 +52,9 @@
 	Weight float64 `cbor:"4,keyasint" json:"weight"`
 	// Incarnation distinguishes the process from earlier ones at the same address.
 	Incarnation uint64 `cbor:"5,keyasint" json:"incarnation"`
+	// LinkMbps is the bandwidth of the process's network link in Mbit/s; 0 if it is
+	// not known.
+	LinkMbps float64 `cbor:"6,keyasint,omitempty" json:"link-mbps,omitempty"`
 }
 
 // Heartbeat is the state that a process reports to its peers at intervals.
@@ -83,6 +90,8 @@
 	// ShedShare is the share of new jobs, from 0 to 1, that entry VMs are to shed
 	// on behalf of the sender. Only a scheduler sets it.
 	ShedShare float64 `cbor:"12,keyasint,omitempty"`
+	// Division is how the sender takes the region to be divided.
+	Division Division `cbor:"13,keyasint,omitempty"`
 }
 
 // peerState is what this process knows of another one.
@@ -114,15 +123,29 @@
 	// abstainUntil keeps a process that was paused or slow from becoming
 	// scheduler.
 	abstainUntil time.Time
+	division     Division
+	// dividedAt is when the division was last decided.
+	dividedAt time.Time
+	// roster holds all members of the region that this process has heard of, in
+	// its cell or not, by address.
+	roster map[string]Member
+	// rosterChangedAt is when the roster last changed.
+	rosterChangedAt time.Time
+	// homes caches the homes of upstreams by ID. It is discarded when the members
+	// of the cell change.
+	homes map[string]string
 }
 
 // New returns the view of a process that knows no others.
 func New(now time.Time, self Member) *View {
 	return &View{
-		self:      self,
-		startedAt: now,
-		now:       now,
-		peers:     make(map[string]*peerState),
+		self:            self,
+		startedAt:       now,
+		now:             now,
+		peers:           make(map[string]*peerState),
+		roster:          make(map[string]Member),
+		rosterChangedAt: now,
+		homes:           make(map[string]string),
 	}
 }
 
@@ -143,9 +166,11 @@
 }
 
 // MayActivate reports whether this process may begin to schedule if Leader
-// returns it: it is eligible and was started at least 300 ms ago.
+// returns it: it is eligible, was started at least 300 ms ago, and has known for
+// 50 ms how the region is divided.
 func (view *View) MayActivate() bool {
-	return view.Eligible() && view.now.Sub(view.startedAt) >= activationDelay
+	return view.Eligible() && view.now.Sub(view.startedAt) >= activationDelay &&
+		view.division != DivisionUnknown && view.now.Sub(view.dividedAt) >= activationDelay-startupListenTime
 }
 
 // Abstain makes this process ineligible as scheduler for a time, and records
@@ -156,16 +181,19 @@
 }
 
 // AddMembers adds processes that others have reported, and returns the addresses
-// of those that were not known.
+// of those that are new peers of this process. Processes of other cells are
+// recorded in the roster only.
 func (view *View) AddMembers(members []Member) []string {
 	var added []string
 	for _, member := range members {
 		if member.Address == view.self.Address || member.Address == "" {
 			continue
 		}
-		if _, ok := view.peers[member.Address]; ok {
+		view.recordInRoster(member)
+		if _, ok := view.peers[member.Address]; ok || !view.inCell(member) {
 			continue
 		}
+		clear(view.homes)
 		view.peers[member.Address] = &peerState{
 			heartbeat: Heartbeat{
 				Member: member,
@@ -186,6 +214,7 @@
 	if address == view.self.Address {
 		return false
 	}
+	view.recordInRoster(heartbeat.Member)
 	sender, ok := view.peers[address]
 	if !ok {
 		sender = &peerState{
@@ -193,6 +222,9 @@
 		}
 		view.peers[address] = sender
 	}
+	if sender.heartbeat.Member != heartbeat.Member {
+		clear(view.homes)
+	}
 	restarted = sender.heartbeatReceived && sender.heartbeat.Member.Incarnation != heartbeat.Member.Incarnation
 	sender.heartbeat = heartbeat
 	sender.heartbeatReceived = true
@@ -218,8 +250,9 @@
 	}
 }
 
-// RemoveExpired removes the processes that have been silent for more than 60 s,
-// and returns their addresses, sorted.
+// RemoveExpired removes the peers of the cell that have been silent for more than
+// 60 s and those of other cells that have been silent for more than 3 s. It returns
+// their addresses, sorted.
 func (view *View) RemoveExpired() []string {
 	var removed []string
 	for address, peer := range view.peers {
@@ -227,19 +260,41 @@
 		if peer.heartbeatReceived {
 			lastContactAt = peer.lastHeartbeatAt
 		}
-		if view.now.Sub(lastContactAt) > removeAfter {
+		retention := removeAfter
+		if !view.inCell(peer.heartbeat.Member) {
+			retention = removeForeignAfter
+		}
+		if view.now.Sub(lastContactAt) > retention {
 			delete(view.peers, address)
 			removed = append(removed, address)
+			if retention == removeAfter {
+				view.removeFromRoster(address)
+			}
 		}
 	}
+	if len(removed) > 0 {
+		clear(view.homes)
+	}
 	sort.Strings(removed)
 	return removed
 }
 
 // HeartbeatInterval returns the time between this process's heartbeats, which
-// grows with the number of known processes.
+// grows with the number of known processes of the cell.
 func (view *View) HeartbeatInterval() time.Duration {
-	return max(MinHeartbeatInterval, time.Duration(len(view.peers))*heartbeatIntervalPerPeer)
+	return max(MinHeartbeatInterval, time.Duration(view.cellPeerCount())*heartbeatIntervalPerPeer)
+}
+
+// cellPeerCount returns the number of known processes of the cell without this
+// one.
+func (view *View) cellPeerCount() int {
+	count := 0
+	for _, peer := range view.peers {
+		if view.inCell(peer.heartbeat.Member) {
+			count++
+		}
+	}
+	return count
 }
 
 // live reports whether the last heartbeat of a peer is recent enough.
@@ -264,30 +319,32 @@
 	return ok && view.live(peer)
 }
 
-// LiveCount returns the number of live processes, this one included.
+// LiveCount returns the number of live processes of the cell, this one included.
 func (view *View) LiveCount() int {
 	count := 1
 	for _, peer := range view.peers {
-		if view.live(peer) {
+		if view.live(peer) && view.inCell(peer.heartbeat.Member) {
 			count++
 		}
 	}
 	return count
 }
 
-// PeerAddresses returns the addresses of all other known processes, live or not,
-// sorted.
+// PeerAddresses returns the addresses of all other known processes of the cell,
+// live or not, sorted.
 func (view *View) PeerAddresses() []string {
 	addresses := make([]string, 0, len(view.peers))
-	for address := range view.peers {
-		addresses = append(addresses, address)
+	for address, peer := range view.peers {
+		if view.inCell(peer.heartbeat.Member) {
+			addresses = append(addresses, address)
+		}
 	}
 	sort.Strings(addresses)
 	return addresses
 }
 
-// Members returns all known processes, live or not: this one first, then the
-// others sorted by address.
+// Members returns all known processes of the cell, live or not: this one first,
+// then the others sorted by address.
 func (view *View) Members() []Member {
 	members := []Member{view.self}
 	for _, address := range view.PeerAddresses() {
--- a/shared/version/region/view_test.go
+++ b/shared/version/region/view_test.go
@@ -28,12 +28,15 @@
 	active []bool
 	// connected reports whether heartbeats of from reach to.
 	connected func(from, to int) bool
+	// upstreams is the number of upstreams on the platform's list.
+	upstreams int
 }
 
 func newNetwork(size int) *network {
 	simulated := &network{
 		now:       time.Unix(1_000_000, 0),
 		connected: func(int, int) bool { return true },
+		upstreams: 48,
 	}
 	for number := range size {
 		simulated.views = append(simulated.views, region.New(simulated.now, member(number)))
@@ -48,11 +51,13 @@
 		network.now = network.now.Add(region.MinHeartbeatInterval)
 		for _, view := range network.views {
 			view.Advance(network.now, 0)
+			view.UpdateDivision(network.upstreams)
 		}
 		for to, view := range network.views {
 			for from, sender := range network.views {
 				if from != to && network.connected(from, to) {
 					view.HandleHeartbeat(network.heartbeat(from, sender))
+					view.AdoptDivision(sender.Division())
 				}
 			}
 		}
