--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -40,6 +40,20 @@
 	Orders    *OrderBatch    `cbor:"14,keyasint,omitempty"`
 	Replies   *ReplyBatch    `cbor:"15,keyasint,omitempty"`
 	Cells     *CellStates    `cbor:"18,keyasint,omitempty"`
+	Dropped   *Dropped       `cbor:"19,keyasint,omitempty"`
+	// Leaving is sent to a process that has started.
+	Leaving *LeavingUpstreams `cbor:"20,keyasint,omitempty"`
+}
+
+// Dropped is sent by a scheduler to an entry VM that was silent, when its heartbeats
+// arrive again: the scheduler has withdrawn all its jobs.
+type Dropped struct{}
+
+// LeavingUpstreams tells which upstreams have begun to leave. The store of a process
+// that has just started may still serve an older entry.
+type LeavingUpstreams struct {
+	// Incarnations holds the incarnations that leave by ID.
+	Incarnations map[string]int64 `cbor:"1,keyasint"`
 }
 
 // CellStates is sent between the schedulers of a divided region, and by a scheduler
--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -116,20 +116,23 @@
 	})
 	now := time.Now()
 	dispatcher.loop = &loop{
-		dispatcher:     dispatcher,
-		options:        options,
-		now:            now,
-		lastTick:       now,
-		view:           region.New(now, options.Self),
-		estimator:      estimate.New(),
-		heldJobs:       make(map[string]*heldJob),
-		entryVMs:       make(map[string]string),
-		pendingCancels: make(map[uint64]pendingCancel),
-		lastSentAt:     make(map[string]time.Time),
-		removedAt:      make(map[string]time.Time),
-		queuedReplies:  make(map[remoteScheduler][]relay.Reply),
-		role:           RoleStandby,
-		neighbours:     newNeighbours(),
+		dispatcher: dispatcher,
+		options:    options,
+		now:        now,
+		lastTick:   now,
+		view:       region.New(now, options.Self),
+		estimator:  estimate.New(),
+		heldJobs:   make(map[string]*heldJob),
+		entryVMs:   make(map[string]string),
+
+		droppedEntryVMs:     make(map[string]string),
+		leavingIncarnations: make(map[string]int64),
+		pendingCancels:      make(map[uint64]pendingCancel),
+		lastSentAt:          make(map[string]time.Time),
+		removedAt:           make(map[string]time.Time),
+		queuedReplies:       make(map[remoteScheduler][]relay.Reply),
+		role:                RoleStandby,
+		neighbours:          newNeighbours(),
 	}
 	return dispatcher
 }
--- /dev/null
+++ b/shared/process/dispatcher/faults_test.go
@@ -0,0 +1,304 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/connection/link"
+	"tanagerfall/shared/connection/peer"
+	"tanagerfall/shared/connection/relay"
+	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/version/region"
+	"tanagerfall/shared/version/routing"
+)
+
+const entryVMAddress = "10.0.0.2:1"
+
+// newSchedulerLoop returns the loop of a process that schedules one upstream, which
+// has answered its first poll, and a follower at entryVMAddress.
+func newSchedulerLoop(t *testing.T) *loop {
+	t.Helper()
+	loop := newEntryVMLoop(t)
+	loop.leader = ""
+	loop.view = region.New(loop.now, region.Member{
+		Address:     "10.0.0.1:1",
+		Domain:      "a",
+		Weight:      1,
+		Incarnation: 1,
+	})
+	loop.options.Upstreams = silentUpstreams{}
+	loop.options.RelayFrom = 1000
+	loop.handle(loop.now, upstreamsRead{
+		upstreams: []cell.Upstream{{
+			ID:      "u1",
+			Address: "u1:1",
+			Service: "orders",
+			Domain:  "a",
+			Slots:   8,
+			Capacity: cell.Resources{
+				MilliCores: 16_000,
+			},
+			Incarnation: 1,
+		}},
+	})
+	for range 20 {
+		loop.advance(tickInterval)
+	}
+	assert.Assert(t, loop.cell != nil)
+	return loop
+}
+
+// advance lets time pass in steps of the tick.
+func (loop *loop) advance(duration time.Duration) {
+	for end := loop.now.Add(duration); loop.now.Before(end); {
+		loop.handle(loop.now.Add(tickInterval), ticked{})
+	}
+}
+
+// receive handles a message of the entry VM at entryVMAddress.
+func (loop *loop) receive(message link.Message) {
+	message.From = entryVMAddress
+	message.Incarnation = 2
+	loop.handle(loop.now, linkEvent{
+		event: link.Received{
+			Message: message,
+		},
+	})
+}
+
+// receiveHeartbeat handles a heartbeat of the entry VM at entryVMAddress, which
+// follows this process.
+func (loop *loop) receiveHeartbeat() {
+	loop.receive(link.Message{
+		Heartbeat: &region.Heartbeat{
+			Member: region.Member{
+				Address:     entryVMAddress,
+				Domain:      "a",
+				Weight:      0.5,
+				Incarnation: 2,
+			},
+			Follows:  loop.view.Self().Address,
+			Interval: region.MinHeartbeatInterval,
+			Eligible: true,
+			Division: region.Undivided,
+		},
+	})
+}
+
+// Guards against jobs of an entry VM that was silent for a while: the scheduler
+// withdraws them, and the entry VM, which has not noticed anything, waited for their
+// answers until the callers' deadlines.
+func TestSilentEntryVMSubmitsItsJobsAgain(t *testing.T) {
+	scheduler := newSchedulerLoop(t)
+	scheduler.receiveHeartbeat()
+	job := testFaultJob("j")
+	scheduler.receive(link.Message{
+		Submit: &job,
+	})
+	assert.Equal(t, scheduler.cell.Counters().Submitted, int64(1))
+	scheduler.advance(2 * time.Second)
+	assert.Equal(t, len(scheduler.entryVMs), 0)
+	assert.DeepEqual(t, scheduler.droppedEntryVMs, map[string]string{
+		entryVMAddress: entryVMName(entryVMAddress, 2),
+	})
+	scheduler.receiveHeartbeat()
+	assert.Equal(t, len(scheduler.droppedEntryVMs), 0, "the entry VM is told once")
+
+	entryVM := newEntryVMLoop(t)
+	entryVM.acceptTestJob()
+	assert.Equal(t, entryVM.heldJobs["j"].submissions, 1)
+	entryVM.now = entryVM.now.Add(time.Second)
+	entryVM.handleMessage(link.Message{
+		From:    schedulerAddress,
+		Dropped: &link.Dropped{},
+	})
+	assert.Equal(t, entryVM.heldJobs["j"].submissions, 2)
+	assert.Equal(t, entryVM.heldJobs["j"].quarantineEnd, entryVM.now.Add(quarantine), "a run may still be stopping")
+	entryVM.handleMessage(link.Message{
+		From:    "10.0.0.7:1",
+		Dropped: &link.Dropped{},
+	})
+	assert.Equal(t, entryVM.heldJobs["j"].submissions, 2, "another process does not have the job")
+}
+
+func testFaultJob(id string) cell.Job {
+	return cell.Job{
+		ID:      id,
+		Kind:    "booking",
+		Service: "orders",
+		Steps: []cell.Step{{
+			Count:    1,
+			Estimate: 300 * time.Millisecond,
+		}},
+		MaxAttempts: 2,
+		Stretch:     20,
+		TimeLeft:    20 * time.Second,
+	}
+}
+
+// silentUpstreams answers no order.
+type silentUpstreams struct{}
+
+func (silentUpstreams) Start(_ context.Context, order cell.StartRun) cell.StartReplied {
+	return cell.StartReplied{
+		Reply: unanswered(order.Order),
+		Run:   order.Run,
+	}
+}
+
+func (silentUpstreams) Stop(_ context.Context, order cell.StopRun) cell.StopReplied {
+	return cell.StopReplied{
+		Reply: unanswered(order.Order),
+		Run:   order.Run,
+	}
+}
+
+func (silentUpstreams) Poll(_ context.Context, order cell.Poll) cell.PollReplied {
+	return cell.PollReplied{
+		Reply:     unanswered(order.Order),
+		Immediate: order.Immediate,
+	}
+}
+
+func unanswered(order cell.Order) cell.Reply {
+	return cell.Reply{
+		Order:   order,
+		Outcome: cell.OutcomeUnknown,
+	}
+}
+
+// Guards against orders that a process sends after a pause, before its first tick
+// notices that others may have taken over meanwhile.
+func TestPauseIsNoticedBeforeTheNextEvent(t *testing.T) {
+	loop := newSchedulerLoop(t)
+	loop.receiveHeartbeat()
+	loop.now = loop.now.Add(3 * time.Second)
+	job := testFaultJob("j")
+	loop.receive(link.Message{
+		Submit: &job,
+	})
+	assert.Assert(t, loop.cell == nil, "a process that was paused for 3 s must step down first")
+}
+
+// Guards against a run on each side of a division: when a running region is divided,
+// a job that the old scheduler had may still run on upstreams that the new cell does
+// not see, so it must wait for its whole quarantine.
+func TestJobsOfTheOldSchedulerWaitAfterADivision(t *testing.T) {
+	loop := newEntryVMLoop(t)
+	loop.view = region.New(loop.now, region.Member{
+		Address:     "10.0.0.1:1",
+		Domain:      "a",
+		Incarnation: 1,
+	})
+	loop.view.HandleHeartbeat(region.Heartbeat{
+		Member: region.Member{
+			Address: schedulerAddress,
+			Domain:  "b",
+		},
+		ActiveFor: time.Second,
+		Interval:  region.MinHeartbeatInterval,
+	})
+	loop.acceptTestJob()
+	assert.Equal(t, loop.heldJobs["j"].scheduler, schedulerAddress)
+	loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
+	heldJob := loop.heldJobs["j"]
+	assert.Equal(t, heldJob.scheduler, "")
+	assert.Assert(t, heldJob.runsElsewhere)
+	assert.Equal(t, heldJob.quarantineEnd, loop.now.Add(quarantine))
+}
+
+// Guards against a worker that had begun to leave and gets tasks again after a
+// restart of the process that schedules, whose store serves an older entry.
+func TestLeavingUpstreamStaysLeavingAfterARestart(t *testing.T) {
+	loop := newEntryVMLoop(t)
+	loop.receive(link.Message{
+		Leaving: &link.LeavingUpstreams{
+			Incarnations: map[string]int64{
+				"u1": 7,
+			},
+		},
+	})
+	list := func(incarnation int64) []cell.Upstream {
+		return []cell.Upstream{{
+			ID:          "u1",
+			Service:     "orders",
+			Incarnation: incarnation,
+		}}
+	}
+	loop.adoptUpstreams(list(7), 0)
+	assert.Assert(t, loop.upstreams[0].Leaving)
+	assert.DeepEqual(t, loop.leavingUpstreams().Incarnations, map[string]int64{
+		"u1": 7,
+	})
+	loop.adoptUpstreams(list(8), 0)
+	assert.Assert(t, !loop.upstreams[0].Leaving, "a new process of the worker has not begun to leave")
+}
+
+// Guards against one malformed message that takes the whole process down.
+func TestMalformedMessagesAreRejected(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		job  cell.Job
+	}{
+		{"no tasks", cell.Job{ID: "j"}},
+		{"no ID", cell.Job{Steps: []cell.Step{{Count: 1}}}},
+		{"negative count", cell.Job{ID: "j", Steps: []cell.Step{{Count: -1}}}},
+		{"too many tasks", cell.Job{ID: "j", Steps: []cell.Step{{Count: 1 << 40}}}},
+		{"depends on a later step", cell.Job{ID: "j", Steps: []cell.Step{{Count: 1, DependsOn: []int{0}}}}},
+		{"depends on a missing step", cell.Job{ID: "j", Steps: []cell.Step{{Count: 1, DependsOn: []int{-1}}}}},
+		{"negative need", cell.Job{ID: "j", Steps: []cell.Step{{Count: 1, Need: cell.Resources{MilliCores: -5}}}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newSchedulerLoop(t)
+			loop.receive(link.Message{
+				Submit: &test.job,
+			})
+			assert.Equal(t, loop.cell.Counters().Submitted, int64(0))
+		})
+	}
+}
+
+// FuzzMessage guards against a message between processes, in any state of the
+// receiver, that crashes it.
+func FuzzMessage(f *testing.F) {
+	job := testFaultJob("j")
+	for _, message := range []link.Message{
+		{Submit: &job},
+		{Heartbeat: &region.Heartbeat{Member: region.Member{Address: entryVMAddress, Domain: "a"}, Members: []region.Member{{}}}},
+		{Answer: &cell.Answer{ID: "j", Result: cell.Completed}},
+		{Decline: &link.Decline{JobID: "j", Target: "x:1"}},
+		{Cancel: &link.Cancel{JobID: "j"}},
+		{Cancelled: &link.Cancelled{Found: true}},
+		{Withdraw: &link.Withdraw{JobID: "j"}},
+		{Routes: &routing.Table{Version: 3}},
+		{Upstreams: &link.UpstreamList{Upstreams: []cell.Upstream{{ID: "u1"}}}},
+		{Speeds: &link.Speeds{Upstreams: map[string]float64{"u1": -1}}},
+		{Released: &link.Released{Jobs: []cell.Release{{ID: "j", RunsAt: []string{"u1"}}}}},
+		{Orders: &link.OrderBatch{Orders: []relay.Order{{Number: 1, SpecNumber: -2}}}},
+		{Replies: &link.ReplyBatch{ReceiverIncarnation: 1, Replies: []relay.Reply{{Number: 1}}}},
+		{Cells: &link.CellStates{Cells: []link.CellState{{Scheduler: region.Member{Domain: "b"}, Headroom: map[string]int{"orders": 1}}}}},
+		{Dropped: &link.Dropped{}},
+		{Leaving: &link.LeavingUpstreams{Incarnations: map[string]int64{"u1": 1}}},
+	} {
+		encoded, err := peer.Encoding{}.Marshal(&message)
+		assert.NilError(f, err)
+		f.Add(encoded, false)
+		f.Add(encoded, true)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, schedules bool) {
+		var message link.Message
+		if err := (peer.Encoding{}).Unmarshal(data, &message); err != nil {
+			return
+		}
+		loop := newEntryVMLoop(t)
+		if schedules {
+			loop = newSchedulerLoop(t)
+		}
+		loop.options.Upstreams = silentUpstreams{}
+		loop.receive(message)
+		loop.advance(2 * tickInterval)
+	})
+}
--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -35,6 +35,7 @@
 	replaced := loop.view.HandleHeartbeat(heartbeat)
 	loop.addMembers(heartbeat.Members)
 	loop.applyDivision(loop.view.AdoptDivision(heartbeat.Division))
+	loop.reportDropped(heartbeat.Member)
 	if !loop.view.InCell(address) {
 		loop.foreignEntryVMRestarted(heartbeat)
 		loop.answerForeignHeartbeat(heartbeat)
@@ -44,6 +45,9 @@
 	if !wasLive {
 		loop.log(logevent.MemberJoined, "member", address, "name", heartbeat.Member.Name)
 	}
+	if replaced || !wasLive {
+		loop.sendLeaving(address)
+	}
 	if loop.cell != nil {
 		entryVM := entryVMName(address, heartbeat.Member.Incarnation)
 		previousEntryVM, hasJobs := loop.entryVMs[address]
@@ -66,6 +70,35 @@
 	loop.elect()
 }
 
+// reportDropped tells an entry VM that is heard again that this scheduler has
+// withdrawn its jobs while it was silent.
+func (loop *loop) reportDropped(member region.Member) {
+	entryVM, dropped := loop.droppedEntryVMs[member.Address]
+	if !dropped {
+		return
+	}
+	delete(loop.droppedEntryVMs, member.Address)
+	if loop.cell == nil || entryVM != entryVMName(member.Address, member.Incarnation) {
+		return
+	}
+	if !loop.view.InCell(member.Address) {
+		loop.useForeignLink(member.Address)
+	}
+	loop.send(member.Address, link.Message{
+		Dropped: &link.Dropped{},
+	})
+}
+
+// sendLeaving tells a process that has started, or was not heard for a while, which
+// upstreams have begun to leave.
+func (loop *loop) sendLeaving(address string) {
+	if leaving := loop.leavingUpstreams(); len(leaving.Incarnations) > 0 {
+		loop.send(address, link.Message{
+			Leaving: &leaving,
+		})
+	}
+}
+
 // answerForeignHeartbeat answers a process of another cell that does not know yet
 // that the region is divided, as one that starts: it learns the division and the
 // members of its own cell.
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -240,6 +240,19 @@
 	heldJob.retryAt = loop.now.Add(resubmitDelay)
 }
 
+// handleDropped submits the jobs again that a scheduler has withdrawn because it did
+// not hear this process. A run of them may still be stopping.
+func (loop *loop) handleDropped(from string) {
+	for _, heldJob := range loop.heldJobs {
+		if heldJob.scheduler != from {
+			continue
+		}
+		heldJob.scheduler = ""
+		heldJob.quarantineEnd = loop.now.Add(quarantine)
+		loop.submit(heldJob)
+	}
+}
+
 // handleAnswer passes a scheduler's answer to the callers. An answer of a process
 // that does not have the job any more is ignored.
 func (loop *loop) handleAnswer(from string, answer cell.Answer) {
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -52,6 +52,12 @@
 	activation int
 	// token is the last fencing token that this process issued.
 	token int64
+	// droppedEntryVMs holds the names of the entry VMs, by address, whose jobs were
+	// withdrawn because they were silent.
+	droppedEntryVMs map[string]string
+	// leavingIncarnations holds, by ID, the highest incarnation of an upstream that
+	// has begun to leave. It never becomes available again.
+	leavingIncarnations map[string]int64
 	// entryVMs holds the names of the entry VMs with jobs in the Cell, by address.
 	entryVMs map[string]string
 	// relays is nil while this process does not schedule.
@@ -121,6 +127,11 @@
 
 // handle handles one event at the given time.
 func (loop *loop) handle(now time.Time, event event) {
+	if _, isTick := event.(ticked); !isTick && now.Sub(loop.lastTick) > pauseThreshold+tickInterval {
+		// What happened during the pause must be noticed before this process acts
+		// on what it knew before.
+		loop.handle(now, ticked{})
+	}
 	loop.now = now
 	switch event := event.(type) {
 	case linkEvent:
@@ -213,12 +224,36 @@
 	loop.log(logevent.RegionDivided, "division", loop.view.Division().String(), "members", len(loop.view.Roster()),
 		"upstreams", len(loop.upstreams))
 	for _, address := range removed {
-		loop.dispatcher.links.Close(address)
+		// The links stay for a while, so that withdrawals and the division arrive.
+		loop.useForeignLink(address)
+		loop.sendHeartbeat(address, false)
 	}
+	loop.leaveForeignSchedulers()
 	loop.addMembers(loop.view.CellMembers())
 	loop.passUpstreams()
 }
 
+// leaveForeignSchedulers takes the jobs back that a process outside the cell has, and
+// withdraws the jobs of entry VMs outside it from the own Cell, after a division.
+func (loop *loop) leaveForeignSchedulers() {
+	for _, heldJob := range loop.heldJobs {
+		if heldJob.scheduler == "" || loop.view.InCell(heldJob.scheduler) {
+			continue
+		}
+		loop.withdrawFromScheduler(heldJob)
+		heldJob.leaveScheduler(loop.now)
+		heldJob.runsElsewhere = true
+	}
+	for address, entryVM := range loop.entryVMs {
+		if !loop.view.InCell(address) {
+			delete(loop.entryVMs, address)
+			loop.notifyCell(cell.EntryVMLost{
+				EntryVM: entryVM,
+			})
+		}
+	}
+}
+
 // publishPendingJobs makes the counts of pending jobs available to PendingJobs.
 func (loop *loop) publishPendingJobs(countsByKind map[string]int) {
 	loop.dispatcher.pendingJobs.Store(&countsByKind)
@@ -295,6 +330,10 @@
 		loop.handleRelayReplies(*message.Replies)
 	case message.Cells != nil:
 		loop.handleCellStates(message.From, message.Cells.Cells)
+	case message.Dropped != nil:
+		loop.handleDropped(message.From)
+	case message.Leaving != nil:
+		loop.recordLeaving(message.Leaving.Incarnations)
 	case message.Speeds != nil:
 		for id, speed := range message.Speeds.Upstreams {
 			loop.estimator.Declare(id, speed)
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -29,6 +29,7 @@
 	metricRelayedOrders     = "tanagerfall_region_relayed_orders"
 	metricLostRelayedOrders = "tanagerfall_region_relayed_orders_lost_total"
 	metricStaleMessages     = "tanagerfall_region_stale_messages_total"
+	metricInvalidMessages   = "tanagerfall_region_invalid_messages_total"
 )
 
 // MetricNames returns the names of all metrics of a Dispatcher.
@@ -36,7 +37,7 @@
 	return []string{
 		metricAnswers, metricAnswerSeconds, metricWithdrawn, metricOrders, metricOrderSeconds, metricRunsLost, metricSchedules,
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
-		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages,
+		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages,
 	}
 }
 
--- a/shared/process/dispatcher/platform_lists.go
+++ b/shared/process/dispatcher/platform_lists.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"tanagerfall/shared/connection/link"
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/version/routing"
@@ -35,7 +36,7 @@
 		return
 	}
 	loop.listReadAt = readAt
-	loop.upstreams = loop.retainRemoved(upstreams)
+	loop.upstreams = loop.markLeaving(loop.retainRemoved(upstreams))
 	loop.passUpstreams()
 }
 
@@ -80,6 +81,57 @@
 	return retained
 }
 
+// markLeaving marks the upstreams that have begun to leave according to an earlier
+// list or a peer, and remembers those of this list.
+func (loop *loop) markLeaving(upstreams []cell.Upstream) []cell.Upstream {
+	listed := make(map[string]int64, len(loop.leavingIncarnations))
+	for i := range upstreams {
+		upstream := &upstreams[i]
+		if leaving, known := loop.leavingIncarnations[upstream.ID]; known && leaving >= upstream.Incarnation {
+			upstream.Leaving = true
+			listed[upstream.ID] = leaving
+		} else if upstream.Leaving {
+			listed[upstream.ID] = upstream.Incarnation
+		}
+	}
+	loop.leavingIncarnations = listed
+	return upstreams
+}
+
+// recordLeaving records what a peer reports on upstreams that have begun to leave.
+func (loop *loop) recordLeaving(incarnations map[string]int64) {
+	for id, incarnation := range incarnations {
+		if incarnation > 0 {
+			loop.leavingIncarnations[id] = max(loop.leavingIncarnations[id], incarnation)
+		}
+	}
+	if loop.listReadAt.IsZero() {
+		return
+	}
+	// An upstream that the peer knows and the list does not have yet is kept until
+	// the next list.
+	for i := range loop.upstreams {
+		upstream := &loop.upstreams[i]
+		if leaving, known := loop.leavingIncarnations[upstream.ID]; known && leaving >= upstream.Incarnation {
+			upstream.Leaving = true
+		}
+	}
+	loop.passUpstreams()
+}
+
+// leavingUpstreams returns the upstreams that have begun to leave.
+func (loop *loop) leavingUpstreams() link.LeavingUpstreams {
+	leaving := link.LeavingUpstreams{
+		Incarnations: make(map[string]int64),
+	}
+	for id, incarnation := range loop.leavingIncarnations {
+		if incarnation > 0 {
+			leaving.Incarnations[id] = incarnation
+		}
+	}
+	return leaving
+}
+
 // listAge returns the age of the list of upstreams, or an hour if there is none.
 func (loop *loop) listAge() time.Duration {
 	if loop.listReadAt.IsZero() {
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -41,6 +41,7 @@
 	loop.view.Activate()
 	loop.dispatcher.instruments.increment(metricTakeovers)
 	loop.entryVMs = make(map[string]string)
+	loop.droppedEntryVMs = make(map[string]string)
 	loop.relays = relay.New(loop.activation, relayThreshold(loop.options.RelayFrom, loop.view.Self()))
 	loop.relays.SetMembers(loop.now, loop.view.RelayCandidates())
 	loop.suspectedRelays = nil
@@ -216,6 +217,12 @@
 		loop.sendDecline(address, job.ID)
 		return
 	}
+	if err := job.Validate(); err != nil {
+		loop.dispatcher.instruments.increment(metricInvalidMessages)
+		loop.log(logevent.MessageInvalid, "member", address, "job", job.ID, "error", err)
+		loop.sendDecline(address, job.ID)
+		return
+	}
 	entryVM := entryVMName(address, incarnation)
 	_, known := loop.entryVMs[address]
 	loop.entryVMs[address] = entryVM
@@ -249,6 +256,7 @@
 			loop.log(logevent.MemberLost, "member", address)
 			loop.dispatcher.links.Reset(address)
 		}
+		loop.droppedEntryVMs[address] = entryVM
 		loop.notifyCell(cell.EntryVMLost{
 			EntryVM: entryVM,
 		})
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -246,6 +246,12 @@
 		Level:  log.InfoLevel,
 		Text:   "this process determined how the region is divided among schedulers",
 	}
+	MessageInvalid = Event{
+		Number: 710,
+		Name:   "message-invalid",
+		Level:  log.WarnLevel,
+		Text:   "message of a peer is not valid and is rejected",
+	}
 	JobHandedOver = Event{
 		Number: 709,
 		Name:   "job-handed-over",
@@ -359,7 +365,7 @@
 		JobFailed, JobRefused,
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
-		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver,
+		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -40,6 +40,7 @@
 	rankedBuffer []rankedJob
 	// placementPending is set when a change may allow a task to be placed.
 	placementPending bool
+	completed        completedJobs
 	// slacks holds the average slack by kind.
 	slacks map[string]kindSlack
 	// averageNeed is the moving average of the cores of a task, in thousandths.
@@ -81,6 +82,9 @@
 		liveRuns:  make(map[TaskName]int),
 		topSpeeds: make(map[string]float64),
 		slacks:    make(map[string]kindSlack),
+		completed: completedJobs{
+			ids: make(map[string]bool),
+		},
 		orphans:   make(map[string][]*runState),
 		earlyEnds: make(map[string][]TaskName),
 	}
@@ -135,6 +139,7 @@
 		cell.tickJob(job)
 	}
 	cell.expireEarlyEnds()
+	cell.completed.expire(cell.now.Add(-completedRetention))
 	cell.placementPending = true
 }
 
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -323,6 +323,37 @@
 	assert.Equal(t, harness.onlyAnswer(decisions).Result, cell.Completed)
 }
 
+// Guards against a second execution of a job whose answer was lost on its way to the
+// entry VM, or to a caller who then sends the job again through another entry VM.
+func TestJobWithLostAnswerIsNotRunAgain(t *testing.T) {
+	harness := newHarness(t)
+	harness.listUpstreams(nil, "u1")
+	start := harness.submit(testJob("j", 1))[0]
+	harness.confirm(start)
+	harness.answerPoll("u1", nil, endedRun(1, start.Run, cell.EndDone))
+	resubmitted := testJob("j", 1)
+	resubmitted.Generation = 1
+	resubmitted.Quarantine = time.Second
+	for _, otherEntryVM := range []string{entryVM, "vm-2#b"} {
+		decisions := harness.handle(cell.JobSubmitted{
+			EntryVM: otherEntryVM,
+			Job:     resubmitted,
+		})
+		assert.Equal(t, len(decisionsOf[cell.StartRun](decisions)), 0)
+		assert.Equal(t, harness.onlyAnswer(decisions).Result, cell.Completed)
+		assert.Equal(t, decisionsOf[cell.AnswerJob](decisions)[0].EntryVM, otherEntryVM)
+	}
+	for range 7 {
+		harness.advance(time.Second)
+		harness.answerPoll("u1", nil)
+	}
+	decisions := harness.handle(cell.JobSubmitted{
+		EntryVM: entryVM,
+		Job:     testJob("j", 1),
+	})
+	assert.Equal(t, len(decisionsOf[cell.StartRun](decisions)), 1, "the memory of the Cell is bounded")
+}
+
 // submitWithLostReply submits a job of one task whose start is not answered.
 func (harness *harness) submitWithLostReply() (cell.StartRun, []cell.Decision) {
 	start := harness.submit(testJob("j", 1))[0]
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -81,6 +81,16 @@
 		return
 	}
 	cell.counters.Submitted++
+	if cell.completed.ids[event.Job.ID] {
+		cell.decide(AnswerJob{
+			EntryVM: event.EntryVM,
+			Answer: Answer{
+				ID:     event.Job.ID,
+				Result: Completed,
+			},
+		})
+		return
+	}
 	job = cell.newJobState(event.Job)
 	job.entryVMs = []string{event.EntryVM}
 	cell.jobs[event.Job.ID] = job
@@ -304,6 +314,7 @@
 	switch answer.Result {
 	case Completed:
 		cell.counters.Completed++
+		cell.completed.add(cell.now, job.submitted.ID)
 	case Failed:
 		cell.counters.Failed++
 	case Interrupted:
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
 
 // Job is a job as an entry VM submits it. Times are relative because the clocks
 // of VMs differ.
@@ -48,6 +52,37 @@
 	RunsElsewhere bool `cbor:"18,keyasint,omitempty"`
 }
 
+// ErrInvalidJob is wrapped by the errors of Validate.
+var ErrInvalidJob = eris.New("invalid job")
+
+// MaxTasks is the largest number of tasks of a job. It bounds the memory that one
+// message can take; the largest jobs have 580.
+const MaxTasks = 10_000
+
+// Validate checks the parts of a job that a Cell relies on. The error wraps
+// ErrInvalidJob.
+func (job *Job) Validate() error {
+	if job.ID == "" || len(job.Steps) == 0 {
+		return eris.Wrap(ErrInvalidJob, "no ID or no steps")
+	}
+	tasks := 0
+	for i, step := range job.Steps {
+		if step.Count <= 0 || step.Count > MaxTasks-tasks {
+			return eris.Wrapf(ErrInvalidJob, "step %d has %d tasks", i, step.Count)
+		}
+		tasks += step.Count
+		if step.Need.MilliCores < 0 || step.Need.MemoryMb < 0 || step.Need.Accelerators < 0 {
+			return eris.Wrapf(ErrInvalidJob, "step %d needs less than nothing", i)
+		}
+		for _, dependency := range step.DependsOn {
+			if dependency < 0 || dependency >= i {
+				return eris.Wrapf(ErrInvalidJob, "step %d depends on step %d", i, dependency)
+			}
+		}
+	}
+	return nil
+}
+
 // LatencyBudget returns how long the job may take by its latency objective if
 // the run time of a task is ratio times its estimate.
 func (job *Job) LatencyBudget(ratio float64) time.Duration {
