Shed from three times the best start time, and send any newer list to a scheduler

Cause: on the small twin (2 Mbit/s) start times of 50 ms with a slack of 125 ms raised the shed share to 0.8, although such jobs are in time. And since only schedulers and standbys read the list of workers often, a scheduler that takes over in an outage of the store may have a list that is a minute old; peers only sent lists that were read within the last second, which none is in an outage.

Change: the factor is 3 in place of 2, still bounded by 0.6 of the slack. A peer sends its list if it is newer by a second (TestNewerListIsSentToTheScheduler fails with the old condition in the third case).

Sites with healthy start times of 4 to 6 ms keep the limit of 20 ms.

--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -302,3 +302,32 @@
 		loop.advance(2 * tickInterval)
 	})
 }
+
+// Guards against a scheduler that works with an old list during an outage of the
+// store although a peer has a newer one: only a few processes read the list often.
+func TestNewerListIsSentToTheScheduler(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		ownAge       time.Duration
+		schedulerAge time.Duration
+		want         bool
+	}{
+		{"both just read", 200 * time.Millisecond, 400 * time.Millisecond, false},
+		{"outage, the same age", 20 * time.Second, 20400 * time.Millisecond, false},
+		{"outage, the scheduler took over with an old list", 20 * time.Second, 50 * time.Second, true},
+		{"the scheduler can't read", 500 * time.Millisecond, 5 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newEntryVMLoop(t)
+			loop.listReadAt = loop.now.Add(-test.ownAge)
+			heartbeat := region.Heartbeat{
+				ActiveFor:       time.Second,
+				UpstreamListAge: test.schedulerAge,
+			}
+			// The first call starts the period after which a list is sent.
+			loop.sendNewerState(schedulerAddress, heartbeat)
+			sentAt, due := loop.lastSentAt["list "+schedulerAddress]
+			assert.Equal(t, due && sentAt.Equal(loop.now), test.want)
+		})
+	}
+}
--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -16,8 +16,10 @@
 	// staleListAge is the age of the scheduler's list of upstreams above which
 	// peers send it theirs.
 	staleListAge = 1500 * time.Millisecond
-	// freshListAge is the age below which a list of upstreams is worth sending.
-	freshListAge = time.Second
+	// minListAdvance is how much newer than the scheduler's a list of upstreams must
+	// be to be worth sending. During an outage of the store a scheduler that took
+	// over with an old list gets the newest one that a process has.
+	minListAdvance = time.Second
 	// speedsInterval is the time between messages with the learned speeds.
 	speedsInterval = 5 * time.Second
 	// membersInterval is the time between heartbeats that list all known processes.
@@ -121,7 +123,7 @@
 	}
 	if heartbeat.ActiveFor > 0 && heartbeat.UpstreamListAge > staleListAge && !loop.listReadAt.IsZero() {
 		age := loop.now.Sub(loop.listReadAt)
-		if age < freshListAge && loop.sendDue("list "+address, staleListAge) {
+		if age+minListAdvance < heartbeat.UpstreamListAge && loop.sendDue("list "+address, staleListAge) {
 			loop.send(address, link.Message{
 				Upstreams: &link.UpstreamList{
 					Upstreams: loop.upstreams,
--- a/shared/process/dispatcher/load_monitor.go
+++ b/shared/process/dispatcher/load_monitor.go
@@ -32,7 +32,7 @@
 	// the shed share rises. On a link of 2 Mbit/s a start takes 30 to 45 ms at any
 	// rate from 5 to 90 a second, so that shedding does not shorten it; with a fixed
 	// limit of 20 ms, 68% of the jobs were refused while the upstreams were idle.
-	baseFactor = 2
+	baseFactor = 3
 	// maxSlackShare is the share of the tightest slack of the callers' jobs that
 	// starts may take at most before the shed share rises, whatever they take at
 	// best.
