--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -323,6 +323,40 @@
 	assert.Equal(t, harness.onlyAnswer(decisions).Result, cell.Completed)
 }
 
+// Guards against running work that is started again, or given up, because its worker
+// was late to renew its entry and is missing from the list for a while.
+func TestUpstreamMissingFromTheListKeepsItsRuns(t *testing.T) {
+	harness := newHarness(t)
+	harness.listUpstreams(nil, "u1", "u2")
+	harness.passStopGrace(nil, "u1", "u2")
+	job := testJob("j", 1)
+	job.Steps[0].Estimate = 900 * time.Millisecond
+	start := harness.submit(job)[0]
+	harness.confirm(start)
+	other := "u1"
+	if start.Order.Upstream == "u1" {
+		other = "u2"
+	}
+	decisions := harness.handle(cell.UpstreamsListed{
+		Upstreams: []cell.Upstream{testUpstream(other)},
+	})
+	for range 12 {
+		for _, id := range []string{"u1", "u2"} {
+			var running []cell.RunningRun
+			if id == start.Order.Upstream {
+				percent := int(100 * harness.now.Sub(time.Unix(1_000_000, 0)) / time.Second)
+				running = runningRuns(start.Run, percent)
+			}
+			decisions = append(decisions, harness.answerPoll(id, running)...)
+		}
+		decisions = append(decisions, harness.advance(50*time.Millisecond)...)
+	}
+	assert.Equal(t, len(decisionsOf[cell.StartRun](decisions)), 0)
+	assert.Equal(t, len(decisionsOf[cell.StopRun](decisions)), 0)
+	answer := harness.onlyAnswer(harness.answerPoll(start.Order.Upstream, nil, endedRun(1, start.Run, cell.EndDone)))
+	assert.Equal(t, answer.Result, cell.Completed)
+}
+
 // Guards against a second execution of a job whose answer was lost on its way to the
 // entry VM, or to a caller who then sends the job again through another entry VM.
 func TestJobWithLostAnswerIsNotRunAgain(t *testing.T) {
