Set the test upstreams before the first order in FuzzMessage

No race in the product's code. Change: the client is set only for the loop that does not schedule; newSchedulerLoop sets its own before the first order. Measured: the tests of the package's faults pass with -race.

--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -294,10 +294,10 @@
 			return
 		}
 		loop := newEntryVMLoop(t)
+		loop.options.Upstreams = silentUpstreams{}
 		if schedules {
 			loop = newSchedulerLoop(t)
 		}
-		loop.options.Upstreams = silentUpstreams{}
 		loop.receive(message)
 		loop.advance(2 * tickInterval)
 	})
