--- a/shared/process/dispatcher/doc.go
+++ b/shared/process/dispatcher/doc.go
@@ -6,4 +6,8 @@
 // acts as a relay: it executes orders to upstreams for a scheduler elsewhere.
 //
 // A single goroutine owns all state; all other goroutines send it events.
+//
+// In a divided region a process exchanges heartbeats with the processes of its own
+// cell, and with processes of other cells only while one of the two has jobs of the
+// other.
 package dispatcher
--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -146,8 +146,10 @@
 func (silentUpstreams) Start(context.Context, cell.StartRun) (replied cell.StartReplied) {
 	return replied
 }
+
 func (silentUpstreams) Stop(context.Context, cell.StopRun) (replied cell.StopReplied) { return replied }
-func (silentUpstreams) Poll(context.Context, cell.Poll) (replied cell.PollReplied)    { return replied }
+
+func (silentUpstreams) Poll(context.Context, cell.Poll) (replied cell.PollReplied) { return replied }
 
 // Guards against orders that a process sends after a pause, before its first tick
 // notices that others may have taken over meanwhile.
--- a/shared/version/region/doc.go
+++ b/shared/version/region/doc.go
@@ -10,4 +10,9 @@
 // The home of an upstream is the process with the highest rendezvous score for
 // it, within the failure domain of the upstream if that has a process. A
 // process follows the scheduler to which it submits its jobs.
+//
+// A region is the set of failure domains whose entry VMs can reach each other within
+// a few ms. A large region is divided: each failure domain is then a cell with a
+// scheduler of its own, and a View holds the peers of its own cell. The roster holds
+// the processes of all cells.
 package region
