Check handed-over jobs by their number, not by the time of the burst

All jobs were completed; the cell needs 600 ms when 16 jobs go elsewhere, and the bound was the time of three rounds without that, so that 200 ms of a busy machine exceeded it. The elapsed time is the wrong check for where jobs run.

Change: at least 16 of the 60 jobs must be handed over, which is what two other cells with room for 20 each take before their next report. It was "more than none".

--- a/shared/process/dispatcher/neighbours_test.go
+++ b/shared/process/dispatcher/neighbours_test.go
@@ -52,13 +52,13 @@
 	fleet := newFleet(300*time.Millisecond, 90)
 	processes := startDividedRegion(t, fleet)
 	entryVM := (schedulerOf(t, processes, 0) + 3) % len(processes)
-	startedAt := time.Now()
 	answers := submitJobs(t, slices.Repeat(processes[entryVM:entryVM+1], 60), func() {})
 	fleet.checkAnswers(t, answers)
-	assert.Assert(t, time.Since(startedAt) < 900*time.Millisecond, "the burst took %v", time.Since(startedAt))
 	state, err := processes[schedulerOf(t, processes, 0)].dispatcher.State(t.Context())
 	assert.NilError(t, err)
-	assert.Assert(t, state.Cell.Counters.HandedOver > 0)
+	// 20 jobs fit into the cell. Each of the two others reports room for 20, of which
+	// 8 are used before its next report.
+	assert.Assert(t, state.Cell.Counters.HandedOver >= 16, "%d jobs were handed over", state.Cell.Counters.HandedOver)
 }
 
 // Guards against lost jobs and concurrent runs of one task when the scheduler of a
