--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,10 +23,11 @@
 
 // cases holds the cases by name. Trouble is set if the disruption is to happen.
 var cases = map[string]func(recorder *recorder, trouble bool) result{
-	"cancel-frozen-entry": cancelFrozenEntry,
-	"cancel-resend":       cancelResend,
-	"other-kind":          otherKind,
-	"settings-moved":      settingsMoved,
+	"cancel-frozen-entry":  cancelFrozenEntry,
+	"cancel-resend":        cancelResend,
+	"other-kind":           otherKind,
+	"replaced-then-killed": replacedThenKilled,
+	"settings-moved":       settingsMoved,
 }
 
 func main() {
@@ -42,8 +43,8 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	recorder.add("case %s, disruption: %v", os.Args[1], trouble)
-	// A case takes up to 40 s. One that hangs must not leave processes behind.
-	time.AfterFunc(100*time.Second, func() {
+	// A case takes up to 90 s. One that hangs must not leave processes behind.
+	time.AfterFunc(115*time.Second, func() {
 		recorder.add("can't judge: the case took too long")
 		endAll()
 		os.Exit(int(cannotRun))
--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -34,8 +34,11 @@
 	settings       string
 	command        *exec.Cmd
 	ended          chan struct{}
-	// misses counts the readiness checks in a row that failed.
+	// misses counts the readiness checks in a row that failed; -1 after a good one.
 	misses int
+	// removed is set once the machine is gone for good, watched once the balancer
+	// checks it.
+	removed, watched bool
 }
 
 // ports are the ports of all nodes.
@@ -53,9 +56,17 @@
 	nodes        []*node
 	workers      []*worker
 	directory    string
-	mutex        sync.Mutex
+	// subnet is the first part of the nodes' addresses, lastHost the last part of
+	// the newest.
+	subnet   string
+	lastHost int
+	ports    ports
+	mutex    sync.Mutex
 }
 
+// maxHosts is the number of addresses that nodes may have in a case.
+const maxHosts = 70
+
 // newSystem starts the stand-ins and the processes, and waits until the balancer has
 // all nodes in rotation.
 func newSystem(recorder *recorder, nodeCount, workerCount int, labels func(index int) []string) (*system, error) {
@@ -94,7 +105,6 @@
 	if err := system.startNodes(nodeCount); err != nil {
 		return system, err
 	}
-	go system.balance()
 	deadline := time.Now().Add(15 * time.Second)
 	for !system.allReady() {
 		if time.Now().After(deadline) {
@@ -135,20 +145,13 @@
 
 // startNodes starts the processes with the command of the deploy file.
 func (system *system) startNodes(count int) error {
-	subnet := fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), 1+rand.IntN(250))
-	free, err := freePorts(subnet, count)
-	if err != nil {
+	system.subnet = fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), 1+rand.IntN(250))
+	var err error
+	if system.ports, err = freePorts(system.subnet); err != nil {
 		return err
 	}
 	for index := range count {
-		node := &node{
-			name:     fmt.Sprintf("edge-%s-%d", zones[index%len(zones)], index/len(zones)+1),
-			zone:     zones[index%len(zones)],
-			ip:       subnet + strconv.Itoa(index+1),
-			ports:    free,
-			settings: filepath.Join(system.directory, fmt.Sprintf("node-%d.yaml", index)),
-		}
-		system.nodes = append(system.nodes, node)
+		system.nodes = append(system.nodes, system.newNode(zones[index%len(zones)]))
 	}
 	for _, node := range system.nodes {
 		if err := system.writeSettings(node, system.storeAddress); err != nil {
@@ -161,12 +164,41 @@
 	return nil
 }
 
+// newNode returns a node at a new address.
+func (system *system) newNode(zone string) *node {
+	system.lastHost++
+	return &node{
+		name:     fmt.Sprintf("edge-%s-%d", zone, (system.lastHost-1)/len(zones)+1),
+		zone:     zone,
+		ip:       system.subnet + strconv.Itoa(system.lastHost),
+		ports:    system.ports,
+		settings: filepath.Join(system.directory, fmt.Sprintf("node-%d.yaml", system.lastHost)),
+	}
+}
+
+// replace ends a node for good, without SIGTERM, and starts a new one at another
+// address in its place.
+func (system *system) replace(index int) error {
+	old := system.nodes[index]
+	system.signal(old, syscall.SIGKILL)
+	<-old.ended
+	fresh := system.newNode(old.zone)
+	system.mutex.Lock()
+	old.removed = true
+	system.nodes[index] = fresh
+	system.mutex.Unlock()
+	if err := system.writeSettings(fresh, system.storeAddress); err != nil {
+		return err
+	}
+	return system.startNode(fresh)
+}
+
 // freePorts returns ports that are free on all addresses of the nodes.
-func freePorts(subnet string, count int) (ports, error) {
+func freePorts(subnet string) (ports, error) {
 	var found []int
 	for port := 21000 + rand.IntN(8000); len(found) < 4 && port < 32000; port++ {
 		free := true
-		for index := range count {
+		for index := range maxHosts {
 			listener, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", subnet, index+1, port))
 			if err != nil {
 				free = false
@@ -301,7 +333,11 @@
 		started.mutex.Unlock()
 		close(ended)
 	}()
-	system.recorder.add("%s starts", node.name)
+	system.recorder.add("%s starts at %s", node.name, node.ip)
+	if !node.watched {
+		node.watched = true
+		go system.balance(node)
+	}
 	return nil
 }
 
@@ -322,33 +358,33 @@
 	_ = os.RemoveAll(system.directory)
 }
 
-// balance sends the readiness check to each node once a second.
-func (system *system) balance() {
+// balance sends the readiness check to a node once a second, until it is removed.
+func (system *system) balance(node *node) {
 	client := &http.Client{Timeout: 900 * time.Millisecond}
-	for _, node := range system.nodes {
-		go func() {
-			for range time.Tick(time.Second) {
-				response, err := client.Get(fmt.Sprintf("http://%s:%d/tanagerfall/readyz", node.ip, node.ports.ready))
-				ready := err == nil && response.StatusCode == http.StatusOK
-				if err == nil {
-					_ = response.Body.Close()
-				}
-				system.mutex.Lock()
-				switch {
-				case ready:
-					if node.misses >= 2 {
-						system.recorder.add("the balancer has %s in rotation again", node.name)
-					}
-					node.misses = -1
-				case node.misses < 2:
-					node.misses = max(node.misses, 0) + 1
-					if node.misses == 2 {
-						system.recorder.add("the balancer takes %s out of rotation", node.name)
-					}
-				}
-				system.mutex.Unlock()
+	for range time.Tick(time.Second) {
+		response, err := client.Get(fmt.Sprintf("http://%s:%d/tanagerfall/readyz", node.ip, node.ports.ready))
+		ready := err == nil && response.StatusCode == http.StatusOK
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		system.mutex.Lock()
+		removed := node.removed
+		switch {
+		case ready:
+			if node.misses >= 2 {
+				system.recorder.add("the balancer has %s in rotation again", node.name)
+			}
+			node.misses = -1
+		case node.misses < 2:
+			node.misses = max(node.misses, 0) + 1
+			if node.misses == 2 {
+				system.recorder.add("the balancer takes %s out of rotation", node.name)
 			}
-		}()
+		}
+		system.mutex.Unlock()
+		if removed {
+			return
+		}
 	}
 }
 
