--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -38,7 +38,7 @@
 var cases = map[string]testCase{
 	"cancel-frozen-entry":  {workers: 12, labels: sameKind, play: cancelFrozenEntry},
 	"cancel-resend":        {workers: 12, labels: sameKind, play: cancelResend},
-	"other-kind":           {workers: 20, labels: twoKinds, play: otherKind},
+	"other-kind":           {workers: 22, labels: twoKinds, play: otherKind},
 	"replaced-then-killed": {workers: 96, labels: sameKind, play: replacedThenKilled},
 	"settings-moved":       {workers: 12, labels: sameKind, play: settingsMoved},
 }
