Compare the entry of a worker with the process that answers (ROUTE)

Cause: the Cell took the start of the worker's new process from the answer to a poll and opened the upstream again, while labels, slots and capacity were still those of the earlier process, until the next read of the list: 0.4 s, or the whole outage of the store. Nothing compared the two. The same held after a takeover with an old list and for an older list of a peer. The reverse join was wrong as well: an entry with a later start counted as proof that all runs of the worker had ended, though an entry may be from another writer; the tasks were started elsewhere beside the old runs.

Change: the Cell knows an incarnation only from answers, and compares that of the entry with it. With an older entry a task starts only if it requires no label and the service's workers refuse what exceeds their capacity; with a newer one nothing starts before the new process has answered, and only its answer ends the old runs. A restart also discards the health of the earlier process.

The other tests of cell, dispatcher and routing pass.

--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -46,10 +46,11 @@
 	loop.relays.SetMembers(loop.now, loop.view.RelayCandidates())
 	loop.suspectedRelays = nil
 	loop.cell = cell.New(loop.now, cell.Config{
-		Estimator: loop.estimator,
-		Claims:    loop.view.Claim,
-		NextToken: loop.nextToken,
-		Limits:    loop.options.Limits,
+		Estimator:      loop.estimator,
+		Claims:         loop.view.Claim,
+		NextToken:      loop.nextToken,
+		GuardsCapacity: loop.guardsCapacity,
+		Limits:         loop.options.Limits,
 	})
 	loop.loadMonitor = loadMonitor{
 		schedulingSince: loop.now,
@@ -64,6 +65,12 @@
 	loop.sendHeartbeats(false)
 }
 
+// guardsCapacity reports whether the upstreams of a service refuse runs that exceed
+// their capacity, according to the routing table in force.
+func (loop *loop) guardsCapacity(service string) bool {
+	return loop.routes != nil && loop.routes.EnforcesCapacity(service)
+}
+
 // relayThreshold returns the number of upstreams from which on a scheduler uses
 // relays. limit is the number for a scheduler with 0.4 of a core and a link of 50
 // Mbit/s or more; it falls in proportion to what the scheduler lacks.
--- a/shared/request/cell/bench_test.go
+++ b/shared/request/cell/bench_test.go
@@ -22,10 +22,11 @@
 	now := time.Unix(1_000_000, 0)
 	startedAt := now
 	scheduler := cell.New(now, cell.Config{
-		Estimator: estimate.New(),
-		Claims:    func(cell.Upstream) cell.Claim { return cell.ClaimFirm },
-		NextToken: func() int64 { return 1024 },
-		Limits:    cell.DefaultLimits(),
+		Estimator:      estimate.New(),
+		Claims:         func(cell.Upstream) cell.Claim { return cell.ClaimFirm },
+		NextToken:      func() int64 { return 1024 },
+		GuardsCapacity: func(string) bool { return true },
+		Limits:         cell.DefaultLimits(),
 	})
 	clock := func() int64 { return 1 + now.Sub(startedAt).Milliseconds() }
 	reply := func(order cell.Order) cell.Reply {
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -19,6 +19,8 @@
 	claim     cell.Claim
 	token     int64
 	decisions []cell.Decision
+	// guardsCapacity is set if the upstreams refuse what exceeds their capacity.
+	guardsCapacity bool
 	// lastDecisions holds the decisions on the last immediate poll of
 	// listUpstreams.
 	lastDecisions []cell.Decision
@@ -34,6 +36,8 @@
 		t:     t,
 		now:   time.Unix(1_000_000, 0),
 		claim: cell.ClaimFirm,
+
+		guardsCapacity: true,
 	}
 	testHarness.cell = testHarness.newCell()
 	return testHarness
@@ -47,7 +51,8 @@
 			harness.token += 1024
 			return harness.token
 		},
-		Limits: cell.DefaultLimits(),
+		GuardsCapacity: func(string) bool { return harness.guardsCapacity },
+		Limits:         cell.DefaultLimits(),
 	})
 }
 
--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -21,7 +21,7 @@
 )
 
 // Config holds the run time estimator, the claims on upstreams, the source of fencing
-// tokens and the limits of a Cell.
+// tokens, the property of services that placement needs, and the limits of a Cell.
 type Config struct {
 	// Estimator predicts run times and learns from the ends of runs.
 	Estimator *estimate.Estimator
@@ -30,6 +30,9 @@
 	// NextToken returns a fencing token that is higher than all that this process
 	// has used or received.
 	NextToken func() int64
+	// GuardsCapacity reports whether the upstreams of a service refuse runs that exceed
+	// their capacity. A service that is not known counts as one that does not.
+	GuardsCapacity func(service string) bool
 	// Limits holds time limits and thresholds; see DefaultLimits.
 	Limits Limits
 }
--- a/shared/request/cell/health.go
+++ b/shared/request/cell/health.go
@@ -107,6 +107,15 @@
 	cell.eject(upstream, duration, reason)
 }
 
+// resetHealth discards what is known of an earlier incarnation of the upstream.
+func (upstream *upstreamState) resetHealth() {
+	upstream.consecutiveFailures = 0
+	upstream.ejections = 0
+	upstream.ejectedUntil = time.Time{}
+	upstream.probing = false
+	upstream.slowdown = 1
+}
+
 // applyProgress records the progress of a run and moves the run if it is
 // stalled or runs slowly.
 func (cell *Cell) applyProgress(run *runState, percent int) {
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -73,6 +73,7 @@
 // acceptsTasks reports whether an upstream may get new tasks.
 func (cell *Cell) acceptsTasks(upstream *upstreamState) bool {
 	return upstream.status == upstreamOpen && upstream.present && !upstream.listing.Leaving &&
+		upstream.entryState() != entryAhead &&
 		upstream.missedPolls == 0 && upstream.orphanCount == 0 &&
 		!upstream.ejectedUntil.After(cell.now) && !upstream.fullUntil.After(cell.now) &&
 		cell.now.Sub(upstream.clockAt) < maxClockAge &&
@@ -302,7 +303,7 @@
 	if task.failures > 0 && (upstream.consecutiveFailures > 0 || upstream.probing || upstream.listing.ID == task.avoidedUpstream) {
 		return false
 	}
-	if step.Label != "" && !slices.Contains(upstream.listing.Labels, step.Label) {
+	if !cell.entryAllows(upstream, step) {
 		return false
 	}
 	return step.MaxPerUpstream <= 0 || upstream.countStepTasks(task.name) < step.MaxPerUpstream
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -32,7 +32,7 @@
 	status  upstreamStatus
 	// present is false if the upstream is no longer on the platform's list.
 	present bool
-	// incarnation is the incarnation that answered last.
+	// incarnation is the incarnation that answered last; 0 if none has.
 	incarnation int64
 	// clock is the upstream's clock in ms when an answer arrived at clockAt.
 	clock   int64
@@ -104,12 +104,7 @@
 		if !ok {
 			upstream = cell.addUpstream(listing)
 		}
-		if listing.Incarnation != 0 && listing.Incarnation > upstream.incarnation {
-			cell.upstreamRestarted(upstream, listing.Incarnation)
-		}
-		upstream.present = !listing.Removed
-		upstream.listing = listing
-		upstream.recomputeUsage()
+		cell.replaceEntry(upstream, listing)
 	}
 	remaining := cell.upstreamOrder[:0]
 	for _, upstream := range cell.upstreamOrder {
@@ -129,13 +124,12 @@
 
 func (cell *Cell) addUpstream(listing Upstream) *upstreamState {
 	upstream := &upstreamState{
-		listing:     listing,
-		incarnation: listing.Incarnation,
-		lastRunAt:   cell.now,
-		runs:        make(map[RunName]*runState),
-		free:        listing.Capacity,
-		slowdown:    1,
-		speed:       cell.config.Estimator.Speed(listing.ID),
+		listing:   listing,
+		lastRunAt: cell.now,
+		runs:      make(map[RunName]*runState),
+		free:      listing.Capacity,
+		slowdown:  1,
+		speed:     cell.config.Estimator.Speed(listing.ID),
 	}
 	cell.upstreams[listing.ID] = upstream
 	cell.upstreamOrder = append(cell.upstreamOrder, upstream)
@@ -384,8 +378,7 @@
 	upstream.clock = 0
 	upstream.clockAt = cell.now
 	upstream.leaseEnd = cell.config.Limits.Lease.Milliseconds()
-	upstream.consecutiveFailures = 0
-	upstream.ejectedUntil = time.Time{}
+	upstream.resetHealth()
 	for _, run := range upstream.runs {
 		if run.listed {
 			cell.removeRun(run, "upstream restarted")
--- a/shared/version/routing/table.go
+++ b/shared/version/routing/table.go
@@ -78,6 +78,17 @@
 	return table
 }
 
+// EnforcesCapacity reports whether the upstreams of a service refuse tasks that exceed
+// their capacity; false for a service that the table does not have.
+func (table *Table) EnforcesCapacity(name string) bool {
+	for i := range table.Services {
+		if table.Services[i].Name == name {
+			return table.Services[i].EnforcesCapacity
+		}
+	}
+	return false
+}
+
 // Match returns the route for a host, with or without a port, that has the
 // longest prefix of path, the remainder of the path after the prefix, and whether
 // there is such a route.
