Soak: cut failure domains and single processes off, in one direction or both

Cause: two runs of one task that users saw on real processes could not be reproduced. The soak could silence a process for all its peers, but not cut one part of a region off from another, and its workers and the log stayed reachable from everywhere.

Change: seeds from 2000 on cut domains, pairs of domains and processes off for 0.3 to 5.6 s or 20 s, from the log as well in half of the cuts, beside pauses, restarts and outages. All processes dial from one address, so a proxy finds the process that opened a connection by the owner of the socket at its other end. Callers keep connections open; jobs have four tasks of 0.3 to 0.5 s. A blocked proxy connection no longer outlives its sender: thousands of them were left during a cut of 20 s, and the stand-ins overloaded the machine.

Earlier seeds keep their schedules of faults.

--- a/soak/proxy/proxy.go
+++ b/soak/proxy/proxy.go
@@ -9,8 +9,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// Mode selects the directions in which a Proxy forwards bytes, for all its
-// connections. Bytes of a blocked direction are held until the mode changes.
+// Mode selects the directions in which a Proxy forwards the bytes of a connection.
+// Bytes of a blocked direction are held until the mode changes.
 type Mode int
 
 // Values of Mode.
@@ -23,30 +23,52 @@
 	OneWay
 )
 
-// pollInterval is the time between two checks of the mode while a direction is
-// blocked.
-const pollInterval = 10 * time.Millisecond
+const (
+	// chunkBytes is the size of the chunks in which bytes are forwarded.
+	chunkBytes = 16 << 10
+	// maxHeldChunks is the number of chunks that are read from a connection while its
+	// direction is blocked.
+	maxHeldChunks = 64
+)
 
 // Proxy forwards connections from a listening address to a target address. It is
 // safe for concurrent use.
 type Proxy struct {
 	target string
-	mutex  sync.Mutex
-	mode   Mode
-	delay  time.Duration
-	conns  map[net.Conn]bool
+	// identify returns the name of the client at the other end of an accepted
+	// connection; nil if the clients are not distinguished.
+	identify func(conn net.Conn) string
+	mutex    sync.Mutex
+	mode     Mode
+	// clientModes holds, by name, the modes of single clients that are not Pass. They
+	// apply while mode is Pass.
+	clientModes map[string]Mode
+	delay       time.Duration
+	conns       map[net.Conn]bool
+	// changed is closed at the next change of a mode.
+	changed chan struct{}
 }
 
 // Listen starts a Proxy that forwards connections from address to target until ctx
 // ends. It also returns the address with the port on which it listens.
 func Listen(ctx context.Context, address, target string) (*Proxy, string, error) {
+	return ListenIdentified(ctx, address, target, nil)
+}
+
+// ListenIdentified is like Listen, and calls identify with accepted connections for the
+// name by which ConfigureClient knows their clients. It does so once for a connection,
+// when the mode of a client first matters.
+func ListenIdentified(ctx context.Context, address, target string, identify func(conn net.Conn) string) (*Proxy, string, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, "", eris.Wrap(err, "starting the listener of a proxy")
 	}
 	proxy := &Proxy{
-		target: target,
-		conns:  make(map[net.Conn]bool),
+		target:      target,
+		identify:    identify,
+		clientModes: make(map[string]Mode),
+		conns:       make(map[net.Conn]bool),
+		changed:     make(chan struct{}),
 	}
 	context.AfterFunc(ctx, func() {
 		_ = listener.Close()
@@ -57,12 +79,30 @@
 }
 
 // Configure sets the mode and the delay before each forwarded chunk, for open and
-// new connections.
+// new connections of all clients.
 func (proxy *Proxy) Configure(mode Mode, delay time.Duration) {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	proxy.mode = mode
 	proxy.delay = delay
+	proxy.signalChange()
+}
+
+// signalChange wakes all that wait for a change of a mode. The caller holds the mutex.
+func (proxy *Proxy) signalChange() {
+	close(proxy.changed)
+	proxy.changed = make(chan struct{})
+}
+
+// ConfigureClient sets the mode for open and new connections of one client.
+func (proxy *Proxy) ConfigureClient(client string, mode Mode) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.clientModes[client] = mode
+	if mode == Pass {
+		delete(proxy.clientModes, client)
+	}
+	proxy.signalChange()
 }
 
 // Reset closes all connections with a TCP reset.
@@ -98,8 +138,9 @@
 	proxy.track(true, from, to)
 	defer proxy.track(false, from, to)
 	done := make(chan struct{}, 2)
-	go proxy.forward(to, from, false, done)
-	go proxy.forward(from, to, true, done)
+	client := sync.OnceValue(func() string { return proxy.identify(from) })
+	go proxy.forward(to, from, client, false, done)
+	go proxy.forward(from, to, client, true, done)
 	<-done
 	_ = from.Close()
 	_ = to.Close()
@@ -119,31 +160,86 @@
 	}
 }
 
+// state returns the mode and the delay for the connections of a client, and a channel
+// that is closed when they may have changed.
+func (proxy *Proxy) state(client func() string) (mode Mode, delay time.Duration, changed <-chan struct{}) {
+	proxy.mutex.Lock()
+	mode, delay, changed = proxy.mode, proxy.delay, proxy.changed
+	clientsDiffer := mode == Pass && len(proxy.clientModes) > 0
+	proxy.mutex.Unlock()
+	if !clientsDiffer {
+		return mode, delay, changed
+	}
+	name := client()
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.clientModes[name], delay, changed
+}
+
 // forward copies bytes in one direction until either connection ends. toSource
-// means the direction from the target to the source of the connection.
-func (proxy *Proxy) forward(to, from net.Conn, toSource bool, done chan<- struct{}) {
+// means the direction from the target to the source of the connection. Bytes that are
+// held when their sender closes the connection are lost.
+func (proxy *Proxy) forward(to, from net.Conn, client func() string, toSource bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
-	buffer := make([]byte, 32<<10)
+	stop := make(chan struct{})
+	defer close(stop)
+	chunks, ended := readChunks(from, stop)
 	for {
-		n, err := from.Read(buffer)
-		if err != nil {
+		var chunk []byte
+		select {
+		case chunk = <-chunks:
+		case <-ended:
+			select {
+			case chunk = <-chunks:
+			default:
+				return
+			}
+		}
+		if !proxy.awaitPass(client, toSource, ended) {
+			return
+		}
+		if _, err := to.Write(chunk); err != nil {
 			return
 		}
+	}
+}
+
+// readChunks reads from a connection until it ends or stop is closed. It closes ended
+// when the connection has ended and all that was read is in chunks.
+func readChunks(conn net.Conn, stop <-chan struct{}) (chunks <-chan []byte, ended <-chan struct{}) {
+	read := make(chan []byte, maxHeldChunks)
+	readEnded := make(chan struct{})
+	go func() {
+		defer close(readEnded)
 		for {
-			proxy.mutex.Lock()
-			mode, delay, open := proxy.mode, proxy.delay, proxy.conns[from]
-			proxy.mutex.Unlock()
-			if !open {
+			buffer := make([]byte, chunkBytes)
+			n, err := conn.Read(buffer)
+			if err != nil {
 				return
 			}
-			if mode == Pass || (mode == OneWay && !toSource) {
-				time.Sleep(delay)
-				break
+			select {
+			case read <- buffer[:n]:
+			case <-stop:
+				return
 			}
-			time.Sleep(pollInterval)
 		}
-		if _, err := to.Write(buffer[:n]); err != nil {
-			return
+	}()
+	return read, readEnded
+}
+
+// awaitPass waits until the direction is not blocked, and for the delay. It returns
+// false if the connection has ended while the direction was blocked.
+func (proxy *Proxy) awaitPass(client func() string, toSource bool, ended <-chan struct{}) bool {
+	for {
+		mode, delay, changed := proxy.state(client)
+		if mode == Pass || (mode == OneWay && !toSource) {
+			time.Sleep(delay)
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ended:
+			return false
 		}
 	}
 }
--- a/soak/region/extended_faults.go
+++ b/soak/region/extended_faults.go
@@ -72,7 +72,7 @@
 		return address, nil
 	}
 	worker.SetClockRate(minClockRate + (1-minClockRate)*region.random.Float64())
-	workerProxy, address, err := proxy.Listen(ctx, "127.0.0.1:0", address)
+	workerProxy, address, err := region.listenProxy(ctx, "127.0.0.1:0", address)
 	region.workerProxies = append(region.workerProxies, workerProxy)
 	return address, err
 }
@@ -88,7 +88,7 @@
 	if region.usesRelays() {
 		process.extraArguments = append(process.extraArguments, "--relay-from", "1")
 	}
-	peerProxy, _, err := proxy.Listen(ctx, address(process.ip, peerPort), proxiedAddress)
+	peerProxy, _, err := region.listenProxy(ctx, address(process.ip, peerPort), proxiedAddress)
 	region.peerProxies = append(region.peerProxies, peerProxy)
 	return err
 }
--- a/soak/region/process.go
+++ b/soak/region/process.go
@@ -20,6 +20,7 @@
 // process is a platform process with its own loopback address. It can be stopped
 // and started again.
 type process struct {
+	name            string
 	platformProgram string
 	settingsFile    string
 	ip              string
@@ -55,12 +56,13 @@
 	settings := fmt.Sprintf("node-name: vm-%d\nip: %s\nzone: z%d\nlisten-addrs: {front: %q, ready: %q, control: %q}\n"+
 		"internal-ports: [%d]\nseeds: [%q]\nlimits: {cpu-share: 1, cores: 1}\n"+
 		"bounds: {grace-s: 6, hold-max-ms: 1000, stop-grace-ms: 50, resend-ms: 1300}\nplatform: {address: %q}\n",
-		index, ip, index%3, address(ip, callerPort), address(ip, readyPort), address(ip, controlPort),
+		index, ip, index%domainCount, address(ip, callerPort), address(ip, readyPort), address(ip, controlPort),
 		peerPort, address(loopback(seed, 0), controlPort), storeAddress)
 	if err := os.WriteFile(settingsFile, []byte(settings), 0o600); err != nil {
 		return nil, eris.Wrap(err, "writing the settings of a process")
 	}
 	return &process{
+		name:            fmt.Sprintf("vm-%d", index),
 		platformProgram: program,
 		settingsFile:    settingsFile,
 		ip:              ip,
@@ -117,6 +119,16 @@
 	return process.done
 }
 
+// pid returns the ID of the running process, or 0.
+func (process *process) pid() int {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	if process.command == nil {
+		return 0
+	}
+	return process.command.Process.Pid
+}
+
 // kill kills the process and waits until it has ended.
 func (process *process) kill() {
 	if done := process.signal(syscall.SIGKILL); done != nil {
@@ -129,7 +141,11 @@
 func (caller *caller) attempt(timeLeft time.Duration) (int, string) {
 	processes := caller.region.processes
 	process := processes[caller.random.IntN(len(processes))]
-	body := fmt.Sprintf(`{"spec":"x","best-effort":true,"steps":[{"count":%d,"cpu":7000,"estimate-ms":200}]}`, caller.tasks)
+	estimateMs := 200
+	if caller.region.options.CutsDomains() {
+		estimateMs = cutEstimateMs
+	}
+	body := fmt.Sprintf(`{"spec":"x","best-effort":true,"steps":[{"count":%d,"cpu":7000,"estimate-ms":%d}]}`, caller.tasks, estimateMs)
 	ctx, cancel := context.WithTimeout(context.Background(), timeLeft)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address(process.ip, callerPort)+"/q/"+caller.id,
@@ -138,9 +154,10 @@
 		return 0, ""
 	}
 	request.Host = "h.example"
-	request.Close = true
+	client, closeAfter := caller.region.callerClient()
+	request.Close = closeAfter
 	request.Header.Set("Deadline-Ms", fmt.Sprint(timeLeft.Milliseconds()))
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, ""
 	}
--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -24,7 +24,7 @@
 	// PlatformProgram is the path of the platform program.
 	PlatformProgram string
 	// Seed determines the schedule of faults. Seeds from 1000 on have additional
-	// kinds of faults.
+	// kinds of faults, those from 2000 on cuts between failure domains.
 	Seed uint64
 	// Processes and Workers are the numbers of platform processes and workers.
 	Processes int
@@ -46,6 +46,12 @@
 	recoveryTime = 12 * time.Second
 	// reportInterval is the time between two reports of a worker.
 	reportInterval = 500 * time.Millisecond
+	// reportExpiry is the number of missing reports after which the log drops the entry
+	// of a worker.
+	reportExpiry = 3
+	// callerConnections is the number of connections that callers keep open to each
+	// process in a soak with cuts.
+	callerConnections = 64
 )
 
 // ErrGuaranteeBroken is wrapped by Report.Err if a soak found a violated guarantee
@@ -95,8 +101,13 @@
 	// the peer addresses of the processes, in an extended soak.
 	workerProxies []*proxy.Proxy
 	peerProxies   []*proxy.Proxy
-	mutex         sync.Mutex
-	configVersion int
+	// logProxy, owners, cuts and persistentClient are used in a soak with cuts.
+	logProxy         *proxy.Proxy
+	owners           *connectionOwners
+	cuts             *cuts
+	persistentClient *http.Client
+	mutex            sync.Mutex
+	configVersion    int
 }
 
 // Run runs the soak of one seed. Violations are in the Report; the error says why
@@ -119,13 +130,28 @@
 		checker:  check.New(),
 		store:    standin.NewStore(),
 		draining: make(map[int]bool),
+		cuts:     newCuts(),
+		persistentClient: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: callerConnections,
+			},
+		},
+	}
+	region.owners = &connectionOwners{
+		region: region,
 	}
 	storeAddress, err := serve(ctx, region.store)
 	if err != nil {
 		return Report{}, err
 	}
+	if storeAddress, err = region.proxyLog(ctx, storeAddress); err != nil {
+		return Report{}, err
+	}
 	for index := range options.Workers {
 		worker := standin.NewWorker(fmt.Sprintf("w%d", index), options.Seed+uint64(index), region.checker)
+		if region.options.CutsDomains() {
+			worker.SetTaskTime(minCutTaskTime, cutTaskTimeRange)
+		}
 		address, err := serve(ctx, worker)
 		if err != nil {
 			return Report{}, err
@@ -200,11 +226,20 @@
 func versionPath(version int) string { return fmt.Sprintf("/v%d/", version) }
 
 // reportWorkers appends the reports of all workers to the log, one each
-// reportInterval, until ctx ends.
+// reportInterval, until ctx ends. The log drops the entries of workers that a cut
+// keeps from it.
 func (region *region) reportWorkers(ctx context.Context) {
+	missing := make([]int, len(region.workers))
 	for seq := 1; ctx.Err() == nil; seq++ {
 		region.mutex.Lock()
 		for index, worker := range region.workers {
+			if region.cuts.isSilent(index) {
+				if missing[index]++; missing[index] == reportExpiry {
+					region.store.Append("keyed.servers", worker.ID, "")
+				}
+				continue
+			}
+			missing[index] = 0
 			state := "ready"
 			if region.draining[index] {
 				state = "draining"
@@ -230,7 +265,11 @@
 	defer stopFaults()
 	callerContext, endCallers := context.WithTimeout(ctx, 2*settleTime+region.options.FaultDuration+recoveryTime)
 	defer endCallers()
-	go region.injectFaults(faultContext)
+	if region.options.CutsDomains() {
+		go region.injectCuts(faultContext)
+	} else {
+		go region.injectFaults(faultContext)
+	}
 	if region.extended() {
 		for _, process := range region.processes {
 			go region.probeConfig(callerContext, process)
@@ -248,6 +287,9 @@
 			random:        rand.New(rand.NewPCG(random.Uint64(), 3)),
 			afterRecovery: recovered,
 		}
+		if region.options.CutsDomains() {
+			caller.tasks = cutJobTasks
+		}
 		callers.Go(caller.submit)
 		time.Sleep(interval)
 	}
