Count the silence of a process from the sending of its heartbeats

What callers could see: two runs of one task. Found by reading while the second run after a partition was traced; no run of processes has shown it.

Cause: an entry VM that leaves a scheduler relies on that one to stop its jobs within a quarantine of 1.2 s: after 0.7 s of silence, and the stop. The silence counted from the arrival of the last heartbeat, which may be 0.6 s after its sending, or later by the time in the scheduler's queue. Then the runs end 1.4 s after the entry VM has left.

Change: a heartbeat counts from its sending, and the time in the queue is part of a message's delay. The delay is relative to the fastest message of the last 30 to 60 s: with the fastest ever, clocks that differ by 100 ppm made all messages of a VM count as outdated after 100 minutes, and a suspension did until its restart.

Evidence: TestJobsAreWithdrawnWithinTheQuarantineOfTheirEntryVM fails if the delay is not passed on to the view, and passes now; so do the tests of region and link.

--- a/shared/connection/link/links.go
+++ b/shared/connection/link/links.go
@@ -48,8 +48,9 @@
 	Received struct {
 		Message Message
 		// Delay is how much longer the message was in transit than the fastest one
-		// of its sender. It includes the time in the sender's queue.
-		Delay time.Duration
+		// of its sender lately. It includes the time in the sender's queue.
+		Delay      time.Duration
+		ReceivedAt time.Time
 	}
 	// Up reports a new stream to a peer, on which messages are sent from now on.
 	Up struct {
--- a/shared/connection/link/receive.go
+++ b/shared/connection/link/receive.go
@@ -49,13 +49,15 @@
 		if err := stream.MsgRecv(&message, peer.Encoding{}); err != nil {
 			return err
 		}
-		delay, accepted := receiver.senders.accept(time.Now(), message)
+		now := time.Now()
+		delay, accepted := receiver.senders.accept(now, message)
 		if !accepted {
 			return ErrReplaced
 		}
 		receiver.notify(Received{
-			Message: message,
-			Delay:   delay,
+			Message:    message,
+			Delay:      delay,
+			ReceivedAt: now,
 		})
 	}
 }
@@ -76,8 +78,35 @@
 	// latestStream is the highest stream number received.
 	latestStream uint64
 	// earliestStart is the earliest estimate, on the receiver's clock, of the
-	// time when the sender started: the one from the fastest message.
+	// time when the sender started: the one from the fastest message since windowStart.
+	// previousStart is that of the window before.
 	earliestStart time.Time
+	previousStart time.Time
+	windowStart   time.Time
+}
+
+// startWindow is the length of a window. The clocks of two VMs differ by up to 100 ppm,
+// and that of a VM that was suspended does not count the suspension. With the estimate
+// of the fastest message ever, all messages of such a VM would be outdated in the end.
+const startWindow = 30 * time.Second
+
+// observe updates the estimates by that of a message, and returns the delay of the
+// message. A window ends with the first message after it, so that the estimate from
+// before a partition is valid for the messages that the partition held up.
+func (sender *sender) observe(now, start time.Time) time.Duration {
+	if now.Sub(sender.windowStart) > startWindow {
+		sender.previousStart = sender.earliestStart
+		sender.earliestStart = start
+		sender.windowStart = now
+	}
+	if start.Before(sender.earliestStart) {
+		sender.earliestStart = start
+	}
+	earliest := sender.earliestStart
+	if sender.previousStart.Before(earliest) {
+		earliest = sender.previousStart
+	}
+	return start.Sub(earliest)
 }
 
 // accept returns the delay of a message, as defined by Received. It returns
@@ -91,15 +120,15 @@
 		senderState = sender{
 			incarnation:   message.Incarnation,
 			earliestStart: start,
+			previousStart: start,
+			windowStart:   now,
 		}
 	}
 	if message.Stream < senderState.latestStream {
 		return 0, false
 	}
 	senderState.latestStream = message.Stream
-	if start.Before(senderState.earliestStart) {
-		senderState.earliestStart = start
-	}
+	delay := senderState.observe(now, start)
 	senders.byAddress[message.From] = senderState
-	return start.Sub(senderState.earliestStart), true
+	return delay, true
 }
--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -59,20 +59,30 @@
 }
 
 // receive handles a message of the entry VM at entryVMAddress.
-func (loop *loop) receive(message link.Message) {
+func (loop *loop) receive(message link.Message) { loop.receiveDelayed(0, message) }
+
+// receiveDelayed handles a message of the entry VM at entryVMAddress that was delayed,
+// half of the time on the way and half in the queue of this process.
+func (loop *loop) receiveDelayed(delay time.Duration, message link.Message) {
 	message.From = entryVMAddress
 	message.Incarnation = 2
 	loop.handle(loop.now, linkEvent{
 		event: link.Received{
-			Message: message,
+			Message:    message,
+			Delay:      delay / 2,
+			ReceivedAt: loop.now.Add(-delay / 2),
 		},
 	})
 }
 
 // receiveHeartbeat handles a heartbeat of the entry VM at entryVMAddress, which
 // follows this process.
-func (loop *loop) receiveHeartbeat() {
-	loop.receive(link.Message{
+func (loop *loop) receiveHeartbeat() { loop.receive(heartbeatTo(loop.view.Self().Address)) }
+
+// heartbeatTo returns a heartbeat of the entry VM at entryVMAddress, which follows a
+// scheduler.
+func heartbeatTo(scheduler string) link.Message {
+	return link.Message{
 		Heartbeat: &region.Heartbeat{
 			Member: region.Member{
 				Address:     entryVMAddress,
@@ -80,12 +90,31 @@
 				Weight:      0.5,
 				Incarnation: 2,
 			},
-			Follows:  loop.view.Self().Address,
+			Follows:  scheduler,
 			Interval: region.MinHeartbeatInterval,
 			Eligible: true,
 			Division: region.Undivided,
 		},
+	}
+}
+
+// Guards against a scheduler that still runs the jobs of an entry VM when that one's
+// quarantine is over and the next scheduler starts them: the last messages of the entry
+// VM were delayed, but not long enough to be ignored.
+func TestJobsAreWithdrawnWithinTheQuarantineOfTheirEntryVM(t *testing.T) {
+	scheduler := newSchedulerLoop(t)
+	scheduler.receiveHeartbeat()
+	sentAt := scheduler.now
+	scheduler.advance(staleMessageDelay - tickInterval)
+	delay := scheduler.now.Sub(sentAt)
+	scheduler.receiveDelayed(delay, heartbeatTo(scheduler.view.Self().Address))
+	job := testFaultJob("j")
+	scheduler.receiveDelayed(delay, link.Message{
+		Submit: &job,
 	})
+	assert.Equal(t, scheduler.cell.Counters().Submitted, int64(1))
+	scheduler.advance(sentAt.Add(quarantine).Sub(scheduler.now) - 2*cell.DefaultLimits().StopGrace)
+	assert.Assert(t, !scheduler.cell.HoldsJobsOf(entryVMName(entryVMAddress, 2)))
 }
 
 // Guards against jobs of an entry VM that was silent for a while: the scheduler
@@ -114,13 +143,13 @@
 	entryVM.handleMessage(link.Message{
 		From:    schedulerAddress,
 		Dropped: &link.Dropped{},
-	})
+	}, 0)
 	assert.Equal(t, entryVM.heldJobs["j"].submissions, 2)
 	assert.Equal(t, entryVM.heldJobs["j"].quarantineEnd, entryVM.now.Add(quarantine), "a run may still be stopping")
 	entryVM.handleMessage(link.Message{
 		From:    "10.0.0.7:1",
 		Dropped: &link.Dropped{},
-	})
+	}, 0)
 	assert.Equal(t, entryVM.heldJobs["j"].submissions, 2, "another process does not have the job")
 }
 
@@ -181,7 +210,7 @@
 		},
 		ActiveFor: time.Second,
 		Interval:  region.MinHeartbeatInterval,
-	})
+	}, 0)
 	loop.acceptTestJob()
 	assert.Equal(t, loop.heldJobs["j"].scheduler, schedulerAddress)
 	loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -29,12 +29,12 @@
 	divisionInterval = 200 * time.Millisecond
 )
 
-// handleHeartbeat updates the membership from a peer's heartbeat. If the peer has
+// handleHeartbeat updates the membership from a heartbeat that a peer sent delay ago. If the peer has
 // restarted or follows another scheduler, its jobs are withdrawn from the Cell.
-func (loop *loop) handleHeartbeat(heartbeat region.Heartbeat) {
+func (loop *loop) handleHeartbeat(heartbeat region.Heartbeat, delay time.Duration) {
 	address := heartbeat.Member.Address
 	wasLive := loop.view.Live(address)
-	replaced := loop.view.HandleHeartbeat(heartbeat)
+	replaced := loop.view.HandleHeartbeat(heartbeat, delay)
 	loop.addMembers(heartbeat.Members)
 	loop.applyDivision(loop.view.AdoptDivision(heartbeat.Division))
 	loop.reportDropped(heartbeat.Member)
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -271,11 +271,12 @@
 func (loop *loop) handleLinkEvent(event link.Event) {
 	switch event := event.(type) {
 	case link.Received:
-		if event.Delay > staleMessageDelay {
-			loop.handleStaleMessage(event.Message, event.Delay)
+		delay := event.Delay + max(loop.now.Sub(event.ReceivedAt), 0)
+		if delay > staleMessageDelay {
+			loop.handleStaleMessage(event.Message, delay)
 			return
 		}
-		loop.handleMessage(event.Message)
+		loop.handleMessage(event.Message, delay)
 	case link.Up:
 		loop.sendHeartbeat(event.Address, true)
 		if event.Address == loop.leader {
@@ -295,10 +296,11 @@
 	}
 }
 
-func (loop *loop) handleMessage(message link.Message) {
+// handleMessage handles a message of a peer. delay is how long ago the peer sent it.
+func (loop *loop) handleMessage(message link.Message, delay time.Duration) {
 	switch {
 	case message.Heartbeat != nil:
-		loop.handleHeartbeat(*message.Heartbeat)
+		loop.handleHeartbeat(*message.Heartbeat, delay)
 	case message.Submit != nil:
 		loop.handleSubmission(message.From, message.Incarnation, *message.Submit)
 	case message.Withdraw != nil:
@@ -363,7 +365,7 @@
 			loop.queueReply(scheduler, relay.NewReply(order.Number, nil))
 		}
 	default:
-		loop.handleMessage(message)
+		loop.handleMessage(message, delay)
 	}
 }
 
--- a/shared/process/dispatcher/region_test.go
+++ b/shared/process/dispatcher/region_test.go
@@ -406,8 +406,9 @@
 		message.From = "127.0.0.1:1"
 		message.Incarnation = 9
 		scheduler.dispatcher.Notify(link.Received{
-			Message: message,
-			Delay:   delay,
+			Message:    message,
+			Delay:      delay,
+			ReceivedAt: time.Now(),
 		})
 		_, err := scheduler.dispatcher.State(t.Context())
 		assert.NilError(t, err)
--- a/shared/process/dispatcher/upstream_sets_test.go
+++ b/shared/process/dispatcher/upstream_sets_test.go
@@ -27,7 +27,7 @@
 		Eligible:    true,
 		Division:    region.Undivided,
 		UpstreamSet: set,
-	})
+	}, 0)
 }
 
 // Guards against a second run of a task whose first run is on an upstream that the next
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -100,7 +100,7 @@
 // peerState is what this process knows of another one.
 type peerState struct {
 	// heartbeat is the last one received. Until there is one, it holds the Member
-	// only.
+	// only. lastHeartbeatAt is when it was sent.
 	heartbeat         Heartbeat
 	lastHeartbeatAt   time.Time
 	heartbeatReceived bool
@@ -208,11 +208,13 @@
 	return added
 }
 
-// HandleHeartbeat records a heartbeat of another process. It reports whether
+// HandleHeartbeat records a heartbeat that another process sent delay ago. The silence
+// of the process counts from then, because others rely on it that a scheduler stops
+// the runs of a lost process within a quarantine. It reports whether
 // heartbeats from this address were last received from another incarnation, so
 // that the process has restarted. Heartbeats from this process's own address are
 // ignored.
-func (view *View) HandleHeartbeat(heartbeat Heartbeat) (restarted bool) {
+func (view *View) HandleHeartbeat(heartbeat Heartbeat, delay time.Duration) (restarted bool) {
 	address := heartbeat.Member.Address
 	if address == view.self.Address {
 		return false
@@ -231,7 +233,9 @@
 	restarted = sender.heartbeatReceived && sender.heartbeat.Member.Incarnation != heartbeat.Member.Incarnation
 	sender.heartbeat = heartbeat
 	sender.heartbeatReceived = true
-	sender.lastHeartbeatAt = view.now
+	if sentAt := view.now.Add(-delay); restarted || sentAt.After(sender.lastHeartbeatAt) {
+		sender.lastHeartbeatAt = sentAt
+	}
 	sender.refusedAt = time.Time{}
 	return restarted
 }
--- a/shared/version/region/view_test.go
+++ b/shared/version/region/view_test.go
@@ -56,7 +56,7 @@
 		for to, view := range network.views {
 			for from, sender := range network.views {
 				if from != to && network.connected(from, to) {
-					view.HandleHeartbeat(network.heartbeat(from, sender))
+					view.HandleHeartbeat(network.heartbeat(from, sender), 0)
 					view.AdoptDivision(sender.Division())
 				}
 			}
@@ -238,7 +238,7 @@
 	view.HandleHeartbeat(region.Heartbeat{
 		Member:   member(1),
 		Interval: region.MinHeartbeatInterval,
-	})
+	}, 0)
 	now = now.Add(5 * time.Second)
 	view.Advance(now, 5*time.Second)
 	assert.Assert(t, view.Live(member(1).Address))
@@ -272,7 +272,7 @@
 		view.HandleHeartbeat(region.Heartbeat{
 			Member:   member(number),
 			Interval: region.MinHeartbeatInterval,
-		})
+		}, 0)
 		leader, _, found := view.Leader()
 		assert.Assert(t, found)
 		assert.Equal(t, leader.Address, member(0).Address)
@@ -309,7 +309,7 @@
 			for _, elapsed := range []time.Duration{0, 3 * time.Second} {
 				view.Advance(now.Add(elapsed), 0)
 				for _, received := range test.heartbeats {
-					view.HandleHeartbeat(received)
+					view.HandleHeartbeat(received, 0)
 				}
 			}
 			assert.Equal(t, view.CanYield(), test.want)
@@ -359,7 +359,7 @@
 			Member:   member(number),
 			Interval: region.MinHeartbeatInterval,
 			Leaving:  leaving,
-		})
+		}, 0)
 	}
 	receiveHeartbeat(1, false)
 	view.AddMembers([]region.Member{member(2)})
@@ -368,3 +368,32 @@
 	receiveHeartbeat(4, true)
 	assert.DeepEqual(t, view.RelayCandidates(), []region.Member{member(3)})
 }
+
+// Guards against a process that counts as live for longer than its silence allows,
+// because its last heartbeat was delayed on the way: the scheduler of its jobs stops
+// them too late, after the next scheduler has started them.
+func TestSilenceCountsFromTheSendingOfAHeartbeat(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	view := region.New(now, region.Member{
+		Address: "10.0.0.1:1",
+		Domain:  "a",
+	})
+	const peer = "10.0.0.2:1"
+	receive := func(delay time.Duration) {
+		view.HandleHeartbeat(region.Heartbeat{
+			Member: region.Member{
+				Address: peer,
+				Domain:  "a",
+			},
+			Interval: region.MinHeartbeatInterval,
+		}, delay)
+	}
+	receive(500 * time.Millisecond)
+	assert.Assert(t, view.Live(peer))
+	view.Advance(now.Add(250*time.Millisecond), 0)
+	assert.Assert(t, !view.Live(peer), "it was sent 750 ms ago")
+	receive(100 * time.Millisecond)
+	receive(500 * time.Millisecond)
+	view.Advance(now.Add(800*time.Millisecond), 0)
+	assert.Assert(t, view.Live(peer), "an older heartbeat that arrives later changes nothing")
+}
