Do not let an unanswered start lapse if its worker has restarted

What callers could see: a task ran twice at the same time.

Cause: a run counts as over when its lease has expired on the worker's clock, since the worker refuses a start whose lease end has passed. After a restart that proves nothing: the lease end in the order is a time on the clock of the earlier process. A start that reached the new process, was not answered and is carried out late is accepted, after the run has counted as lapsed and its task was started elsewhere.

Change: such a start does not lapse for 15 s. An answer of another worker at the address keeps the known incarnation.

Without the check in expireRuns the new test fails.

--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -70,6 +70,9 @@
 	// ImmediatePollInterval spaces the immediate polls of an upstream that does
 	// not answer.
 	ImmediatePollInterval time.Duration
+	// LateOrderTime is how long after its sending an upstream may carry out an order
+	// that it has not answered.
+	LateOrderTime time.Duration
 	// StopGrace is the time that a worker may take to end a stopped run.
 	StopGrace time.Duration
 	// StopRetryDelay spaces repeated stops that were not confirmed.
@@ -138,6 +141,7 @@
 		RenewAfter:            450 * time.Millisecond,
 		OverdueAfter:          60 * time.Millisecond,
 		ImmediatePollInterval: 150 * time.Millisecond,
+		LateOrderTime:         15 * time.Second,
 		StopGrace:             50 * time.Millisecond,
 		StopRetryDelay:        10 * time.Millisecond,
 		AdoptionWindow:        900 * time.Millisecond,
--- a/shared/request/cell/entry_test.go
+++ b/shared/request/cell/entry_test.go
@@ -112,3 +112,47 @@
 	harness.answerFrom(2, nil)
 	assert.Assert(t, harness.starts("a") && !harness.starts("b"))
 }
+
+// Guards against a second run of a task whose start reached a worker just after its
+// restart and was not answered. The worker may carry it out seconds later, because the
+// lease end is a time on the clock of its earlier process, so that it proves nothing.
+// The soak found it (seed 12 once, and more often with late orders at each restart).
+func TestUnansweredStartAtARestartDoesNotLapse(t *testing.T) {
+	harness := newHarness(t)
+	harness.list(labelledUpstream(1, "b"))
+	harness.answerFrom(1, nil)
+	harness.handle(cell.UpstreamsListed{
+		Upstreams: []cell.Upstream{labelledUpstream(1, "b"), testUpstream("u2")},
+	})
+	job := testJob("j", 1)
+	job.Steps[0].Label = "b"
+	job.Steps[0].Estimate = 5 * time.Second
+	job.TimeLeft = time.Minute
+	start := harness.submit(job)[0]
+	assert.Equal(t, start.Order.Upstream, "u1")
+	harness.now = harness.now.Add(80 * time.Millisecond)
+	harness.handle(cell.StartReplied{
+		Reply: cell.Reply{
+			Order:   start.Order,
+			Outcome: cell.OutcomeUnknown,
+			SentAt:  harness.now,
+		},
+		Run: start.Run,
+	})
+	harness.answerFrom(2, nil)
+	lost := 0
+	for range 40 {
+		harness.now = harness.now.Add(100 * time.Millisecond)
+		decisions := harness.handle(cell.PollReplied{
+			Reply: cell.Reply{
+				Order:   start.Order,
+				Outcome: cell.OutcomeUnknown,
+			},
+			Immediate: true,
+		})
+		lost += len(decisionsOf[cell.RunLost](decisions)) + len(decisionsOf[cell.RunLost](harness.handle(cell.Tick{})))
+	}
+	assert.Equal(t, lost, 0, "the worker has been silent for 4 s")
+	lost += len(decisionsOf[cell.RunLost](harness.advance(cell.DefaultLimits().LateOrderTime)))
+	assert.Equal(t, lost, 1)
+}
--- a/shared/request/cell/lease.go
+++ b/shared/request/cell/lease.go
@@ -33,12 +33,15 @@
 }
 
 // expireRuns removes the runs of an upstream whose lease is certain to have
-// expired.
+// expired, and that can't start any more.
 func (cell *Cell) expireRuns(upstream *upstreamState) {
 	if len(upstream.runs) == 0 || cell.now.Before(cell.leaseExpiry(upstream, upstream.leaseEnd)) {
 		return
 	}
 	for _, run := range upstream.runs {
+		if cell.now.Before(run.mayStartUntil) {
+			continue
+		}
 		run.markMayHaveRun()
 		cell.removeRun(run, "lapsed")
 	}
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -29,7 +29,10 @@
 	// leaseEnd is the lease end of the start order, after which the upstream no
 	// longer carries out the order.
 	leaseEnd int64
-	sentAt   time.Time
+	// mayStartUntil is the time until which the upstream may carry out a start order
+	// whose lease end says nothing, because the upstream has restarted; zero for others.
+	mayStartUntil time.Time
+	sentAt        time.Time
 	// confirmedAt is when the reply to the start or the first listing arrived.
 	confirmedAt time.Time
 	// listed is set once the upstream has listed the run.
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -366,9 +366,12 @@
 }
 
 // upstreamRestarted removes the runs of an earlier incarnation of an upstream.
+// incarnation is the new one; 0 if another worker answers at the address.
 func (cell *Cell) upstreamRestarted(upstream *upstreamState, incarnation int64) {
 	knewIncarnation := upstream.incarnation != 0
-	upstream.incarnation = incarnation
+	if incarnation != 0 {
+		upstream.incarnation = incarnation
+	}
 	if !knewIncarnation && upstream.clock == 0 {
 		return
 	}
@@ -384,7 +387,11 @@
 			cell.removeRun(run, "upstream restarted")
 			continue
 		}
-		// The order may have reached the new process.
+		// The order may have reached the new process, which may also execute it later:
+		// the end of its lease is a time on the clock of the earlier one.
+		if run.confirmedAt.IsZero() && incarnation != 0 {
+			run.mayStartUntil = cell.now.Add(cell.config.Limits.LateOrderTime)
+		}
 		run.markMayHaveRun()
 		run.status = runUnconfirmed
 		run.confirmedAt = time.Time{}
