Log what a scheduler takes as proof that runs are over

Cause: a second run of a task can follow from several proofs that no run goes on: all upstreams were verified, a release named them, the quarantine is over, a lease has expired, a stop was confirmed.

Change: the Cell reports what allowed the tasks of a reassigned job to start (E725, with the age of the submission and what is left of the quarantine), each lease that it takes as expired (E726, with clock, its age, lease end and incarnation), and why an unlisted run is taken as over (E727). The first two are also counted. No decision changes.

Measured: tests of cell, dispatcher, logevent and platform pass.

--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -18,6 +18,8 @@
 	metricOrders            = "tanagerfall_region_orders_total"
 	metricOrderSeconds      = "tanagerfall_region_order_seconds"
 	metricRunsLost          = "tanagerfall_region_runs_lost_total"
+	metricStartsAllowed     = "tanagerfall_region_starts_allowed_total"
+	metricLeasesExpired     = "tanagerfall_region_leases_expired_total"
 	metricSchedules         = "tanagerfall_region_schedules"
 	metricLiveProcesses     = "tanagerfall_region_live_processes"
 	metricHeldJobs          = "tanagerfall_region_held_jobs"
@@ -35,7 +37,7 @@
 // MetricNames returns the names of all metrics of a Dispatcher.
 func MetricNames() []string {
 	return []string{
-		metricAnswers, metricAnswerSeconds, metricWithdrawn, metricOrders, metricOrderSeconds, metricRunsLost, metricSchedules,
+		metricAnswers, metricAnswerSeconds, metricWithdrawn, metricOrders, metricOrderSeconds, metricRunsLost, metricStartsAllowed, metricLeasesExpired, metricSchedules,
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
 		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages,
 	}
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"time"
 
 	"tanagerfall/shared/connection/link"
@@ -192,10 +193,29 @@
 			loop.dispatcher.instruments.increment(metricRunsLost)
 			loop.log(logevent.RunLost, "upstream", decision.Upstream, "job", decision.Run.Task.Job,
 				"task", decision.Run.Task.Index, "run", decision.Run.Number, "reason", decision.Reason)
+		default:
+			loop.recordEvidence(decision)
 		}
 	}
 }
 
+// recordEvidence logs and counts what the Cell takes as proof that runs are over.
+func (loop *loop) recordEvidence(decision cell.Decision) {
+	switch decision := decision.(type) {
+	case cell.StartsAllowed:
+		loop.dispatcher.instruments.increment(fmt.Sprintf("%s{because=%q}", metricStartsAllowed, string(decision.Because)))
+		loop.log(logevent.StartsAllowed, "job", decision.Job, "generation", decision.Generation,
+			"because", string(decision.Because), "waited", decision.Waited, "quarantine-left", decision.QuarantineLeft)
+	case cell.LeaseExpired:
+		loop.dispatcher.instruments.increment(metricLeasesExpired)
+		loop.log(logevent.LeaseExpired, "upstream", decision.Upstream, "incarnation", decision.Incarnation,
+			"clock", decision.Clock, "clock-age", decision.ClockAge, "lease-end", decision.LeaseEnd, "runs", decision.Runs)
+	case cell.RunSettled:
+		loop.log(logevent.RunSettled, "upstream", decision.Upstream, "job", decision.Run.Task.Job,
+			"task", decision.Run.Task.Index, "run", decision.Run.Number, "because", decision.Because, "reason", decision.Reason)
+	}
+}
+
 // logRunPlaced logs the start of a run that is ordered.
 func (loop *loop) logRunPlaced(decision cell.StartRun) {
 	loop.log(logevent.RunPlaced, "job", decision.Run.Task.Job, "task", decision.Run.Task.Index,
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -318,6 +318,24 @@
 		Level:  log.InfoLevel,
 		Text:   "order to an upstream was not carried out",
 	}
+	StartsAllowed = Event{
+		Number: 725,
+		Name:   "starts-allowed",
+		Level:  log.InfoLevel,
+		Text:   "tasks of a job that an earlier scheduler had may start",
+	}
+	LeaseExpired = Event{
+		Number: 726,
+		Name:   "lease-expired",
+		Level:  log.InfoLevel,
+		Text:   "lease of an upstream with runs is taken as expired",
+	}
+	RunSettled = Event{
+		Number: 727,
+		Name:   "run-settled",
+		Level:  log.DebugLevel,
+		Text:   "run that the upstream does not list is taken as over",
+	}
 	StoreUnreachable = Event{
 		Number: 731,
 		Name:   "store-unreachable",
@@ -367,7 +385,7 @@
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
-		RunPlaced, RunStopped, RunLost, OrderFailed,
+		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
 	}
 }
--- a/shared/request/cell/lease.go
+++ b/shared/request/cell/lease.go
@@ -38,12 +38,23 @@
 	if len(upstream.runs) == 0 || cell.now.Before(cell.leaseExpiry(upstream, upstream.leaseEnd)) {
 		return
 	}
+	expired := LeaseExpired{
+		Upstream:    upstream.listing.ID,
+		Incarnation: upstream.incarnation,
+		Clock:       upstream.clock,
+		ClockAge:    cell.now.Sub(upstream.clockAt),
+		LeaseEnd:    upstream.leaseEnd,
+	}
 	for _, run := range upstream.runs {
 		if cell.now.Before(run.mayStartUntil) {
 			continue
 		}
 		run.markMayHaveRun()
 		cell.removeRun(run, "lapsed")
+		expired.Runs++
+	}
+	if expired.Runs > 0 {
+		cell.decide(expired)
 	}
 }
 
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -390,6 +390,51 @@
 		Run      RunName
 		Reason   string
 	}
+	// StartsAllowed reports that the tasks of a job that an earlier Cell may have had
+	// can start from now on.
+	StartsAllowed struct {
+		Job        string
+		Generation int
+		// Because is what showed that all runs are known or over.
+		Because StartReason
+		// Waited is the time since the submission, and QuarantineLeft that until the
+		// end of the quarantine; negative after it.
+		Waited         time.Duration
+		QuarantineLeft time.Duration
+	}
+	// LeaseExpired reports that the Cell takes the lease of an upstream as expired and
+	// its runs as over. Clock and LeaseEnd are times on the clock of the incarnation, in
+	// ms; Clock is the last that it reported, ClockAge ago.
+	LeaseExpired struct {
+		Upstream    string
+		Incarnation int64
+		Clock       int64
+		ClockAge    time.Duration
+		LeaseEnd    int64
+		Runs        int
+	}
+	// RunSettled reports that a run which the upstream does not list is taken as over,
+	// and why.
+	RunSettled struct {
+		Upstream string
+		Run      RunName
+		// Because is the proof, and Reason why the run was stopped.
+		Because string
+		Reason  string
+	}
+)
+
+// StartReason says why the tasks of a job may start.
+type StartReason string
+
+// Values of StartReason.
+const (
+	// QuarantineOver means that no earlier Cell acts on the job any more.
+	QuarantineOver StartReason = "quarantine over"
+	// ServiceVerified means that all upstreams of the service listed their runs.
+	ServiceVerified StartReason = "all upstreams verified"
+	// ReleaseVerified means that the upstreams in the job's Release listed their runs.
+	ReleaseVerified StartReason = "released upstreams verified"
 )
 
 func (StartRun) decision()        {}
@@ -398,6 +443,9 @@
 func (AnswerJob) decision()       {}
 func (UpstreamChanged) decision() {}
 func (RunLost) decision()         {}
+func (StartsAllowed) decision()   {}
+func (LeaseExpired) decision()    {}
+func (RunSettled) decision()      {}
 
 // Result is the final state of a job.
 type Result string
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -331,9 +331,24 @@
 			!reply.SentAt.Before(run.stopConfirmedAt.Add(cell.config.Limits.StopGrace))
 		startExpired := run.confirmedAt.IsZero() && run.leaseEnd > 0 && reply.Clock > run.leaseEnd
 		endedSinceStart := !run.confirmedAt.IsZero() && reply.SentAt.After(run.confirmedAt)
-		if stopSettled || startExpired || endedSinceStart {
-			cell.removeRun(run, run.stopReason)
+		because := ""
+		switch {
+		case stopSettled:
+			because = "stop confirmed"
+		case startExpired:
+			because = "start order expired"
+		case endedSinceStart:
+			because = "not listed after its start"
+		default:
+			return
 		}
+		cell.decide(RunSettled{
+			Upstream: run.upstream.listing.ID,
+			Run:      run.name,
+			Because:  because,
+			Reason:   run.stopReason,
+		})
+		cell.removeRun(run, run.stopReason)
 	}
 }
 
--- a/shared/request/cell/takeover.go
+++ b/shared/request/cell/takeover.go
@@ -70,8 +70,29 @@
 // mayStartTasks reports whether the tasks of a job may start: all runs of the job
 // that a previous Cell started are known, or can no longer exist.
 func (cell *Cell) mayStartTasks(job *jobState) bool {
-	job.startsAllowed = job.startsAllowed || !cell.now.Before(job.quarantineEnd) || cell.runsVerified(job)
-	return job.startsAllowed
+	if job.startsAllowed {
+		return true
+	}
+	because := ServiceVerified
+	if job.submitted.Released {
+		because = ReleaseVerified
+	}
+	if !cell.now.Before(job.quarantineEnd) {
+		because = QuarantineOver
+	} else if !cell.runsVerified(job) {
+		return false
+	}
+	job.startsAllowed = true
+	if job.submitted.Generation > 0 {
+		cell.decide(StartsAllowed{
+			Job:            job.submitted.ID,
+			Generation:     job.submitted.Generation,
+			Because:        because,
+			Waited:         cell.now.Sub(job.submittedAt),
+			QuarantineLeft: job.quarantineEnd.Sub(cell.now),
+		})
+	}
+	return true
 }
 
 // runsVerified reports whether the Cell knows all runs of a job that a previous Cell
