--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -320,6 +320,8 @@
 	cell.applyEnds(upstream, event.Ended)
 	cell.reconcileRuns(upstream, event)
 	if upstream.status == upstreamUnverified {
+		// Another process may have renewed the lease until this order fenced it.
+		upstream.leaseEnd = max(upstream.leaseEnd, event.Reply.Clock+cell.config.Limits.Lease.Milliseconds())
 		upstream.openedAt = event.Reply.ReceivedAt
 		upstream.schedulePoll(cell.now.Add(cell.config.Limits.StopGrace))
 	}
