--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -113,10 +114,41 @@
 		Submit: &job,
 	})
 	assert.Equal(t, scheduler.cell.Counters().Submitted, int64(1))
-	scheduler.advance(sentAt.Add(quarantine).Sub(scheduler.now) - 2*cell.DefaultLimits().StopGrace)
+	scheduler.advance(sentAt.Add(scheduler.view.LivenessTimeout()).Sub(scheduler.now) + 2*tickInterval)
 	assert.Assert(t, !scheduler.cell.HoldsJobsOf(entryVMName(entryVMAddress, 2)))
 }
 
+// Guards against a quarantine that ends while the earlier scheduler's runs go on: it
+// withdraws the jobs of a silent entry VM later in a larger region, and an upstream that
+// it has lost just before that runs them until the lease ends.
+func TestQuarantineCoversTheLeaseAfterALateWithdrawal(t *testing.T) {
+	limits := cell.DefaultLimits()
+	for _, peers := range []int{1, 36} {
+		entryVM := newEntryVMLoop(t)
+		for number := range peers {
+			entryVM.addMembers([]region.Member{{
+				Address: fmt.Sprintf("10.0.1.%d:1", number),
+			}})
+		}
+		heartbeat := heartbeatTo("10.0.0.1:1")
+		heartbeat.Heartbeat.Interval = entryVM.view.HeartbeatInterval()
+		scheduler := newSchedulerLoop(t)
+		scheduler.receive(heartbeat)
+		sentAt := scheduler.now
+		job := testFaultJob("j")
+		scheduler.receive(link.Message{
+			Submit: &job,
+		})
+		for scheduler.cell.HoldsJobsOf(entryVMName(entryVMAddress, 2)) {
+			scheduler.advance(tickInterval)
+		}
+		lease := time.Duration(float64(limits.Lease) / (1 - limits.ClockSlack))
+		runsEnd := scheduler.now.Sub(sentAt) + lease
+		assert.Assert(t, runsEnd < entryVM.quarantine(), "%d peers: runs end after %v, the quarantine after %v",
+			peers, runsEnd, entryVM.quarantine())
+	}
+}
+
 // Guards against jobs of an entry VM that was silent for a while: the scheduler
 // withdraws them, and the entry VM, which has not noticed anything, waited for their
 // answers until the callers' deadlines.
@@ -145,7 +177,7 @@
 		Dropped: &link.Dropped{},
 	}, 0)
 	assert.Equal(t, entryVM.heldJobs["j"].submissions, 2)
-	assert.Equal(t, entryVM.heldJobs["j"].quarantineEnd, entryVM.now.Add(quarantine), "a run may still be stopping")
+	assert.Equal(t, entryVM.heldJobs["j"].quarantineEnd, entryVM.now.Add(entryVM.quarantine()), "a run may still be stopping")
 	entryVM.handleMessage(link.Message{
 		From:    "10.0.0.7:1",
 		Dropped: &link.Dropped{},
@@ -217,7 +249,7 @@
 	heldJob := loop.heldJobs["j"]
 	assert.Equal(t, heldJob.scheduler, "")
 	assert.Assert(t, heldJob.runsElsewhere)
-	assert.Equal(t, heldJob.quarantineEnd, loop.now.Add(quarantine))
+	assert.Equal(t, heldJob.quarantineEnd, loop.now.Add(loop.quarantine()))
 }
 
 // Guards against a worker that had begun to leave and gets tasks again after a
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -268,7 +268,7 @@
 		heldJob.earlierSets = append(heldJob.earlierSets, set)
 	}
 	heldJob.scheduler = ""
-	heldJob.quarantineEnd = loop.now.Add(quarantine)
+	heldJob.quarantineEnd = loop.now.Add(loop.quarantine())
 }
 
 // handleAnswer passes a scheduler's answer to the callers. An answer of a process
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -372,9 +372,12 @@
 	}
 }
 
-const (
-	// quarantine is how long a scheduler that lost contact with this process may
-	// still act on the jobs of this process: the silence after which it counts
-	// this process as lost, and the time that it takes to stop the runs.
-	quarantine = 1200 * time.Millisecond
-)
+// quarantine returns how long an earlier scheduler may act on a job after this process
+// has left it without a release. That scheduler withdraws the job when it has not heard
+// this process for its liveness timeout. An upstream that it can't reach any more runs
+// the job until the lease ends, by a clock that may be slow.
+func (loop *loop) quarantine() time.Duration {
+	limits := loop.options.Limits
+	lease := time.Duration(float64(limits.Lease) / (1 - limits.ClockSlack))
+	return loop.view.LivenessTimeout() + tickInterval + lease + limits.ExpiryMargin
+}
--- a/shared/process/dispatcher/upstream_sets_test.go
+++ b/shared/process/dispatcher/upstream_sets_test.go
@@ -55,7 +55,7 @@
 	assert.Equal(t, heldJob.submissions, 3)
 	assert.DeepEqual(t, heldJob.earlierSets, []uint64{17, 18})
 
-	loop.now = loop.now.Add(quarantine)
+	loop.now = loop.now.Add(loop.quarantine())
 	heldJob.scheduler = ""
 	loop.submit(heldJob)
 	assert.Equal(t, len(heldJob.earlierSets), 0, "no earlier scheduler acts on the job any more")
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -292,6 +292,16 @@
 	return max(MinHeartbeatInterval, time.Duration(view.cellPeerCount())*heartbeatIntervalPerPeer)
 }
 
+// LivenessTimeout returns the silence after which the other processes of the cell no
+// longer take this one as live.
+func (view *View) LivenessTimeout() time.Duration { return livenessTimeout(view.HeartbeatInterval()) }
+
+// livenessTimeout returns the silence after which a process that announced an interval
+// between its heartbeats is no longer live.
+func livenessTimeout(interval time.Duration) time.Duration {
+	return time.Duration(livenessTimeoutIntervals * float64(max(interval, MinHeartbeatInterval)))
+}
+
 // cellPeerCount returns the number of known processes of the cell without this
 // one.
 func (view *View) cellPeerCount() int {
@@ -313,7 +323,7 @@
 	if !peer.refusedAt.IsZero() && silence > refusedTimeout {
 		return false
 	}
-	return silence < time.Duration(livenessTimeoutIntervals*float64(max(peer.heartbeat.Interval, MinHeartbeatInterval)))
+	return silence < livenessTimeout(peer.heartbeat.Interval)
 }
 
 // Live reports whether the process at an address is live: a heartbeat of it has
