--- a/shared/process/dispatcher/platform_lists.go
+++ b/shared/process/dispatcher/platform_lists.go
@@ -117,6 +117,7 @@
 			upstream.Leaving = true
 		}
 	}
+	loop.knownUpstreams.update(loop.now, loop.upstreams, loop.removedAt)
 	loop.passUpstreams()
 }
 
--- a/shared/process/dispatcher/upstream_sets.go
+++ b/shared/process/dispatcher/upstream_sets.go
@@ -34,7 +34,7 @@
 	for _, upstream := range upstreams {
 		if !upstream.Removed || now.Sub(removedAt[upstream.ID]) <= setRetention {
 			// The order of the upstreams does not matter.
-			current ^= xxhash.Sum64String(upstream.ID)
+			current ^= memberHash(upstream)
 		}
 	}
 	if sets.replacedAt == nil {
@@ -51,6 +51,16 @@
 	sets.current = current
 }
 
+// memberHash returns the hash of one member of a set. An upstream that leaves counts as
+// another member, because a process takes it as empty when it has left the list. A
+// scheduler that does not know that it leaves may still start tasks there.
+func memberHash(upstream cell.Upstream) uint64 {
+	if upstream.Leaving {
+		return xxhash.Sum64String(upstream.ID + " leaving")
+	}
+	return xxhash.Sum64String(upstream.ID)
+}
+
 // covers reports whether this process knows all members of other sets. An unknown set,
 // 0, is not covered.
 func (sets *upstreamSets) covers(now time.Time, others []uint64) bool {
--- a/shared/process/dispatcher/upstream_sets_test.go
+++ b/shared/process/dispatcher/upstream_sets_test.go
@@ -100,3 +100,20 @@
 	known.update(now, list("a", "c"), removedAt)
 	assert.Assert(t, !known.covers(now.Add(time.Second), []uint64{withRemoved}), "b was forgotten")
 }
+
+// Guards against a second run of a task that another scheduler has started on an upstream
+// which drains, as this process knows and that one did not: it has left the list here and
+// counts as empty.
+func TestUpstreamSetsDistinguishThoseThatLeave(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	upstream := cell.Upstream{
+		ID: "a",
+	}
+	var known, other upstreamSets
+	other.update(now, []cell.Upstream{upstream}, nil)
+	upstream.Leaving = true
+	known.update(now, []cell.Upstream{upstream}, nil)
+	assert.Assert(t, !known.covers(now, []uint64{other.current}))
+	other.update(now, []cell.Upstream{upstream}, nil)
+	assert.Assert(t, known.covers(now, []uint64{other.current}))
+}
