--- a/shared/process/dispatcher/platform_lists.go
+++ b/shared/process/dispatcher/platform_lists.go
@@ -37,10 +37,25 @@
 	}
 	loop.listReadAt = readAt
 	loop.upstreams = loop.markLeaving(loop.retainRemoved(upstreams))
-	loop.knownUpstreams.update(loop.now, loop.upstreams, loop.removedAt)
+	loop.updateKnownUpstreams()
 	loop.passUpstreams()
 }
 
+// updateKnownUpstreams updates the set of upstreams that heartbeats report, and delays the
+// use of new members. An entry VM that stops hearing this process names the set of the last
+// heartbeat to the next scheduler, and its jobs may start here until this process has
+// noticed the loss of that entry VM: an upstream is used when both times have passed.
+func (loop *loop) updateKnownUpstreams() {
+	loop.knownUpstreams.update(loop.now, loop.upstreams, loop.removedAt)
+	announcing := 2 * (loop.view.LivenessTimeout() + tickInterval)
+	for i := range loop.upstreams {
+		upstream := &loop.upstreams[i]
+		if joined := loop.knownUpstreams.joinedAt[upstream.ID]; !joined.IsZero() {
+			upstream.UsableAt = joined.Add(announcing)
+		}
+	}
+}
+
 // passUpstreams passes the upstreams of this process's cell to the Cell and the
 // relays, if this process schedules.
 func (loop *loop) passUpstreams() {
@@ -117,7 +132,7 @@
 			upstream.Leaving = true
 		}
 	}
-	loop.knownUpstreams.update(loop.now, loop.upstreams, loop.removedAt)
+	loop.updateKnownUpstreams()
 	loop.passUpstreams()
 }
 
--- a/shared/process/dispatcher/upstream_sets.go
+++ b/shared/process/dispatcher/upstream_sets.go
@@ -26,17 +26,28 @@
 	current uint64
 	// replacedAt holds when sets were replaced by others.
 	replacedAt map[uint64]time.Time
+	// joinedAt holds when the members of the present set joined it, by ID; zero for those
+	// of the first set.
+	joinedAt map[string]time.Time
 }
 
 // update replaces the present set. removedAt holds when upstreams left the list.
 func (sets *upstreamSets) update(now time.Time, upstreams []cell.Upstream, removedAt map[string]time.Time) {
 	current := uint64(0)
+	joinedAt := make(map[string]time.Time, len(upstreams))
 	for _, upstream := range upstreams {
-		if !upstream.Removed || now.Sub(removedAt[upstream.ID]) <= setRetention {
-			// The order of the upstreams does not matter.
-			current ^= memberHash(upstream)
+		if upstream.Removed && now.Sub(removedAt[upstream.ID]) > setRetention {
+			continue
 		}
+		// The order of the upstreams does not matter.
+		current ^= memberHash(upstream)
+		joined, isMember := sets.joinedAt[upstream.ID]
+		if !isMember && sets.current != 0 {
+			joined = now
+		}
+		joinedAt[upstream.ID] = joined
 	}
+	sets.joinedAt = joinedAt
 	if sets.replacedAt == nil {
 		sets.replacedAt = make(map[uint64]time.Time)
 	}
--- a/shared/process/dispatcher/upstream_sets_test.go
+++ b/shared/process/dispatcher/upstream_sets_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -117,3 +118,25 @@
 	other.update(now, []cell.Upstream{upstream}, nil)
 	assert.Assert(t, known.covers(now, []uint64{other.current}))
 }
+
+// Guards against a second run of a task on an upstream that a scheduler learned of after
+// its last heartbeat that the task's entry VM received: the next scheduler may not know it.
+func TestNewUpstreamIsUsedWhenAllEntryVMsKnowIt(t *testing.T) {
+	scheduler := newSchedulerLoop(t)
+	scheduler.handle(scheduler.now, upstreamsRead{
+		upstreams: append(slices.Clone(scheduler.upstreams), cell.Upstream{
+			ID:      "u2",
+			Service: "orders",
+		}),
+	})
+	assert.Assert(t, scheduler.upstreams[0].UsableAt.IsZero(), "the first list is announced before any job arrives")
+	// An entry VM leaves after one timeout without a heartbeat, and its jobs may start
+	// until its own silence is noticed after another one.
+	assert.Assert(t, scheduler.upstreams[1].UsableAt.Sub(scheduler.now) >= 2*scheduler.view.LivenessTimeout())
+	scheduler.advance(time.Second)
+	usableAt := scheduler.upstreams[1].UsableAt
+	scheduler.handle(scheduler.now, upstreamsRead{
+		upstreams: scheduler.upstreams,
+	})
+	assert.Equal(t, scheduler.upstreams[1].UsableAt, usableAt, "the next list changes nothing")
+}
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -173,6 +173,8 @@
 	// recently. It gets no new tasks but may still execute runs that another
 	// process started.
 	Removed bool `cbor:"10,keyasint,omitempty"`
+	// UsableAt is the time from which the upstream may get tasks; zero for no bound.
+	UsableAt time.Time `cbor:"-"`
 }
 
 // TaskName identifies a task by its job, the index of its step and its index in
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -73,6 +73,7 @@
 // acceptsTasks reports whether an upstream may get new tasks.
 func (cell *Cell) acceptsTasks(upstream *upstreamState) bool {
 	return upstream.status == upstreamOpen && upstream.present && !upstream.listing.Leaving &&
+		!cell.now.Before(upstream.listing.UsableAt) &&
 		upstream.entryState() != entryAhead &&
 		upstream.missedPolls == 0 && upstream.orphanCount == 0 &&
 		!upstream.ejectedUntil.After(cell.now) && !upstream.fullUntil.After(cell.now) &&
--- a/shared/request/cell/takeover_test.go
+++ b/shared/request/cell/takeover_test.go
@@ -39,3 +39,22 @@
 	assert.Equal(t, starts[0].Run.Task.Job, "released")
 	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.advance(1100*time.Millisecond))), 1, "the quarantine is over")
 }
+
+// Guards against a task on an upstream that is not yet in the set of upstreams which the
+// entry VMs name to the next scheduler.
+func TestUpstreamGetsNoTaskBeforeItIsUsable(t *testing.T) {
+	harness := newHarness(t)
+	upstream := testUpstream("u1")
+	upstream.UsableAt = harness.now.Add(time.Second)
+	for _, poll := range decisionsOf[cell.Poll](harness.handle(cell.UpstreamsListed{
+		Upstreams: []cell.Upstream{upstream},
+	})) {
+		harness.handle(harness.pollReply(poll, nil, nil))
+	}
+	job := testJob("j", 1)
+	job.Objective = 2 * time.Second
+	assert.Equal(t, len(harness.submit(job)), 0)
+	harness.now = harness.now.Add(999 * time.Millisecond)
+	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.answerPoll("u1", nil))), 0)
+	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.advance(time.Millisecond))), 1)
+}
