--- a/shared/request/cell/health.go
+++ b/shared/request/cell/health.go
@@ -120,6 +120,7 @@
 // stalled or runs slowly.
 func (cell *Cell) applyProgress(run *runState, percent int) {
 	run.listed = true
+	run.unlistedAt = time.Time{}
 	if run.status == runStarting || run.status == runUnconfirmed {
 		cell.confirmStart(run)
 	}
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -57,6 +57,9 @@
 	progressedAt time.Time
 	// stopReason says why the run is being stopped; empty if it is not.
 	stopReason string
+	// unlistedAt is when the first answer arrived that shows neither the confirmed run
+	// nor its end; zero if it was listed since.
+	unlistedAt time.Time
 }
 
 // startRun orders a run of a waiting task.
@@ -313,7 +316,7 @@
 	switch run.status {
 	case runStarting:
 	case runRunning:
-		if reply.SentAt.After(run.confirmedAt) {
+		if reply.SentAt.After(run.confirmedAt) && cell.unlistedForStopGrace(run, reply) {
 			cell.removeRun(run, "no longer listed by the upstream")
 		}
 	case runUnconfirmed, runStopping:
@@ -335,12 +338,12 @@
 		switch {
 		case stopSettled:
 			because = "stop confirmed"
+		case !startExpired && !endedSinceStart, !cell.unlistedForStopGrace(run, reply):
+			return
 		case startExpired:
 			because = "start order expired"
 		case endedSinceStart:
 			because = "not listed after its start"
-		default:
-			return
 		}
 		cell.decide(RunSettled{
 			Upstream: run.upstream.listing.ID,
@@ -352,6 +355,18 @@
 	}
 }
 
+// unlistedForStopGrace reports whether a run that may have started has not been listed for
+// StopGrace. Whoever stopped it, it may go on unlisted for that long.
+func (cell *Cell) unlistedForStopGrace(run *runState, reply Reply) bool {
+	grace := cell.config.Limits.StopGrace
+	if run.unlistedAt.IsZero() {
+		run.unlistedAt = reply.ReceivedAt
+		run.upstream.schedulePoll(cell.now.Add(grace))
+		return false
+	}
+	return !reply.SentAt.Before(run.unlistedAt.Add(grace))
+}
+
 // endRun applies the end of a run.
 func (cell *Cell) endRun(upstream *upstreamState, end EndedRun) {
 	run, ok := upstream.runs[end.Run]
