Send the stop of a run whose upstream was yielded when it is taken back (TWICE)

What callers saw, or can see: a run of a withdrawn job goes on beside the run that the next scheduler starts.

Cause: a stop is not sent while another process has the upstream, and it was not sent later either. When this scheduler took the upstream back after 0.5 s, it renewed the lease of the unwanted run until that ended by itself.

Change: the stop is due as soon as the upstream is taken back.

Evidence: TestRunWithdrawnWhileYieldedIsStoppedAfterTheReclaim failed before the change (no stop in 1.2 s) and passes; the other tests of the Cell pass.

--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -258,7 +258,12 @@
 }
 
 func (cell *Cell) sendStop(run *runState) {
-	if run.stopPending || run.upstream.status == upstreamOwnedElsewhere {
+	if run.stopPending {
+		return
+	}
+	if run.upstream.status == upstreamOwnedElsewhere {
+		// The other process stops the run, unless this one takes the upstream back first.
+		run.nextStopAt = cell.now
 		return
 	}
 	run.stopPending = true
