--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -291,7 +291,12 @@
 	}
 	run.stopPending = false
 	limits := cell.config.Limits
-	switch event.Reply.Outcome {
+	outcome := event.Reply.Outcome
+	if outcome == OutcomeDone && event.Reply.SentAt.Before(run.unconfirmedSince) {
+		// The upstream may have restarted since it executed the stop.
+		outcome = OutcomeUnknown
+	}
+	switch outcome {
 	case OutcomeDone:
 		run.stopConfirmedAt = cell.now
 		upstream.schedulePoll(cell.now.Add(limits.StopGrace))
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -398,6 +398,11 @@
 		run.status = runUnconfirmed
 		run.confirmedAt = time.Time{}
 		run.unconfirmedSince = cell.now
+		// The new process knows nothing of a stop that the earlier one confirmed.
+		run.stopConfirmedAt = time.Time{}
+		if run.stopReason != "" {
+			run.nextStopAt = cell.now
+		}
 		run.leaseEnd = 0
 	}
 	if upstream.status == upstreamOpen || upstream.status == upstreamSilent {
