--- a/shared/process/dispatcher/upstream_sets.go
+++ b/shared/process/dispatcher/upstream_sets.go
@@ -12,8 +12,8 @@
 	// setRetention is how long an upstream that left the list is part of the reported
 	// set.
 	setRetention = 12 * time.Second
-	// coveredTime is how long all members of a set are known after the set was last the
-	// present one. It exceeds the time between two reads of the list by a standby.
+	// coveredTime is how long a replaced set counts as known at most. It exceeds the time
+	// between two reads of the list by a standby.
 	coveredTime = removedRetention - setRetention
 )
 
@@ -24,8 +24,11 @@
 type upstreamSets struct {
 	// current identifies the present set; 0 if no list was read.
 	current uint64
-	// replacedAt holds when sets were replaced by others.
-	replacedAt map[uint64]time.Time
+	// currentUntil is when a member of the present set that left the list is forgotten;
+	// zero if all are listed.
+	currentUntil time.Time
+	// knownUntil holds until when all members of replaced sets are known.
+	knownUntil map[uint64]time.Time
 	// joinedAt holds when the members of the present set joined it, by ID; zero for those
 	// of the first set.
 	joinedAt map[string]time.Time
@@ -34,11 +37,16 @@
 // update replaces the present set. removedAt holds when upstreams left the list.
 func (sets *upstreamSets) update(now time.Time, upstreams []cell.Upstream, removedAt map[string]time.Time) {
 	current := uint64(0)
+	currentUntil := time.Time{}
 	joinedAt := make(map[string]time.Time, len(upstreams))
 	for _, upstream := range upstreams {
 		if upstream.Removed && now.Sub(removedAt[upstream.ID]) > setRetention {
 			continue
 		}
+		forgottenAt := removedAt[upstream.ID].Add(removedRetention)
+		if upstream.Removed && (currentUntil.IsZero() || forgottenAt.Before(currentUntil)) {
+			currentUntil = forgottenAt
+		}
 		// The order of the upstreams does not matter.
 		current ^= memberHash(upstream)
 		joined, isMember := sets.joinedAt[upstream.ID]
@@ -48,18 +56,23 @@
 		joinedAt[upstream.ID] = joined
 	}
 	sets.joinedAt = joinedAt
-	if sets.replacedAt == nil {
-		sets.replacedAt = make(map[uint64]time.Time)
+	if sets.knownUntil == nil {
+		sets.knownUntil = make(map[uint64]time.Time)
 	}
-	for set, replacedAt := range sets.replacedAt {
-		if now.Sub(replacedAt) > coveredTime {
-			delete(sets.replacedAt, set)
+	for set, knownUntil := range sets.knownUntil {
+		if now.After(knownUntil) {
+			delete(sets.knownUntil, set)
 		}
 	}
 	if current != sets.current {
-		sets.replacedAt[sets.current] = now
+		knownUntil := now.Add(coveredTime)
+		if !sets.currentUntil.IsZero() && sets.currentUntil.Before(knownUntil) {
+			knownUntil = sets.currentUntil
+		}
+		sets.knownUntil[sets.current] = knownUntil
 	}
 	sets.current = current
+	sets.currentUntil = currentUntil
 }
 
 // memberHash returns the hash of one member of a set. An upstream that leaves counts as
@@ -76,9 +89,8 @@
 // 0, is not covered.
 func (sets *upstreamSets) covers(now time.Time, others []uint64) bool {
 	for _, other := range others {
-		replacedAt, known := sets.replacedAt[other]
-		known = other == sets.current || (known && now.Sub(replacedAt) <= coveredTime)
-		if other == 0 || !known {
+		knownUntil := sets.knownUntil[other]
+		if other == 0 || (other != sets.current && now.After(knownUntil)) {
 			return false
 		}
 	}
