Deliver what is sent after the reset of a stream

What callers saw, or can see: a scheduler goes on for up to 0.7 s with jobs that their entry VM has withdrawn, which uses up the quarantine.

Cause: an entry VM that leaves a silent scheduler resets the stream and then withdraws its jobs. The reset is carried out by the goroutine of the stream, which could still send the withdrawal on the old stream, or discarded it together with the messages before the reset.

Change: a reset replaces the queue at once; the next stream sends what was queued since.

--- a/shared/connection/link/links.go
+++ b/shared/connection/link/links.go
@@ -94,7 +94,9 @@
 // peerLink is the outgoing side of the connection to one peer.
 type peerLink struct {
 	address string
-	queue   chan Message
+	// queue holds the messages for the current stream, or for the next one after Reset.
+	// It is replaced under the mutex of Links.
+	queue chan Message
 	// cancel ends the link.
 	cancel context.CancelFunc
 	// reset ends the current stream.
@@ -140,16 +142,29 @@
 }
 
 // Reset replaces the stream to a peer by a new one and discards the queued
-// messages. It is meant for a stream whose peer went silent: such a stream does
+// messages. Messages that are sent afterwards go to the new stream. It is meant for a stream whose peer went silent: such a stream does
 // not recover.
 func (links *Links) Reset(address string) {
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	if target, ok := links.peerLinks[address]; ok {
+		target.queue = make(chan Message, maxQueuedMessages)
 		target.requestReset()
 	}
 }
 
+// nextQueue returns the queue for the next stream of a link, and forgets resets of the
+// streams before.
+func (links *Links) nextQueue(target *peerLink) chan Message {
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	select {
+	case <-target.reset:
+	default:
+	}
+	return target.queue
+}
+
 // requestReset makes runStream end the current stream.
 func (peerLink *peerLink) requestReset() {
 	select {
@@ -164,13 +179,15 @@
 func (links *Links) Send(address string, message Message) {
 	links.mutex.Lock()
 	target, ok := links.peerLinks[address]
-	links.mutex.Unlock()
 	if !ok {
+		links.mutex.Unlock()
 		return
 	}
+	queue := target.queue
+	links.mutex.Unlock()
 	message.SenderUptime = time.Since(links.createdAt)
 	select {
-	case target.queue <- message:
+	case queue <- message:
 	default:
 		target.requestReset()
 	}
@@ -180,7 +197,8 @@
 func (links *Links) maintain(ctx context.Context, target *peerLink) {
 	delay := minReconnectDelay
 	for ctx.Err() == nil {
-		opened, err := links.runStream(ctx, target)
+		queue := links.nextQueue(target)
+		opened, err := links.runStream(ctx, target, queue)
 		if ctx.Err() != nil {
 			return
 		}
@@ -189,7 +207,7 @@
 			Err:     err,
 			Refused: !opened && isRefused(err),
 		})
-		target.discardQueue()
+		discard(queue)
 		if opened {
 			delay = minReconnectDelay
 		}
@@ -204,13 +222,11 @@
 	}
 }
 
-// discardQueue drops the messages and the reset that were meant for a stream
-// that broke.
-func (peerLink *peerLink) discardQueue() {
+// discard removes the messages that a stream has not sent.
+func discard(queue chan Message) {
 	for {
 		select {
-		case <-peerLink.queue:
-		case <-peerLink.reset:
+		case <-queue:
 		default:
 			return
 		}
@@ -219,7 +235,7 @@
 
 // runStream opens one stream and sends the queued messages on it until it
 // breaks. It reports whether the stream was opened, and why it ended.
-func (links *Links) runStream(ctx context.Context, target *peerLink) (bool, error) {
+func (links *Links) runStream(ctx context.Context, target *peerLink, queue <-chan Message) (bool, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	tcpConn, err := links.options.Dial(dialCtx, target.address)
@@ -247,7 +263,7 @@
 			return true, eris.New("the peer closed the connection")
 		case <-target.reset:
 			return true, ErrReset
-		case message := <-target.queue:
+		case message := <-queue:
 			message.Stream = number
 			if err := stream.MsgSend(&message, peer.Encoding{}); err != nil {
 				return true, err
