--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -226,7 +226,9 @@
 	OutcomeFull
 	// OutcomeUnhealthy means that the upstream refuses orders for now.
 	OutcomeUnhealthy
-	// OutcomeRestarted means that another incarnation answered.
+	// OutcomeRestarted means that another worker answered at the address, which has done
+	// nothing. It does not prove that the runs of the upstream have ended, because the
+	// address may be wrong: an entry may be from another writer.
 	OutcomeRestarted
 	// OutcomeInvalid means that the upstream can't parse the order.
 	OutcomeInvalid
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -172,8 +172,8 @@
 	case OutcomeUnknown:
 		cell.startUnanswered(run)
 	case OutcomeRestarted:
-		// Another process answered, and it has not started the run.
-		cell.removeRun(run, "upstream restarted")
+		// Another worker answered, and it has not started the run.
+		cell.removeRun(run, "another worker at the address")
 		upstream.schedulePoll(cell.now)
 	case OutcomeInvalid:
 		job := run.job
@@ -300,8 +300,6 @@
 	case OutcomeDone:
 		run.stopConfirmedAt = cell.now
 		upstream.schedulePoll(cell.now.Add(limits.StopGrace))
-	case OutcomeRestarted:
-		cell.removeRun(run, "upstream restarted")
 	default:
 		run.nextStopAt = cell.now.Add(limits.StopRetryDelay)
 	}
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -275,9 +275,6 @@
 	switch event.Reply.Outcome {
 	case OutcomeDone:
 		cell.pollAnswered(upstream, event)
-	case OutcomeRestarted:
-		cell.upstreamRestarted(upstream, event.Incarnation)
-		upstream.nextPollAt = cell.now.Add(cell.config.Limits.ImmediatePollInterval)
 	default:
 		cell.pollUnanswered(upstream)
 	}
@@ -368,12 +365,10 @@
 }
 
 // upstreamRestarted removes the runs of an earlier incarnation of an upstream.
-// incarnation is the new one; 0 if another worker answers at the address.
+// incarnation is the new one, which has answered.
 func (cell *Cell) upstreamRestarted(upstream *upstreamState, incarnation int64) {
 	knewIncarnation := upstream.incarnation != 0
-	if incarnation != 0 {
-		upstream.incarnation = incarnation
-	}
+	upstream.incarnation = incarnation
 	if !knewIncarnation && upstream.clock == 0 {
 		return
 	}
@@ -391,7 +386,7 @@
 		}
 		// The order may have reached the new process, which may also execute it later:
 		// the end of its lease is a time on the clock of the earlier one.
-		if run.confirmedAt.IsZero() && incarnation != 0 {
+		if run.confirmedAt.IsZero() {
 			run.mayStartUntil = cell.now.Add(cell.config.Limits.LateOrderTime)
 		}
 		run.markMayHaveRun()
