--- a/soak/check/checker.go
+++ b/soak/check/checker.go
@@ -3,14 +3,16 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Checker records the events of a soak and the violations of the guarantees. It is
 // safe for concurrent use.
 type Checker struct {
 	mutex sync.Mutex
-	// runsByTask holds the runs of a task that have not ended, by task ID and worker.
-	runsByTask map[string]map[string]Run
+	runs  *Runs
+	// keptJobs holds the IDs of the jobs that are to be stored. Others are best-effort.
+	keptJobs map[string]bool
 	// doneTasks holds the IDs of the tasks that ran to completion, by job ID.
 	doneTasks map[string]map[string]bool
 	// refusedJobs holds the IDs of the jobs that were reported as not run.
@@ -22,7 +24,8 @@
 // New returns a Checker without events.
 func New() *Checker {
 	return &Checker{
-		runsByTask:  make(map[string]map[string]Run),
+		runs:        NewRuns(),
+		keptJobs:    make(map[string]bool),
 		doneTasks:   make(map[string]map[string]bool),
 		refusedJobs: make(map[string]bool),
 		counts:      make(map[string]int),
@@ -33,57 +36,90 @@
 	checker.violations = append(checker.violations, fmt.Sprintf(format, args...))
 }
 
-// Run is a run of a task on a worker.
-type Run struct {
-	Worker string
-	Job    string
-	Task   string
-	// Number is that of the run among those of its task.
-	Number int
-	// DrainedTooLong is set if the worker has been draining for longer than the bound.
-	DrainedTooLong bool
-	// IsOver reports whether the run has ended by the worker's clock at the time of the
-	// call. A busy stand-in records the end of a run late.
-	IsOver func() bool
+// addFindings adds those findings as violations whose rules hold for their jobs, and
+// counts the others.
+func (checker *Checker) addFindings(findings []Finding) {
+	for _, finding := range findings {
+		if finding.Rule == SameTime || checker.keptJobs[finding.Run.Job] {
+			checker.addViolation("%s", finding.Text)
+		} else {
+			checker.counts[string(finding.Rule)]++
+		}
+	}
 }
 
-// RecordStart records that a worker started a task. It is a violation if the task
-// runs on another worker at the same time, if its job was refused before, or if
-// the worker has been draining for longer than the bound.
+// RecordKept records, before a job is submitted, that it is to be stored. Other jobs
+// are best-effort.
+func (checker *Checker) RecordKept(job string) {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	checker.keptJobs[job] = true
+}
+
+// RecordStart records that a worker started a task. It is a violation if it breaks a
+// Rule, if its job was refused before, or if the worker has been draining for longer
+// than the bound.
 func (checker *Checker) RecordStart(run Run) {
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
 	checker.counts["starts"]++
-	for other, otherRun := range checker.runsByTask[run.Task] {
-		if !otherRun.IsOver() {
-			checker.addViolation("task %s runs on %s (run %d) and on %s (run %d) at the same time",
-				run.Task, other, otherRun.Number, run.Worker, run.Number)
-		}
+	if run.ExecutedLate {
+		checker.counts["starts-executed-late"]++
 	}
+	if outcome := checker.runs.LastNoted(run.Task); outcome != "" {
+		checker.counts["starts-after-noted-"+outcome]++
+	}
+	checker.addFindings(checker.runs.Start(run))
 	if checker.refusedJobs[run.Job] {
-		checker.addViolation("task %s starts on %s after its job was reported as not run", run.Task, run.Worker)
+		checker.addViolation("task %s starts after its job was reported as not run: %s", run.Task, run)
 	}
 	if run.DrainedTooLong {
-		checker.addViolation("task %s starts on %s, which has drained for too long", run.Task, run.Worker)
-	}
-	if checker.runsByTask[run.Task] == nil {
-		checker.runsByTask[run.Task] = make(map[string]Run)
+		checker.addViolation("task %s starts on a worker that has drained for too long: %s", run.Task, run)
 	}
-	checker.runsByTask[run.Task][run.Worker] = run
 }
 
-// RecordEnd records that a run ended; done means that the task was completed.
-func (checker *Checker) RecordEnd(worker, job, task string, done bool) {
+// RecordEnd records that a run ended.
+func (checker *Checker) RecordEnd(end End) {
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
-	delete(checker.runsByTask[task], worker)
-	if !done {
+	checker.runs.End(end)
+	if end.Outcome != outcomeDone {
 		return
 	}
-	if checker.doneTasks[job] == nil {
-		checker.doneTasks[job] = make(map[string]bool)
+	if checker.doneTasks[end.Job] == nil {
+		checker.doneTasks[end.Job] = make(map[string]bool)
 	}
-	checker.doneTasks[job][task] = true
+	checker.doneTasks[end.Job][end.Task] = true
+}
+
+// RecordNote records that a worker accepted a hold with the given last-seen. It is a
+// violation if a task has started again after an end done that is noted by it.
+func (checker *Checker) RecordNote(worker Worker, lastSeen int, at time.Time) {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	checker.addFindings(checker.runs.Note(worker, lastSeen, at))
+}
+
+// RecordLapse records that the lease of a worker has expired.
+func (checker *Checker) RecordLapse(worker Worker) {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	checker.runs.Lapse(worker)
+}
+
+// RecordStop records that the process of a worker has ended.
+func (checker *Checker) RecordStop(worker Worker) {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	checker.runs.Stop(worker)
+}
+
+// RecordShownCompleted records the time at which a job was reported to its caller as
+// complete.
+func (checker *Checker) RecordShownCompleted(job string, at time.Time) {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	checker.runs.Complete(job, at)
 }
 
 // RecordCompleted records that a job of the given number of tasks was reported to
--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -330,6 +330,7 @@
 		status, body := caller.attempt(timeLeft)
 		switch {
 		case status == http.StatusOK && strings.Contains(body, "completed"):
+			caller.region.checker.RecordShownCompleted(caller.id, time.Now())
 			caller.region.checker.RecordCompleted(caller.id, caller.tasks)
 			return
 		case status == http.StatusOK:
--- a/soak/standin/worker.go
+++ b/soak/standin/worker.go
@@ -54,6 +54,8 @@
 	leaseEndMs int64
 	// leaseEnd is the same time as UnixNano.
 	leaseEnd atomic.Int64
+	// hasLease is set until the expiry of the lease has been recorded.
+	hasLease bool
 	running  map[string]*taskRun
 	// endedRuns holds the highest run number of each task that ended or was
 	// stopped. Runs up to that number don't start again.
@@ -94,19 +96,26 @@
 }
 
 func (worker *Worker) restart() {
-	for taskID := range worker.running {
-		worker.checker.RecordEnd(worker.ID, jobOf(taskID), taskID, false)
-	}
+	worker.checker.RecordStop(worker.process())
 	worker.startTime = time.Now()
 	worker.fencingToken = 0
 	worker.leaseEndMs = 0
 	worker.leaseEnd.Store(0)
+	worker.hasLease = false
 	worker.drainingSince = time.Time{}
 	worker.running = make(map[string]*taskRun)
 	worker.endedRuns = make(map[string]int)
 	worker.finishedRuns = nil
 }
 
+// process identifies the worker's process to the checker.
+func (worker *Worker) process() check.Worker {
+	return check.Worker{
+		ID:   worker.ID,
+		Boot: worker.startTime.UnixMilli(),
+	}
+}
+
 // Restart replaces the worker's process: its tasks end without an outcome, and the
 // new process has no lease, fencing token or finished runs.
 func (worker *Worker) Restart() {
@@ -174,22 +183,35 @@
 // advance ends all runs if the lease has expired, and otherwise the runs that are
 // completed.
 func (worker *Worker) advance(now time.Time) {
+	// The ends of the runs that the lapse kills come after it, so that they can be noted.
+	if worker.hasLease && worker.clockMs(now) > worker.leaseEndMs {
+		worker.hasLease = false
+		worker.checker.RecordLapse(worker.process())
+	}
 	for taskID, taskRun := range worker.running {
 		switch {
 		case worker.clockMs(now) > worker.leaseEndMs:
-			worker.endRun(taskID, "lapsed")
+			worker.endRun(taskID, "lapsed", now)
 		case !worker.faults.HangTasks && now.Sub(taskRun.startTime) >= taskRun.duration:
-			worker.endRun(taskID, "done")
+			worker.endRun(taskID, "done", now)
 		}
 	}
 }
 
-func (worker *Worker) endRun(taskID, outcome string) {
+func (worker *Worker) endRun(taskID, outcome string, now time.Time) {
 	taskRun := worker.running[taskID]
 	delete(worker.running, taskID)
 	worker.endedRuns[taskID] = max(worker.endedRuns[taskID], taskRun.number)
 	worker.finishedRuns = append(worker.finishedRuns, []any{len(worker.finishedRuns) + 1, taskID, taskRun.number, outcome, ""})
-	worker.checker.RecordEnd(worker.ID, jobOf(taskID), taskID, outcome == "done")
+	worker.checker.RecordEnd(check.End{
+		Worker:   worker.process(),
+		Job:      jobOf(taskID),
+		Task:     taskID,
+		Number:   taskRun.number,
+		Sequence: len(worker.finishedRuns),
+		Outcome:  outcome,
+		Time:     now,
+	})
 }
 
 // jobOf returns the job's part of a task ID.
@@ -229,11 +251,11 @@
 		return
 	}
 	if executeLate {
-		time.AfterFunc(delay, func() { worker.execute(path, order, startTime) })
+		time.AfterFunc(delay, func() { worker.execute(path, order, startTime, true) })
 		<-request.Context().Done()
 		return
 	}
-	status, reply := worker.execute(path, order, startTime)
+	status, reply := worker.execute(path, order, startTime, false)
 	for waited := time.Duration(0); status == http.StatusOK && waited < time.Duration(order.WaitMs)*time.Millisecond &&
 		len(reply["finished-runs"].([][]any)) == 0; waited += tickInterval {
 		time.Sleep(tickInterval)
@@ -248,8 +270,9 @@
 }
 
 // execute applies an order and returns the status and body of the reply. An order
-// that was sent to a process with another start time is rejected.
-func (worker *Worker) execute(path string, order order, startTime time.Time) (int, map[string]any) {
+// that was sent to a process with another start time is rejected. isLate means that the
+// worker held the order back.
+func (worker *Worker) execute(path string, order order, startTime time.Time, isLate bool) (int, map[string]any) {
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
 	now := time.Now()
@@ -258,6 +281,7 @@
 	}
 	worker.advance(now)
 	refuse := func(reason string) (int, map[string]any) {
+		worker.checker.Count("orders-refused-" + reason)
 		return http.StatusConflict, map[string]any{
 			"clock-ms": worker.clockMs(now),
 			"reason":   reason,
@@ -269,12 +293,12 @@
 	worker.fencingToken = order.FencingToken
 	switch {
 	case strings.HasSuffix(path, "run-start"):
-		if reason := worker.startRun(order, now); reason != "" {
+		if reason := worker.startRun(order, now, isLate); reason != "" {
 			return refuse(reason)
 		}
 	case strings.HasSuffix(path, "run-stop"):
 		if taskRun, isRunning := worker.running[order.Task]; isRunning && taskRun.number <= order.Run {
-			worker.endRun(order.Task, "stopped")
+			worker.endRun(order.Task, "stopped", now)
 		}
 		worker.endedRuns[order.Task] = max(worker.endedRuns[order.Task], order.Run)
 	default:
@@ -282,12 +306,13 @@
 		if order.LastSeen > len(worker.finishedRuns) {
 			order.LastSeen = 0
 		}
+		worker.checker.RecordNote(worker.process(), order.LastSeen, now)
 	}
 	return http.StatusOK, worker.status(order.LastSeen, now)
 }
 
 // startRun starts a run, or returns the reason for which it is refused.
-func (worker *Worker) startRun(order order, now time.Time) string {
+func (worker *Worker) startRun(order order, now time.Time, isLate bool) string {
 	current, isRunning := worker.running[order.Task]
 	switch {
 	case isRunning && current.number == order.Run:
@@ -305,10 +330,13 @@
 	drainedTooLong := !worker.drainingSince.IsZero() && now.Sub(worker.drainingSince) > drainGrace
 	duration := worker.minTaskTime + time.Duration(worker.random.IntN(int(worker.taskTimeRange/time.Millisecond)))*time.Millisecond
 	worker.checker.RecordStart(check.Run{
-		Worker:         worker.ID,
+		Worker:         worker.process(),
 		Job:            jobOf(order.Task),
 		Task:           order.Task,
 		Number:         order.Run,
+		FencingToken:   order.FencingToken,
+		StartTime:      now,
+		ExecutedLate:   isLate,
 		DrainedTooLong: drainedTooLong,
 		IsOver:         worker.leaseIsOver,
 	})
@@ -325,13 +353,15 @@
 func (worker *Worker) renewLease(untilMs int64, now time.Time) {
 	if untilMs > 0 {
 		worker.leaseEndMs = max(worker.leaseEndMs, min(untilMs, worker.clockMs(now)+maxLease.Milliseconds()))
+		worker.hasLease = true
 		remaining := float64(worker.leaseEndMs-worker.clockMs(now)+1) / worker.clockRate
 		worker.leaseEnd.Store(now.Add(time.Duration(remaining * float64(time.Millisecond))).UnixNano())
 	}
 }
 
-// leaseIsOver reports whether the lease has expired, so that all runs are killed.
-func (worker *Worker) leaseIsOver() bool { return time.Now().UnixNano() > worker.leaseEnd.Load() }
+// leaseIsOver reports whether the lease has expired at a time, so that all runs are
+// killed.
+func (worker *Worker) leaseIsOver(at time.Time) bool { return at.UnixNano() > worker.leaseEnd.Load() }
 
 // clockMs returns the time on the worker's clock: milliseconds since the start of
 // its process, plus one.
