--- a/soak/main.go
+++ b/soak/main.go
@@ -29,7 +29,8 @@
 	flags.IntVar(&options.Workers, "workers", 12, "number of workers")
 	flags.DurationVar(&options.FaultDuration, "length", 15*time.Second, "time under faults")
 	flags.Float64Var(&options.JobsPerSecond, "rate", 20, "jobs a second")
-	flags.StringVar(&options.LogDirectory, "logs", "", "directory for the processes' logs")
+	flags.StringVar(&options.LogDirectory, "logs", "", "directory for the processes' logs; it is created if it does not exist")
+	flags.IntVar(&options.Network, "network", 0, "range of loopback addresses, from 0 to 6: soaks of one seed need different ones to run at the same time")
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		report, err := region.Run(command.Context(), options)
 		if err != nil {
--- a/soak/region/process.go
+++ b/soak/region/process.go
@@ -48,29 +48,36 @@
 )
 
 // newProcess writes the settings file of a process and returns the process, which
-// is not started. Each seed has its own loopback addresses, so that several soaks
-// can run at the same time.
-func newProcess(program, directory string, seed uint64, index int, storeAddress string) (*process, error) {
-	ip := loopback(seed, index)
+// is not started. Each seed and network has its own loopback addresses, so that several
+// soaks can run at the same time.
+func newProcess(directory string, options Options, index int, storeAddress string) (*process, error) {
+	ip := loopback(options, index)
 	settingsFile := filepath.Join(directory, ip+".yaml")
 	settings := fmt.Sprintf("node-name: vm-%d\nip: %s\nzone: z%d\nlisten-addrs: {front: %q, ready: %q, control: %q}\n"+
 		"internal-ports: [%d]\nseeds: [%q]\nlimits: {cpu-share: 1, cores: 1}\n"+
 		"bounds: {grace-s: 6, hold-max-ms: 1000, stop-grace-ms: 50, resend-ms: 1300}\nplatform: {address: %q}\n",
 		index, ip, index%domainCount, address(ip, callerPort), address(ip, readyPort), address(ip, controlPort),
-		peerPort, address(loopback(seed, 0), controlPort), storeAddress)
+		peerPort, address(loopback(options, 0), controlPort), storeAddress)
 	if err := os.WriteFile(settingsFile, []byte(settings), 0o600); err != nil {
 		return nil, eris.Wrap(err, "writing the settings of a process")
 	}
 	return &process{
 		name:            fmt.Sprintf("vm-%d", index),
-		platformProgram: program,
+		platformProgram: options.PlatformProgram,
 		settingsFile:    settingsFile,
 		ip:              ip,
 	}, nil
 }
 
-func loopback(seed uint64, index int) string {
-	return fmt.Sprintf("127.%d.%d.%d", seed/250%250, 1+seed%250, index+1)
+// networkSize is the number of addresses of a network, and thereby the largest number of
+// processes. maxNetwork is the highest one of which all addresses are valid.
+const (
+	networkSize = 32
+	maxNetwork  = 6
+)
+
+func loopback(options Options, index int) string {
+	return fmt.Sprintf("127.%d.%d.%d", options.Seed/250%250, 1+options.Seed%250, options.Network*networkSize+index+1)
 }
 
 func address(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -32,6 +32,9 @@
 	// FaultDuration is the time during which faults are started.
 	FaultDuration time.Duration
 	JobsPerSecond float64
+	// Network selects the loopback addresses, from 0 to 6. It does not change the
+	// schedule.
+	Network int
 	// LogDirectory receives a log file for each process; if it is empty, the logs
 	// are discarded.
 	LogDirectory string
@@ -58,6 +61,10 @@
 // of the platform (see package check).
 var ErrGuaranteeBroken = eris.New("guarantee broken")
 
+// ErrInvalidOptions is wrapped by the error about a network or number of processes that
+// has no addresses.
+var ErrInvalidOptions = eris.New("invalid options")
+
 // Report holds the result of a soak.
 type Report struct {
 	Seed uint64
@@ -113,6 +120,14 @@
 // Run runs the soak of one seed. Violations are in the Report; the error says why
 // the soak could not run.
 func Run(ctx context.Context, options Options) (Report, error) {
+	if options.Network < 0 || options.Network > maxNetwork || options.Processes > networkSize {
+		return Report{}, eris.Wrapf(ErrInvalidOptions, "network %d with %d processes", options.Network, options.Processes)
+	}
+	if options.LogDirectory != "" {
+		if err := os.MkdirAll(options.LogDirectory, 0o755); err != nil {
+			return Report{}, eris.Wrap(err, "creating the directory of the logs")
+		}
+	}
 	directory, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return Report{}, eris.Wrap(err, "creating the settings directory")
@@ -165,7 +180,7 @@
 	region.publishConfig()
 	go region.reportWorkers(ctx)
 	for index := range options.Processes {
-		process, err := newProcess(options.PlatformProgram, directory, options.Seed, index, storeAddress)
+		process, err := newProcess(directory, options, index, storeAddress)
 		if err != nil {
 			return Report{}, err
 		}
