--- a/soak/proxy/doc.go
+++ b/soak/proxy/doc.go
@@ -1,3 +1,3 @@
 // Package proxy forwards TCP connections and injects network faults: silence,
-// one-way loss, delay and reset.
+// one-way loss, delay, stalls, frozen connections and reset.
 package proxy
--- a/soak/proxy/proxy.go
+++ b/soak/proxy/proxy.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,6 +31,10 @@
 	// maxHeldChunks is the number of chunks that are read from a connection while its
 	// direction is blocked.
 	maxHeldChunks = 64
+	// minStall and stallRange bound the time for which a chunk is stalled: TCP sends a
+	// lost segment again after 0.2 s, and after twice that time if it is lost again.
+	minStall   = 200 * time.Millisecond
+	stallRange = 800 * time.Millisecond
 )
 
 // Proxy forwards connections from a listening address to a target address. It is
@@ -44,7 +50,11 @@
 	// apply while mode is Pass.
 	clientModes map[string]Mode
 	delay       time.Duration
-	conns       map[net.Conn]bool
+	// stallShare is the share of chunks that are stalled.
+	stallShare float64
+	conns      map[net.Conn]bool
+	// frozen is shared by the connections since the last Freeze, which sets it.
+	frozen *atomic.Bool
 	// changed is closed at the next change of a mode.
 	changed chan struct{}
 }
@@ -68,6 +78,7 @@
 		identify:    identify,
 		clientModes: make(map[string]Mode),
 		conns:       make(map[net.Conn]bool),
+		frozen:      new(atomic.Bool),
 		changed:     make(chan struct{}),
 	}
 	context.AfterFunc(ctx, func() {
@@ -105,6 +116,24 @@
 	proxy.signalChange()
 }
 
+// SetStalls sets the share of forwarded chunks that are stalled for 0.2 to 1 s, as on a
+// link that loses packets.
+func (proxy *Proxy) SetStalls(share float64) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.stallShare = share
+}
+
+// Freeze makes all open connections forward nothing until one of their ends closes them.
+// New connections are not affected.
+func (proxy *Proxy) Freeze() {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.frozen.Store(true)
+	proxy.frozen = new(atomic.Bool)
+	proxy.signalChange()
+}
+
 // Reset closes all connections with a TCP reset.
 func (proxy *Proxy) Reset() {
 	proxy.mutex.Lock()
@@ -135,20 +164,33 @@
 		_ = from.Close()
 		return
 	}
-	proxy.track(true, from, to)
+	frozen := proxy.track(true, from, to)
 	defer proxy.track(false, from, to)
 	done := make(chan struct{}, 2)
 	client := sync.OnceValue(func() string { return proxy.identify(from) })
-	go proxy.forward(to, from, client, false, done)
-	go proxy.forward(from, to, client, true, done)
+	link := link{
+		client: client,
+		frozen: frozen,
+	}
+	go proxy.forward(to, from, link, false, done)
+	go proxy.forward(from, to, link, true, done)
 	<-done
 	_ = from.Close()
 	_ = to.Close()
 	<-done
 }
 
-// track adds open connections to the set that Reset closes, or removes closed ones.
-func (proxy *Proxy) track(open bool, conns ...net.Conn) {
+// link is the state of one forwarded connection.
+type link struct {
+	// client returns the name of the client.
+	client func() string
+	// frozen is set when nothing is forwarded any more.
+	frozen *atomic.Bool
+}
+
+// track adds open connections to the set that Reset closes, or removes closed ones. It
+// returns the flag that the next Freeze sets.
+func (proxy *Proxy) track(open bool, conns ...net.Conn) *atomic.Bool {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	for _, conn := range conns {
@@ -158,6 +200,7 @@
 			delete(proxy.conns, conn)
 		}
 	}
+	return proxy.frozen
 }
 
 // state returns the mode and the delay for the connections of a client, and a channel
@@ -165,6 +208,9 @@
 func (proxy *Proxy) state(client func() string) (mode Mode, delay time.Duration, changed <-chan struct{}) {
 	proxy.mutex.Lock()
 	mode, delay, changed = proxy.mode, proxy.delay, proxy.changed
+	if proxy.stallShare > 0 && rand.Float64() < proxy.stallShare {
+		delay += minStall + rand.N(stallRange)
+	}
 	clientsDiffer := mode == Pass && len(proxy.clientModes) > 0
 	proxy.mutex.Unlock()
 	if !clientsDiffer {
@@ -179,7 +225,7 @@
 // forward copies bytes in one direction until either connection ends. toSource
 // means the direction from the target to the source of the connection. Bytes that are
 // held when their sender closes the connection are lost.
-func (proxy *Proxy) forward(to, from net.Conn, client func() string, toSource bool, done chan<- struct{}) {
+func (proxy *Proxy) forward(to, from net.Conn, link link, toSource bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	stop := make(chan struct{})
 	defer close(stop)
@@ -195,7 +241,7 @@
 				return
 			}
 		}
-		if !proxy.awaitPass(client, toSource, ended) {
+		if !proxy.awaitPass(link, toSource, ended) {
 			return
 		}
 		if _, err := to.Write(chunk); err != nil {
@@ -227,12 +273,12 @@
 	return read, readEnded
 }
 
-// awaitPass waits until the direction is not blocked, and for the delay. It returns
+// awaitPass waits until the direction is not blocked, and for the delay or stall. It returns
 // false if the connection has ended while the direction was blocked.
-func (proxy *Proxy) awaitPass(client func() string, toSource bool, ended <-chan struct{}) bool {
+func (proxy *Proxy) awaitPass(link link, toSource bool, ended <-chan struct{}) bool {
 	for {
-		mode, delay, changed := proxy.state(client)
-		if mode == Pass || (mode == OneWay && !toSource) {
+		mode, delay, changed := proxy.state(link.client)
+		if !link.frozen.Load() && (mode == Pass || (mode == OneWay && !toSource)) {
 			time.Sleep(delay)
 			return true
 		}
--- a/soak/region/cut_faults.go
+++ b/soak/region/cut_faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -127,14 +128,21 @@
 	region.cuts.apply(blocks, silentWorkers, duration)
 }
 
-// proxyLog puts a proxy in front of the log of a soak with cuts, and returns the address
-// at which processes reach the log.
-func (region *region) proxyLog(ctx context.Context, address string) (string, error) {
+// serveLog returns the address at which a process reaches the log. In a soak with cuts
+// each has its own, with a proxy in front of it, which knows the process by its name.
+func (region *region) serveLog(ctx context.Context, index int, sharedAddress string) (string, error) {
 	if !region.options.CutsDomains() {
-		return address, nil
+		return sharedAddress, nil
 	}
-	logProxy, address, err := proxy.ListenIdentified(ctx, "127.0.0.1:0", address, region.owners.nameOf)
-	region.logProxy = logProxy
+	access := standin.NewAccess(region.store)
+	address, err := serve(ctx, access)
+	if err != nil {
+		return "", err
+	}
+	name := processName(index)
+	logProxy, address, err := proxy.ListenIdentified(ctx, "127.0.0.1:0", address, func(net.Conn) string { return name })
+	region.logAccesses = append(region.logAccesses, access)
+	region.logProxies = append(region.logProxies, logProxy)
 	return address, err
 }
 
--- a/soak/region/cuts.go
+++ b/soak/region/cuts.go
@@ -122,7 +122,7 @@
 	for _, process := range cutOff.processes {
 		blocks = append(blocks, block{
 			path: path{
-				proxy:   region.logProxy,
+				proxy:   region.logProxies[process],
 				process: region.processes[process].name,
 			},
 			mode: proxy.Silent,
--- a/soak/region/process.go
+++ b/soak/region/process.go
@@ -53,16 +53,16 @@
 func newProcess(directory string, options Options, index int, storeAddress string) (*process, error) {
 	ip := loopback(options, index)
 	settingsFile := filepath.Join(directory, ip+".yaml")
-	settings := fmt.Sprintf("node-name: vm-%d\nip: %s\nzone: z%d\nlisten-addrs: {front: %q, ready: %q, control: %q}\n"+
+	settings := fmt.Sprintf("node-name: %s\nip: %s\nzone: z%d\nlisten-addrs: {front: %q, ready: %q, control: %q}\n"+
 		"internal-ports: [%d]\nseeds: [%q]\nlimits: {cpu-share: 1, cores: 1}\n"+
 		"bounds: {grace-s: 6, hold-max-ms: 1000, stop-grace-ms: 50, resend-ms: 1300}\nplatform: {address: %q}\n",
-		index, ip, index%domainCount, address(ip, callerPort), address(ip, readyPort), address(ip, controlPort),
+		processName(index), ip, index%domainCount, address(ip, callerPort), address(ip, readyPort), address(ip, controlPort),
 		peerPort, address(loopback(options, 0), controlPort), storeAddress)
 	if err := os.WriteFile(settingsFile, []byte(settings), 0o600); err != nil {
 		return nil, eris.Wrap(err, "writing the settings of a process")
 	}
 	return &process{
-		name:            fmt.Sprintf("vm-%d", index),
+		name:            processName(index),
 		platformProgram: options.PlatformProgram,
 		settingsFile:    settingsFile,
 		ip:              ip,
@@ -80,6 +80,8 @@
 	return fmt.Sprintf("127.%d.%d.%d", options.Seed/250%250, 1+options.Seed%250, options.Network*networkSize+index+1)
 }
 
+func processName(index int) string { return fmt.Sprintf("vm-%d", index) }
+
 func address(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 
 // start starts the process if it isn't running. Without a log file it logs only
@@ -148,15 +150,14 @@
 func (caller *caller) attempt(timeLeft time.Duration) (int, string) {
 	processes := caller.region.processes
 	process := processes[caller.random.IntN(len(processes))]
-	estimateMs := 200
-	if caller.region.options.CutsDomains() {
-		estimateMs = cutEstimateMs
+	timeout := timeLeft
+	if caller.leaveAfter > 0 {
+		timeout = min(timeout, caller.leaveAfter)
 	}
-	body := fmt.Sprintf(`{"spec":"x","best-effort":true,"steps":[{"count":%d,"cpu":7000,"estimate-ms":%d}]}`, caller.tasks, estimateMs)
-	ctx, cancel := context.WithTimeout(context.Background(), timeLeft)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address(process.ip, callerPort)+"/q/"+caller.id,
-		strings.NewReader(body))
+		strings.NewReader(caller.body))
 	if err != nil {
 		return 0, ""
 	}
--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -24,7 +24,8 @@
 	// PlatformProgram is the path of the platform program.
 	PlatformProgram string
 	// Seed determines the schedule of faults. Seeds from 1000 on have additional
-	// kinds of faults, those from 2000 on cuts between failure domains.
+	// kinds of faults, those from 2000 on cuts between failure domains, those from 3000
+	// on the disturbances of the sheet of rplar-breizh beside them.
 	Seed uint64
 	// Processes and Workers are the numbers of platform processes and workers.
 	Processes int
@@ -108,13 +109,16 @@
 	// the peer addresses of the processes, in an extended soak.
 	workerProxies []*proxy.Proxy
 	peerProxies   []*proxy.Proxy
-	// logProxy, owners, cuts and persistentClient are used in a soak with cuts.
-	logProxy         *proxy.Proxy
+	// The following are used in a soak with cuts. logAccesses and logProxies are, by
+	// process, its access to the log and the proxy in front of it.
+	logAccesses      []*standin.Access
+	logProxies       []*proxy.Proxy
 	owners           *connectionOwners
 	cuts             *cuts
 	persistentClient *http.Client
 	mutex            sync.Mutex
 	configVersion    int
+	sheetState
 }
 
 // Run runs the soak of one seed. Violations are in the Report; the error says why
@@ -146,10 +150,14 @@
 		store:    standin.NewStore(),
 		draining: make(map[int]bool),
 		cuts:     newCuts(),
-		persistentClient: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: callerConnections,
-			},
+		sheetState: sheetState{
+			absent: make(map[int]bool),
+		},
+	}
+	region.persistentClient = &http.Client{
+		Transport: &http.Transport{
+			DialContext:         region.callerConns.dial,
+			MaxIdleConnsPerHost: callerConnections,
 		},
 	}
 	region.owners = &connectionOwners{
@@ -159,10 +167,12 @@
 	if err != nil {
 		return Report{}, err
 	}
-	if storeAddress, err = region.proxyLog(ctx, storeAddress); err != nil {
-		return Report{}, err
+	workerCount := options.Workers
+	if options.playsSheet() {
+		workerCount += spareWorkers
 	}
-	for index := range options.Workers {
+	for index := range workerCount {
+		region.absent[index] = index >= options.Workers
 		worker := standin.NewWorker(fmt.Sprintf("w%d", index), options.Seed+uint64(index), region.checker)
 		if region.options.CutsDomains() {
 			worker.SetTaskTime(minCutTaskTime, cutTaskTimeRange)
@@ -180,7 +190,11 @@
 	region.publishConfig()
 	go region.reportWorkers(ctx)
 	for index := range options.Processes {
-		process, err := newProcess(directory, options, index, storeAddress)
+		logAddress, err := region.serveLog(ctx, index, storeAddress)
+		if err != nil {
+			return Report{}, err
+		}
+		process, err := newProcess(directory, options, index, logAddress)
 		if err != nil {
 			return Report{}, err
 		}
@@ -248,6 +262,9 @@
 	for seq := 1; ctx.Err() == nil; seq++ {
 		region.mutex.Lock()
 		for index, worker := range region.workers {
+			if region.absent[index] {
+				continue
+			}
 			if region.cuts.isSilent(index) {
 				if missing[index]++; missing[index] == reportExpiry {
 					region.store.Append("keyed.servers", worker.ID, "")
@@ -258,7 +275,11 @@
 			state := "ready"
 			if region.draining[index] {
 				state = "draining"
-				worker.MarkDraining()
+				if !region.options.playsSheet() {
+					// The processes of a soak of the sheet may not reach the log for
+					// longer than the bound of the check for drained workers.
+					worker.MarkDraining()
+				}
 			}
 			region.store.Append("keyed.servers", worker.ID, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z%d","slots":8,`+
 				`"state":%q,"seq":%d,"born":%d,"capacity":{"cpu":16000,"mem-mb":1000}}`,
@@ -280,9 +301,12 @@
 	defer stopFaults()
 	callerContext, endCallers := context.WithTimeout(ctx, 2*settleTime+region.options.FaultDuration+recoveryTime)
 	defer endCallers()
-	if region.options.CutsDomains() {
+	switch {
+	case region.options.playsSheet():
+		go region.injectSheet(faultContext)
+	case region.options.CutsDomains():
 		go region.injectCuts(faultContext)
-	} else {
+	default:
 		go region.injectFaults(faultContext)
 	}
 	if region.extended() {
@@ -301,9 +325,16 @@
 			tasks:         1 + random.IntN(3),
 			random:        rand.New(rand.NewPCG(random.Uint64(), 3)),
 			afterRecovery: recovered,
+			timeBudget:    callerTimeout,
 		}
-		if region.options.CutsDomains() {
+		switch {
+		case region.options.playsSheet():
+			caller.useSheet(time.Since(start) > settleTime+region.options.FaultDuration)
+		case region.options.CutsDomains():
 			caller.tasks = cutJobTasks
+			caller.body = jobBody("x", caller.tasks, taskMilliCores, cutEstimateMs)
+		default:
+			caller.body = jobBody("x", caller.tasks, taskMilliCores, defaultEstimateMs)
 		}
 		callers.Go(caller.submit)
 		time.Sleep(interval)
@@ -317,7 +348,13 @@
 	region *region
 	id     string
 	tasks  int
+	// body is the body of the request.
+	body   string
 	random *rand.Rand
+	// timeBudget is the time for which the caller waits for the answer. leaveAfter, if
+	// it is not 0, is the time after which the caller closes the connection.
+	timeBudget time.Duration
+	leaveAfter time.Duration
 	// afterRecovery means that the job is submitted after recoveryTime and must
 	// complete.
 	afterRecovery bool
@@ -329,6 +366,10 @@
 	// resendDelay is the time after which a caller sends a job again whose
 	// connection broke.
 	resendDelay = 1300 * time.Millisecond
+	// taskMilliCores is the processor capacity that a task takes: two run on a worker.
+	taskMilliCores = 7000
+	// defaultEstimateMs is the run time that callers declare in a soak without cuts.
+	defaultEstimateMs = 200
 )
 
 // submit sends the job until there is an answer or the time is up, and records the
@@ -337,13 +378,16 @@
 	start := time.Now()
 	refused := true
 	for {
-		timeLeft := callerTimeout - time.Since(start)
+		timeLeft := caller.timeBudget - time.Since(start)
 		if timeLeft <= 0 {
 			caller.finish("no answer")
 			return
 		}
 		status, body := caller.attempt(timeLeft)
 		switch {
+		case status == 0 && caller.leaveAfter > 0:
+			caller.finish("left")
+			return
 		case status == http.StatusOK && strings.Contains(body, "completed"):
 			caller.region.checker.RecordCompleted(caller.id, caller.tasks)
 			return
--- a/soak/standin/worker.go
+++ b/soak/standin/worker.go
@@ -31,13 +31,24 @@
 type Faults struct {
 	// LostReplyShare is the share of orders that are executed but get no reply.
 	LostReplyShare float64
-	// LateOrderShare is the share of orders that get no reply and are executed 2
-	// to 6 s later.
+	// LateOrderShare is the share of orders that get no reply and are executed
+	// later: MinLateOrder later and up to LateOrderRange more, or 2 to 6 s if they are 0.
 	LateOrderShare float64
+	MinLateOrder   time.Duration
+	LateOrderRange time.Duration
 	// HangTasks stops the progress of tasks.
 	HangTasks bool
 }
 
+// lateOrderDelay returns the time after which an order is executed late.
+func (faults Faults) lateOrderDelay(random *rand.Rand) time.Duration {
+	shortest, delayRange := faults.MinLateOrder, faults.LateOrderRange
+	if delayRange == 0 {
+		shortest, delayRange = 2*time.Second, 4*time.Second
+	}
+	return shortest + time.Duration(random.IntN(int(delayRange/time.Millisecond)))*time.Millisecond
+}
+
 // Worker is a stand-in worker that runs tasks under one lease and rejects orders
 // with an outdated fencing token. It is safe for concurrent use.
 type Worker struct {
@@ -222,7 +233,7 @@
 	startTime := worker.startTime
 	executeLate := worker.random.Float64() < worker.faults.LateOrderShare
 	loseReply := worker.random.Float64() < worker.faults.LostReplyShare
-	delay := time.Duration(2000+worker.random.IntN(4000)) * time.Millisecond
+	delay := worker.faults.lateOrderDelay(worker.random)
 	worker.mutex.Unlock()
 	if unreachable {
 		<-request.Context().Done()
@@ -303,7 +314,7 @@
 	}
 	worker.renewLease(order.DeadlineMs, now)
 	drainedTooLong := !worker.drainingSince.IsZero() && now.Sub(worker.drainingSince) > drainGrace
-	duration := worker.minTaskTime + time.Duration(worker.random.IntN(int(worker.taskTimeRange/time.Millisecond)))*time.Millisecond
+	duration := worker.taskTime(order.Spec)
 	worker.checker.RecordStart(check.Run{
 		Worker:         worker.ID,
 		Job:            jobOf(order.Task),
@@ -320,6 +331,18 @@
 	return ""
 }
 
+// taskTimeDeviation is the largest relative deviation of a task's run time from the mean
+// that its spec states.
+const taskTimeDeviation = 0.4
+
+// taskTime returns the run time of a task. A spec that is a duration states the mean.
+func (worker *Worker) taskTime(spec string) time.Duration {
+	if mean, err := time.ParseDuration(spec); err == nil {
+		return time.Duration(float64(mean) * (1 + taskTimeDeviation*(2*worker.random.Float64()-1)))
+	}
+	return worker.minTaskTime + time.Duration(worker.random.IntN(int(worker.taskTimeRange/time.Millisecond)))*time.Millisecond
+}
+
 // renewLease extends the lease up to a time on the worker's clock, by at most
 // maxLease from now.
 func (worker *Worker) renewLease(untilMs int64, now time.Time) {
