Soak: stand-in workers take up to 50 ms for a stop

Cause: the stand-in ended a stopped run at once.

Change: a stopped run goes on unlisted for a random time of up to 50 ms, and counts as over by its computed end, not by the tick that records it.

--- a/soak/standin/worker.go
+++ b/soak/standin/worker.go
@@ -22,6 +22,9 @@
 	// it reported that it drains: the platform's bound of 2 s, and 3 s for the
 	// longest fault that may keep a process from receiving the report.
 	drainGrace = 2*time.Second + 3*time.Second
+	// stopGrace is the longest time that a worker takes to stop a run. It does not list the
+	// run meanwhile.
+	stopGrace = 50 * time.Millisecond
 	// taskCapacity is the number of tasks that a worker runs at the same time.
 	taskCapacity = 2
 )
@@ -55,6 +58,9 @@
 	ID      string
 	checker *check.Checker
 	random  *rand.Rand
+	// stopTimes draws how long stops take, apart from the other random numbers, so that
+	// these stay the same for a seed.
+	stopTimes *rand.Rand
 
 	mutex        sync.Mutex
 	startTime    time.Time
@@ -87,6 +93,14 @@
 	number    int
 	startTime time.Time
 	duration  time.Duration
+	// stopEnd is when the run ends because it was stopped, as UnixNano; 0 if it was not.
+	stopEnd atomic.Int64
+}
+
+// isStopped reports whether a stop of the run has ended it at a time.
+func (taskRun *taskRun) isStopped(at time.Time) bool {
+	stopEnd := taskRun.stopEnd.Load()
+	return stopEnd != 0 && at.UnixNano() >= stopEnd
 }
 
 // NewWorker starts a Worker that reports its runs to the checker. The seed
@@ -96,6 +110,7 @@
 		ID:        id,
 		checker:   checker,
 		random:    rand.New(rand.NewPCG(seed, 7)),
+		stopTimes: rand.New(rand.NewPCG(seed, 11)),
 		clockRate: 1,
 
 		minTaskTime:   50 * time.Millisecond,
@@ -203,6 +218,10 @@
 		switch {
 		case worker.clockMs(now) > worker.leaseEndMs:
 			worker.endRun(taskID, "lapsed", now)
+		case taskRun.stopEnd.Load() != 0:
+			if taskRun.isStopped(now) {
+				worker.endRun(taskID, "stopped", now)
+			}
 		case !worker.faults.HangTasks && now.Sub(taskRun.startTime) >= taskRun.duration:
 			worker.endRun(taskID, "done", now)
 		}
@@ -308,8 +327,8 @@
 			return refuse(reason)
 		}
 	case strings.HasSuffix(path, "run-stop"):
-		if taskRun, isRunning := worker.running[order.Task]; isRunning && taskRun.number <= order.Run {
-			worker.endRun(order.Task, "stopped", now)
+		if taskRun, isRunning := worker.running[order.Task]; isRunning && taskRun.number <= order.Run && taskRun.stopEnd.Load() == 0 {
+			taskRun.stopEnd.Store(now.Add(time.Duration(worker.stopTimes.Int64N(int64(stopGrace)))).UnixNano())
 		}
 		worker.endedRuns[order.Task] = max(worker.endedRuns[order.Task], order.Run)
 	default:
@@ -326,7 +345,7 @@
 func (worker *Worker) startRun(order order, now time.Time, isLate bool) string {
 	current, isRunning := worker.running[order.Task]
 	switch {
-	case isRunning && current.number == order.Run:
+	case isRunning && current.number == order.Run && current.stopEnd.Load() == 0:
 		return ""
 	case order.Run <= worker.endedRuns[order.Task] || isRunning:
 		worker.renewLease(order.DeadlineMs, now)
@@ -339,7 +358,11 @@
 	}
 	worker.renewLease(order.DeadlineMs, now)
 	drainedTooLong := !worker.drainingSince.IsZero() && now.Sub(worker.drainingSince) > drainGrace
-	duration := worker.taskTime(order.Spec)
+	started := &taskRun{
+		number:    order.Run,
+		startTime: now,
+		duration:  worker.taskTime(order.Spec),
+	}
 	worker.checker.RecordStart(check.Run{
 		Worker:         worker.process(),
 		Job:            jobOf(order.Task),
@@ -349,13 +372,9 @@
 		StartTime:      now,
 		ExecutedLate:   isLate,
 		DrainedTooLong: drainedTooLong,
-		IsOver:         worker.leaseIsOver,
+		IsOver:         func(at time.Time) bool { return worker.leaseIsOver(at) || started.isStopped(at) },
 	})
-	worker.running[order.Task] = &taskRun{
-		number:    order.Run,
-		startTime: now,
-		duration:  duration,
-	}
+	worker.running[order.Task] = started
 	return ""
 }
 
@@ -403,6 +422,9 @@
 func (worker *Worker) status(lastSeen int, now time.Time) map[string]any {
 	running := [][]any{}
 	for taskID, taskRun := range worker.running {
+		if taskRun.stopEnd.Load() != 0 {
+			continue
+		}
 		percent := min(99, int(100*now.Sub(taskRun.startTime)/taskRun.duration))
 		if worker.faults.HangTasks {
 			percent = 0
