--- a/shared/request/cell/lease.go
+++ b/shared/request/cell/lease.go
@@ -2,7 +2,12 @@
 
 import "time"
 
-// minClock returns a time in ms that the upstream's clock has reached.
+// hasAnswered reports whether the upstream's clock is known. Before the first answer it is
+// not, and the upstream has no runs of this Cell.
+func (upstream *upstreamState) hasAnswered() bool { return !upstream.clockAt.IsZero() }
+
+// minClock returns a time in ms that the clock of an upstream that has answered has
+// reached.
 func (cell *Cell) minClock(upstream *upstreamState) int64 {
 	elapsed := float64(cell.now.Sub(upstream.clockAt)) * (1 - cell.config.Limits.ClockSlack)
 	return upstream.clock + int64(max(elapsed, 0))/int64(time.Millisecond)
--- a/shared/request/cell/takeover.go
+++ b/shared/request/cell/takeover.go
@@ -39,7 +39,9 @@
 	cell.counters.Fenced++
 	cell.setStatus(upstream, upstreamOwnedElsewhere, "fenced")
 	upstream.reclaimAt = cell.now.Add(cell.config.Limits.FirmReclaimDelay)
-	upstream.leaseEnd = max(upstream.leaseEnd, cell.minClock(upstream)+cell.config.Limits.YieldGrace.Milliseconds())
+	if upstream.hasAnswered() {
+		upstream.leaseEnd = max(upstream.leaseEnd, cell.minClock(upstream)+cell.config.Limits.YieldGrace.Milliseconds())
+	}
 	for _, run := range upstream.runs {
 		// The upstream has seen a higher token than that of the start.
 		run.mayStartUntil = time.Time{}
