Dispatcher: a handle for deterministic simulation, and an order for map entries

Cause: a model of the hand-over needs the real control loop without goroutines, sockets and the real time, and equal events have to have equal effects. Held jobs, jobs and runs were handled in the random order of maps, and where two schedulers differ by less than activeForTolerance the election depended on that order too.

Entries that lead to decisions are handled in the order of their keys.

--- a/shared/connection/link/receive.go
+++ b/shared/connection/link/receive.go
@@ -22,9 +22,7 @@
 func Serve(ctx context.Context, listener net.Listener, notify func(event Event)) error {
 	server := drpcserver.NewWithOptions(receiver{
 		notify: notify,
-		senders: &senders{
-			byAddress: make(map[string]sender),
-		},
+		inbox:  NewInbox(),
 	}, drpcserver.Options{
 		Manager: drpcmanager.Options{
 			Reader: drpcwire.ReaderOptions{
@@ -37,8 +35,8 @@
 
 // receiver is the drpc handler for the streams of peers.
 type receiver struct {
-	notify  func(event Event)
-	senders *senders
+	notify func(event Event)
+	inbox  *Inbox
 }
 
 // HandleRPC receives the messages of one stream until the stream ends or is
@@ -49,19 +47,40 @@
 		if err := stream.MsgRecv(&message, peer.Encoding{}); err != nil {
 			return err
 		}
-		now := time.Now()
-		delay, accepted := receiver.senders.accept(now, message)
+		received, accepted := receiver.inbox.Accept(time.Now(), message)
 		if !accepted {
 			return ErrReplaced
 		}
-		receiver.notify(Received{
-			Message:    message,
-			Delay:      delay,
-			ReceivedAt: now,
-		})
+		receiver.notify(received)
 	}
 }
 
+// Inbox computes the delays of the messages that a process receives, and recognises
+// those of replaced streams. It is safe for concurrent use.
+type Inbox struct {
+	senders senders
+}
+
+// NewInbox returns an Inbox that has received no messages.
+func NewInbox() *Inbox {
+	return &Inbox{
+		senders: senders{
+			byAddress: make(map[string]sender),
+		},
+	}
+}
+
+// Accept returns the event for a message that arrives, or false if its sender has sent
+// one on a later stream.
+func (inbox *Inbox) Accept(now time.Time, message Message) (Received, bool) {
+	delay, accepted := inbox.senders.accept(now, message)
+	return Received{
+		Message:    message,
+		Delay:      delay,
+		ReceivedAt: now,
+	}, accepted
+}
+
 // senders detects outdated messages. Messages that a partition holds up arrive
 // when it ends, on a stream that has been replaced or on one that continues.
 // Acting on them caused two faults: a process scheduled beside another one,
--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -89,7 +89,10 @@
 	events  chan event
 	// done is closed when the control loop has ended.
 	done  chan struct{}
-	links *link.Links
+	links peerLinks
+	// execute sends an order to its upstream and calls done once with the reply, on
+	// any goroutine.
+	execute func(order relay.Order, done func(reply cell.Event))
 	// The atomic fields are written by the control goroutine and read by others.
 	routes      atomic.Pointer[routing.Table]
 	ready       atomic.Bool
@@ -98,23 +101,36 @@
 	loop        *loop
 }
 
+// peerLinks carries the messages to peers, as link.Links does.
+type peerLinks interface {
+	Open(ctx context.Context, address string)
+	Close(address string)
+	Reset(address string)
+	Send(address string, message link.Message)
+}
+
 // New returns a Dispatcher. Nothing happens until Run is called.
 func New(options Options) *Dispatcher {
+	dispatcher := newDispatcher(time.Now(), options)
+	dispatcher.links = link.New(link.Options{
+		Dial:   link.DialTCP,
+		Notify: dispatcher.Notify,
+	})
+	dispatcher.execute = func(order relay.Order, done func(reply cell.Event)) {
+		loop := dispatcher.loop
+		go func() { done(order.Execute(loop.ctx, loop.options.Upstreams)) }()
+	}
+	return dispatcher
+}
+
+// newDispatcher returns a Dispatcher without links to peers and upstreams.
+func newDispatcher(now time.Time, options Options) *Dispatcher {
 	dispatcher := &Dispatcher{
 		options:     options,
 		events:      make(chan event, eventQueueSize),
 		done:        make(chan struct{}),
 		instruments: newInstruments(),
 	}
-	dispatcher.links = link.New(link.Options{
-		Dial: link.DialTCP,
-		Notify: func(event link.Event) {
-			dispatcher.post(linkEvent{
-				event: event,
-			})
-		},
-	})
-	now := time.Now()
 	dispatcher.loop = &loop{
 		dispatcher:          dispatcher,
 		options:             options,
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -169,7 +169,7 @@
 // resubmitAll submits all jobs to the scheduler again after its connection was
 // established anew. The scheduler ignores the jobs that it has.
 func (loop *loop) resubmitAll() {
-	for _, heldJob := range loop.heldJobs {
+	for _, heldJob := range inOrder(loop.heldJobs) {
 		if heldJob.scheduler == loop.leader {
 			loop.suspend(heldJob)
 		}
@@ -191,7 +191,7 @@
 	previousLeader := loop.leader
 	loop.leader = leader
 	loop.view.Follow(leader)
-	for _, heldJob := range loop.heldJobs {
+	for _, heldJob := range inOrder(loop.heldJobs) {
 		if heldJob.scheduler != "" && heldJob.foreignScheduler == "" {
 			if previousLeader != loop.view.Self().Address {
 				loop.withdrawFromScheduler(heldJob)
@@ -205,7 +205,7 @@
 	if leader != loop.view.Self().Address {
 		loop.sendHeartbeat(leader, false)
 	}
-	for _, heldJob := range loop.heldJobs {
+	for _, heldJob := range inOrder(loop.heldJobs) {
 		loop.submit(heldJob)
 	}
 }
@@ -247,7 +247,7 @@
 // handleDropped submits the jobs again that a scheduler has withdrawn because it did
 // not hear this process. A run of them may still be stopping.
 func (loop *loop) handleDropped(from string) {
-	for _, heldJob := range loop.heldJobs {
+	for _, heldJob := range inOrder(loop.heldJobs) {
 		if heldJob.scheduler != from {
 			continue
 		}
@@ -338,7 +338,7 @@
 // updateHeldJobs submits the jobs that wait for a scheduler and abandons those
 // whose deadline is near or whose answer would be too late.
 func (loop *loop) updateHeldJobs() {
-	for _, heldJob := range loop.heldJobs {
+	for _, heldJob := range inOrder(loop.heldJobs) {
 		if loop.now.Before(heldJob.deadline.Add(-answerMargin)) && !heldJob.tooLate(loop.now) {
 			loop.submit(heldJob)
 			continue
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -34,7 +34,11 @@
 	options    Options
 	ctx        context.Context
 	// now is when the current event is handled.
-	now      time.Time
+	now time.Time
+	// timeOfDayOffset is added to now for the time of day. Only a simulation sets it; the
+	// times of a process hold both the elapsed time and the time of day.
+	timeOfDayOffset time.Duration
+
 	lastTick time.Time
 
 	view      *region.View
@@ -159,7 +163,7 @@
 	case leaveRequested:
 		loop.leave()
 	case abandonRequested:
-		for _, heldJob := range loop.heldJobs {
+		for _, heldJob := range inOrder(loop.heldJobs) {
 			loop.abandon(heldJob, "stopping")
 		}
 	case stateRequested:
@@ -237,7 +241,7 @@
 // leaveForeignSchedulers takes the jobs back that a process outside the cell has, and
 // withdraws the jobs of entry VMs outside it from the own Cell, after a division.
 func (loop *loop) leaveForeignSchedulers() {
-	for _, heldJob := range loop.heldJobs {
+	for _, heldJob := range inOrder(loop.heldJobs) {
 		if heldJob.scheduler == "" || loop.view.InCell(heldJob.scheduler) {
 			continue
 		}
@@ -245,7 +249,7 @@
 		loop.leaveScheduler(heldJob)
 		heldJob.runsElsewhere = true
 	}
-	for address, entryVM := range loop.entryVMs {
+	for address, entryVM := range inOrder(loop.entryVMs) {
 		if !loop.view.InCell(address) {
 			delete(loop.entryVMs, address)
 			loop.notifyCell(cell.EntryVMLost{
--- a/shared/process/dispatcher/neighbours.go
+++ b/shared/process/dispatcher/neighbours.go
@@ -82,7 +82,7 @@
 // resubmitForeignJobs submits the jobs again that were sent to a scheduler of another
 // cell on a connection that has broken since.
 func (loop *loop) resubmitForeignJobs(scheduler string) {
-	for _, heldJob := range loop.heldJobs {
+	for _, heldJob := range inOrder(loop.heldJobs) {
 		if heldJob.scheduler != scheduler || heldJob.submittedAt.After(loop.neighbours.brokenAt[scheduler]) {
 			continue
 		}
@@ -231,7 +231,7 @@
 		loop.handleDecline(loop.view.Self().Address, id, target)
 		return
 	}
-	for address, name := range loop.entryVMs {
+	for address, name := range inOrder(loop.entryVMs) {
 		if name == entryVM {
 			loop.send(address, link.Message{
 				Decline: &link.Decline{
@@ -280,7 +280,7 @@
 	for address := range loop.entryVMs {
 		addresses[address] = loop.cell != nil
 	}
-	for _, heldJob := range loop.heldJobs {
+	for _, heldJob := range inOrder(loop.heldJobs) {
 		if heldJob.foreignScheduler != "" {
 			addresses[heldJob.foreignScheduler] = true
 		}
@@ -298,7 +298,7 @@
 // checkForeignJobs takes the jobs back that a lost scheduler of another cell has.
 // They may have run there.
 func (loop *loop) checkForeignJobs() {
-	for _, heldJob := range loop.heldJobs {
+	for _, heldJob := range inOrder(loop.heldJobs) {
 		scheduler := heldJob.foreignScheduler
 		if scheduler == "" || heldJob.scheduler != scheduler || loop.view.Live(scheduler) ||
 			loop.now.Sub(heldJob.submittedAt) < foreignSilence {
--- a/shared/process/dispatcher/relays.go
+++ b/shared/process/dispatcher/relays.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -39,13 +41,13 @@
 	activation := loop.activation
 	dispatcher := loop.dispatcher
 	sentAt := loop.now
-	go func() {
+	dispatcher.execute(order, func(reply cell.Event) {
 		dispatcher.post(orderReplied{
 			activation: activation,
-			event:      order.Execute(loop.ctx, loop.options.Upstreams),
+			event:      reply,
 			sentAt:     sentAt,
 		})
-	}()
+	})
 }
 
 // handleOrderReply passes the reply to an order to the Cell.
@@ -69,12 +71,12 @@
 		}
 		loop.relayedOrders++
 		dispatcher := loop.dispatcher
-		go func() {
+		dispatcher.execute(order, func(reply cell.Event) {
 			dispatcher.post(relayedOrderDone{
 				scheduler: scheduler,
-				reply:     relay.NewReply(order.Number, order.Execute(loop.ctx, loop.options.Upstreams)),
+				reply:     relay.NewReply(order.Number, reply),
 			})
-		}()
+		})
 	}
 }
 
@@ -91,13 +93,17 @@
 	}
 	loop.queuedCount = 0
 	if loop.relays != nil {
-		for address, orders := range loop.relays.TakeQueued() {
+		for address, orders := range inOrder(loop.relays.TakeQueued()) {
 			loop.send(address, link.Message{
 				Orders: loop.newOrderBatch(address, orders),
 			})
 		}
 	}
-	for scheduler, replies := range loop.queuedReplies {
+	schedulers := slices.SortedFunc(maps.Keys(loop.queuedReplies), func(a, b remoteScheduler) int {
+		return cmp.Or(cmp.Compare(a.address, b.address), cmp.Compare(a.incarnation, b.incarnation))
+	})
+	for _, scheduler := range schedulers {
+		replies := loop.queuedReplies[scheduler]
 		delete(loop.queuedReplies, scheduler)
 		loop.send(scheduler.address, link.Message{
 			Replies: &link.ReplyBatch{
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -119,7 +119,7 @@
 func (loop *loop) nextToken() int64 {
 	self := loop.view.Self()
 	highestToken := max(loop.token, loop.view.MaxToken())
-	next := max(loop.now.UnixMilli(), highestToken/tokenStep+1)
+	next := max(loop.now.Add(loop.timeOfDayOffset).UnixMilli(), highestToken/tokenStep+1)
 	loop.token = next*tokenStep + int64(self.Incarnation%tokenStep)
 	return loop.token
 }
@@ -154,7 +154,7 @@
 	for _, jobRelease := range releasesByEntryVM[loop.selfName()] {
 		loop.handleRelease(loop.view.Self().Address, jobRelease)
 	}
-	for address, entryVM := range loop.entryVMs {
+	for address, entryVM := range inOrder(loop.entryVMs) {
 		if entryVMReleases := releasesByEntryVM[entryVM]; len(entryVMReleases) > 0 {
 			loop.send(address, link.Message{
 				Released: &link.Released{
@@ -208,7 +208,7 @@
 		loop.handleAnswer(loop.view.Self().Address, decision.Answer)
 		return
 	}
-	for address, name := range loop.entryVMs {
+	for address, name := range inOrder(loop.entryVMs) {
 		if name == decision.EntryVM {
 			loop.send(address, link.Message{
 				Answer: &decision.Answer,
@@ -255,7 +255,7 @@
 
 // removeLostEntryVMs withdraws the jobs of entry VMs whose heartbeats stopped.
 func (loop *loop) removeLostEntryVMs() {
-	for address, entryVM := range loop.entryVMs {
+	for address, entryVM := range inOrder(loop.entryVMs) {
 		if loop.view.Live(address) {
 			continue
 		}
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Cell holds the state of the jobs and upstreams of one cell. It is not safe
 // for concurrent use; the control goroutine owns it.
@@ -135,8 +139,8 @@
 	for _, upstream := range cell.upstreamOrder {
 		cell.tickUpstream(upstream)
 	}
-	for _, job := range cell.jobs {
-		cell.tickJob(job)
+	for _, id := range cell.jobIDs() {
+		cell.tickJob(cell.jobs[id])
 	}
 	cell.expireEarlyEnds()
 	cell.completed.expire(cell.now.Add(-completedRetention))
@@ -153,6 +157,9 @@
 	return cell.now.Sub(cell.createdAt) < cell.config.Limits.AdoptionWindow
 }
 
+// jobIDs returns the IDs of the jobs, sorted so that equal events yield equal decisions.
+func (cell *Cell) jobIDs() []string { return slices.Sorted(maps.Keys(cell.jobs)) }
+
 // Pending returns, by kind, the number of jobs without a started task.
 func (cell *Cell) Pending() map[string]int {
 	pending := make(map[string]int)
@@ -170,7 +177,8 @@
 // runs of an earlier Cell that this one has not found yet are omitted.
 func (cell *Cell) Release() []Release {
 	var releases []Release
-	for id, job := range cell.jobs {
+	for _, id := range cell.jobIDs() {
+		job := cell.jobs[id]
 		if !cell.mayStartTasks(job) {
 			continue
 		}
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -291,7 +291,7 @@
 }
 
 func (cell *Cell) withdrawEntryVM(entryVM string) {
-	for id := range cell.jobs {
+	for _, id := range cell.jobIDs() {
 		cell.withdraw(entryVM, id)
 	}
 }
--- a/shared/request/cell/lease.go
+++ b/shared/request/cell/lease.go
@@ -38,10 +38,7 @@
 	if len(upstream.runs) == 0 || cell.now.Before(cell.leaseExpiry(upstream, upstream.leaseEnd)) {
 		return
 	}
-	for _, run := range upstream.runs {
-		if cell.now.Before(run.mayStartUntil) {
-			continue
-		}
+	for _, run := range upstream.runsWhere(func(run *runState) bool { return !cell.now.Before(run.mayStartUntil) }) {
 		run.markMayHaveRun()
 		cell.removeRun(run, "lapsed")
 	}
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // runStatus is the status of a run from the Cell's point of view.
 type runStatus uint8
@@ -101,6 +105,22 @@
 	cell.liveRuns[run.name.Task]++
 }
 
+// runsWhere returns the runs of the upstream for which a condition holds, sorted so that
+// equal events yield equal decisions.
+func (upstream *upstreamState) runsWhere(condition func(run *runState) bool) []*runState {
+	var runs []*runState
+	for _, run := range upstream.runs {
+		if condition(run) {
+			runs = append(runs, run)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *runState) int {
+		return cmp.Or(cmp.Compare(a.name.Task.Job, b.name.Task.Job), cmp.Compare(a.name.Task.Step, b.name.Task.Step),
+			cmp.Compare(a.name.Task.Index, b.name.Task.Index), cmp.Compare(a.name.Number, b.name.Number))
+	})
+	return runs
+}
+
 // removeRun removes a run that has ended or will never start, and makes its
 // task wait again.
 func (cell *Cell) removeRun(run *runState, reason string) {
@@ -294,6 +314,12 @@
 	}
 }
 
+// runDue reports whether tickRun has something to do.
+func (cell *Cell) runDue(run *runState) bool {
+	return (!run.nextStopAt.IsZero() && !cell.now.Before(run.nextStopAt)) ||
+		(!run.orphanDeadline.IsZero() && !cell.now.Before(run.orphanDeadline))
+}
+
 // tickRun sends a stop that is due and stops a run whose orphan deadline has
 // passed.
 func (cell *Cell) tickRun(run *runState) {
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -169,7 +169,7 @@
 			cell.immediatePoll(upstream)
 		}
 	}
-	for _, run := range upstream.runs {
+	for _, run := range upstream.runsWhere(cell.runDue) {
 		cell.tickRun(run)
 	}
 }
@@ -358,10 +358,8 @@
 		}
 		cell.applyProgress(run, listedRun.Percent)
 	}
-	for name, run := range upstream.runs {
-		if !listedRuns[name] {
-			cell.settleUnlistedRun(run, event.Reply)
-		}
+	for _, run := range upstream.runsWhere(func(run *runState) bool { return !listedRuns[run.name] }) {
+		cell.settleUnlistedRun(run, event.Reply)
 	}
 }
 
@@ -382,7 +380,7 @@
 	upstream.clockAt = cell.now
 	upstream.leaseEnd = cell.config.Limits.Lease.Milliseconds()
 	upstream.resetHealth()
-	for _, run := range upstream.runs {
+	for _, run := range upstream.runsWhere(func(*runState) bool { return true }) {
 		if run.listed {
 			cell.removeRun(run, "upstream restarted")
 			continue
--- a/shared/version/region/election.go
+++ b/shared/version/region/election.go
@@ -30,8 +30,10 @@
 		activeFor: view.ActiveFor(),
 		eligible:  view.Eligible(),
 	})
-	for _, peer := range view.peers {
-		if !view.live(peer) || !view.inCell(peer.heartbeat.Member) {
+	// The order matters where processes differ by less than activeForTolerance.
+	for _, address := range view.PeerAddresses() {
+		peer := view.peers[address]
+		if !view.live(peer) {
 			continue
 		}
 		followers[peer.heartbeat.Follows]++
