--- a/shared/request/cell/lease.go
+++ b/shared/request/cell/lease.go
@@ -43,24 +43,22 @@
 	if len(upstream.runs) == 0 || cell.now.Before(cell.leaseExpiry(upstream, upstream.leaseEnd)) {
 		return
 	}
-	expired := LeaseExpired{
+	expired := upstream.runsWhere(func(run *runState) bool { return !cell.now.Before(run.mayStartUntil) })
+	if len(expired) == 0 {
+		return
+	}
+	for _, run := range expired {
+		run.markMayHaveRun()
+		cell.removeRun(run, "lapsed")
+	}
+	cell.decide(LeaseExpired{
 		Upstream:    upstream.listing.ID,
 		Incarnation: upstream.incarnation,
 		Clock:       upstream.clock,
 		ClockAge:    cell.now.Sub(upstream.clockAt),
 		LeaseEnd:    upstream.leaseEnd,
-	}
-	for _, run := range upstream.runs {
-		if cell.now.Before(run.mayStartUntil) {
-			continue
-		}
-		run.markMayHaveRun()
-		cell.removeRun(run, "lapsed")
-		expired.Runs++
-	}
-	if expired.Runs > 0 {
-		cell.decide(expired)
-	}
+		Runs:        len(expired),
+	})
 }
 
 // leaseExpiry returns when the upstream's clock is certain to have passed a
