Fence late orders at a worker that has restarted (TWICE)

What callers saw, or can see: a start that a worker carries out late, after it has restarted, runs beside the next run of its task. No run of real processes has shown it.

Cause: the new process of a worker has seen no fencing token, and the lease end in the order is a time on the clock of the earlier process, which the new one reaches late or never. The scheduler went on with the same token after the restart, so an order of before it was accepted at any time: after its run was taken as over by a confirmed stop, or by the end of a lease that was computed while the worker was silent.

Change: a scheduler that learns of a restart takes a higher token, and starts nothing at the worker before the new process has answered an order with it. A poll that was overtaken by an order with a higher token is repeated and no longer counts as missed.

TestStartDuringUpstreamRestartIsNotRepeated has one answer more, because the first answer of a new process now only shows the restart, and asserts that the run in it is known.

--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -904,10 +904,20 @@
 		reply.Incarnation = 2
 		return harness.handle(reply)
 	}
-	answerPoll(otherID, nil)
-	decisions = answerPoll(start.Order.Upstream, runningRuns(start.Run, 10))
-	assert.Equal(t, len(decisionsOf[cell.StartRun](decisions)), 0)
-	assert.Equal(t, len(decisionsOf[cell.StopRun](decisions)), 0)
+	// The first answer of the new process shows the restart, the second its runs.
+	for range 2 {
+		answerPoll(otherID, nil)
+		decisions = answerPoll(start.Order.Upstream, runningRuns(start.Run, 10))
+		assert.Equal(t, len(decisionsOf[cell.StartRun](decisions)), 0)
+		assert.Equal(t, len(decisionsOf[cell.StopRun](decisions)), 0)
+	}
+	decisions = harness.handle(cell.JobWithdrawn{
+		EntryVM: entryVM,
+		ID:      "j",
+	})
+	stops := decisionsOf[cell.StopRun](decisions)
+	assert.Equal(t, len(stops), 1, "the run in the new process is that of the job")
+	assert.Equal(t, stops[0].Run, start.Run)
 }
 
 // If an upstream's lease expires while the reply to a start is outstanding, the
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -60,8 +60,10 @@
 	// reclaimAt is when an upstream that another process took over may be
 	// reclaimed.
 	reclaimAt time.Time
-	// lastToken is the token of the last order.
-	lastToken int64
+	// lastToken is the token of the last order. Answers to orders with a token below
+	// fenceToken prove nothing; see upstreamRestarted.
+	lastToken  int64
+	fenceToken int64
 	// openedAt is when the upstream first accepted an order of this Cell after
 	// another process may have had it.
 	openedAt time.Time
@@ -275,6 +277,9 @@
 	switch event.Reply.Outcome {
 	case OutcomeDone:
 		cell.pollAnswered(upstream, event)
+	case OutcomeFenced:
+		// A later order with a higher token of this Cell was faster.
+		cell.requestPoll(upstream)
 	default:
 		cell.pollUnanswered(upstream)
 	}
@@ -304,6 +309,10 @@
 		}
 		cell.upstreamRestarted(upstream, event.Incarnation)
 	}
+	if event.Reply.Order.Token < upstream.fenceToken {
+		cell.requestPoll(upstream)
+		return
+	}
 	upstream.missedPolls = 0
 	if event.Reply.Clock < upstream.clock {
 		// An answer that was overtaken by a later one says nothing about the
@@ -370,6 +379,10 @@
 	if !knewIncarnation && upstream.clock == 0 {
 		return
 	}
+	// The new process has seen no token. Orders that were sent to the earlier one and reach
+	// it late have a lease end on the earlier clock, so only a higher token stops them.
+	cell.token = cell.config.NextToken()
+	upstream.fenceToken = cell.token
 	upstream.lastSequence = 0
 	// The new clock is not known. Orders under the old lease ends that reached
 	// the new process may run for the length of one lease.
--- a/soak/simulation/simulation_test.go
+++ b/soak/simulation/simulation_test.go
@@ -12,9 +12,11 @@
 
 // regressionSeeds are seeds that once failed, with the cause.
 var regressionSeeds = map[uint64]string{
-	1:   "a run that is being stopped, and therefore not listed, counted as over",
-	331: "an upstream was fenced before its first answer, and its lease end overflowed",
-	408: "the lease that an earlier scheduler had given an adopted run was not known",
+	1:    "a run that is being stopped, and therefore not listed, counted as over",
+	331:  "an upstream was fenced before its first answer, and its lease end overflowed",
+	459:  "a start was carried out late by a worker that had restarted meanwhile",
+	1755: "a start was carried out late by a worker that had restarted while it was silent",
+	408:  "the lease that an earlier scheduler had given an adopted run was not known",
 }
 
 // Guards against two runs of one task under the seeds that once showed them.
