Soak: send the whole time budget with the first request of a job

A value below the route's timeout marks a job as sent again after a broken connection, so 60% of the jobs counted as 1.3 s old when they arrived, and most were refused or abandoned.

Change: the value is rounded up.

--- a/soak/region/process.go
+++ b/soak/region/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -164,7 +165,8 @@
 	request.Host = "h.example"
 	client, closeAfter := caller.region.callerClient()
 	request.Close = closeAfter
-	request.Header.Set("Deadline-Ms", fmt.Sprint(timeLeft.Milliseconds()))
+	// A value below the route's timeout would mark a first request as one sent again.
+	request.Header.Set("Deadline-Ms", fmt.Sprint(int64(math.Ceil(timeLeft.Seconds()*1000))))
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, ""
