--- /dev/null
+++ b/shared/request/cell/resent_job_test.go
@@ -0,0 +1,37 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/request/cell"
+)
+
+// Guards against a second run of a job that its caller has sent again, to another entry VM,
+// while the first run goes on under a scheduler that was lost: the new Cell starts the job on
+// the first upstream that answers, before the upstream with the run has.
+func TestResentJobWaitsForTheRunsOfTheEarlierScheduler(t *testing.T) {
+	harness := newHarness(t)
+	polls := decisionsOf[cell.Poll](harness.handle(cell.UpstreamsListed{
+		Upstreams: []cell.Upstream{testUpstream("u1"), testUpstream("u2")},
+	}))
+	assert.Equal(t, len(polls), 2)
+	job := testJob("j", 1)
+	job.Resent = true
+	job.Stretch = 20
+	harness.submit(job)
+	starts := decisionsOf[cell.StartRun](harness.handle(harness.pollReply(polls[0], nil, nil)))
+	assert.Equal(t, len(starts), 0, "u2 has not listed its runs")
+	harness.now = harness.now.Add(3 * time.Millisecond)
+	earlierRun := cell.RunName{
+		Task: cell.TaskName{
+			Job: "j",
+		},
+		Number: 1,
+	}
+	harness.handle(harness.pollReply(polls[1], runningRuns(earlierRun, 50), nil))
+	assert.Equal(t, harness.cell.Counters().AdoptedRuns, int64(1))
+	assert.Equal(t, harness.cell.Counters().Starts, int64(0))
+}
--- a/shared/request/cell/takeover.go
+++ b/shared/request/cell/takeover.go
@@ -107,8 +107,9 @@
 		return false
 	}
 	if !job.submitted.Released {
-		return cell.config.KnowsUpstreams(job.submitted.EarlierSets) &&
-			cell.serviceVerifiedSince(job.submitted.Service, job.submittedAt)
+		// The earlier Cell of a job that was resent to another entry VM is not known.
+		setsKnown := job.submitted.Generation == 0 || cell.config.KnowsUpstreams(job.submitted.EarlierSets)
+		return setsKnown && cell.serviceVerifiedSince(job.submitted.Service, job.submittedAt)
 	}
 	for _, id := range job.submitted.RunsAt {
 		upstream, ok := cell.upstreams[id]
