--- a/shared/request/cell/late_start_test.go
+++ b/shared/request/cell/late_start_test.go
@@ -51,3 +51,33 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Assert(t, starts[0].Order.Token > start.Order.Token)
 }
+
+// Guards against a start at an upstream that another scheduler has fenced: a higher token
+// that this one takes for an upstream which has restarted, or which it takes back, must not
+// pass the fence at others.
+func TestTokenIsRaisedForOneUpstream(t *testing.T) {
+	harness := newHarness(t)
+	harness.listUpstreams(nil, "u1", "u2")
+	first := harness.token
+	harness.answerFrom(2, nil)
+	assert.Assert(t, harness.token > first, "u1 has restarted")
+	start := harness.submit(testJob("j", 1))[0]
+	assert.Equal(t, start.Order.Upstream, "u2")
+	assert.Equal(t, start.Order.Token, first)
+
+	fenced := harness.pollReply(cell.Poll{
+		Order: cell.Order{
+			Upstream: "u1",
+			Token:    harness.token,
+		},
+	}, nil, nil)
+	fenced.Reply.Outcome = cell.OutcomeFenced
+	harness.handle(fenced)
+	second := harness.token
+	harness.advance(cell.DefaultLimits().FirmReclaimDelay)
+	assert.Assert(t, harness.token > second, "u1 is taken back")
+	harness.answerPoll("u2", nil, endedRun(1, start.Run, cell.EndDone))
+	start = harness.submit(testJob("k", 1))[0]
+	assert.Equal(t, start.Order.Upstream, "u2")
+	assert.Equal(t, start.Order.Token, first)
+}
--- a/shared/request/cell/lease.go
+++ b/shared/request/cell/lease.go
@@ -19,14 +19,14 @@
 	order := Order{
 		Upstream: upstream.listing.ID,
 		Address:  upstream.listing.Address,
-		Token:    cell.token,
+		Token:    max(cell.token, upstream.fenceToken),
 	}
 	if renew && upstream.clock > 0 && upstream.orphanCount == 0 {
 		order.LeaseEnd = cell.minClock(upstream) + cell.config.Limits.Lease.Milliseconds()
 		upstream.leaseEnd = max(upstream.leaseEnd, order.LeaseEnd)
 		upstream.renewedAt = cell.now
 	}
-	upstream.lastToken = cell.token
+	upstream.lastToken = order.Token
 	return order
 }
 
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -62,7 +62,7 @@
 	// stopReason says why the run is being stopped; empty if it is not.
 	stopReason string
 	// unlistedAt is when the first answer arrived that shows neither the confirmed run
-	// nor its end; zero if it was listed since.
+	// nor its end; zero if the run has been listed since then.
 	unlistedAt time.Time
 }
 
--- a/shared/request/cell/takeover.go
+++ b/shared/request/cell/takeover.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if !upstream.reclaimAt.IsZero() {
-		cell.token = cell.config.NextToken()
+		upstream.fenceToken = cell.config.NextToken()
 	}
 	cell.counters.Claimed++
 	cell.setStatus(upstream, upstreamUnverified, "claimed")
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -60,9 +60,12 @@
 	// reclaimAt is when an upstream that another process took over may be
 	// reclaimed.
 	reclaimAt time.Time
-	// lastToken is the token of the last order. Answers to orders with a token below
-	// fenceToken prove nothing; see upstreamRestarted.
-	lastToken  int64
+	// lastToken is the token of the last order.
+	lastToken int64
+	// fenceToken is the lowest token of further orders to this upstream; 0 for that of the
+	// Cell. It is raised when the upstream is reclaimed or has restarted. A higher token of
+	// the whole Cell would pass the fences of other processes at the other upstreams.
+	// Answers to polls with a lower token are ignored.
 	fenceToken int64
 	// openedAt is when the upstream first accepted an order of this Cell after
 	// another process may have had it.
@@ -278,7 +281,7 @@
 	case OutcomeDone:
 		cell.pollAnswered(upstream, event)
 	case OutcomeFenced:
-		// A later order with a higher token of this Cell was faster.
+		// A later order of this Cell with a higher token overtook this one.
 		cell.requestPoll(upstream)
 	default:
 		cell.pollUnanswered(upstream)
@@ -381,8 +384,8 @@
 	}
 	// The new process has seen no token. Orders that were sent to the earlier one and reach
 	// it late have a lease end on the earlier clock, so only a higher token stops them.
-	cell.token = cell.config.NextToken()
-	upstream.fenceToken = cell.token
+	upstream.fenceToken = cell.config.NextToken()
+	upstream.lastToken = upstream.fenceToken
 	upstream.lastSequence = 0
 	// The new clock is not known. Orders under the old lease ends that reached
 	// the new process may run for the length of one lease.
@@ -406,6 +409,7 @@
 		run.unconfirmedSince = cell.now
 		// The new process knows nothing of a stop that the earlier one confirmed.
 		run.stopConfirmedAt = time.Time{}
+		run.unlistedAt = time.Time{}
 		if run.stopReason != "" {
 			run.nextStopAt = cell.now
 		}
