Test each part of the stop after a restart and of the stop grace

Change: the test of the stop has an answer with the new token and a late reply to the earlier stop; that of the stop grace has a run that is listed again in between.

Measured: with the discarded confirmation, the check of the time of sending, or the reset of unlistedAt removed, one of the two tests fails each time.

--- a/shared/request/cell/stop_before_restart_test.go
+++ b/shared/request/cell/stop_before_restart_test.go
@@ -42,9 +42,24 @@
 	harness.now = harness.now.Add(2 * cell.DefaultLimits().StopGrace)
 	lost := decisionsOf[cell.RunLost](harness.answerFrom(2, nil))
 	assert.Equal(t, len(lost), 0, "the new process has confirmed no stop")
+	harness.now = harness.now.Add(time.Millisecond)
+	lost = decisionsOf[cell.RunLost](harness.answerFrom(2, nil))
+	assert.Equal(t, len(lost), 0, "nor has it when it has seen a higher token")
 
 	stops = decisionsOf[cell.StopRun](harness.advance(time.Millisecond))
 	assert.Equal(t, len(stops), 1, "the new process gets a stop as well")
+	earlierReply := harness.reply(stops[0].Order, cell.OutcomeDone)
+	earlierReply.SentAt = harness.now.Add(-time.Second)
+	harness.handle(cell.StopReplied{
+		Reply: earlierReply,
+		Run:   start.Run,
+	})
+	harness.now = harness.now.Add(cell.DefaultLimits().StopGrace)
+	lost = decisionsOf[cell.RunLost](harness.answerFrom(2, nil))
+	assert.Equal(t, len(lost), 0, "a stop that was sent before the restart was known confirms nothing")
+
+	stops = decisionsOf[cell.StopRun](harness.advance(cell.DefaultLimits().StopRetryDelay))
+	assert.Equal(t, len(stops), 1)
 	harness.handle(cell.StopReplied{
 		Reply: harness.reply(stops[0].Order, cell.OutcomeDone),
 		Run:   start.Run,
--- a/shared/request/cell/stop_grace_test.go
+++ b/shared/request/cell/stop_grace_test.go
@@ -29,6 +29,11 @@
 
 	harness.now = harness.now.Add(10 * time.Millisecond)
 	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.answerPoll(start.Order.Upstream, nil))), 0)
+	// The stop arrives only now.
+	harness.now = harness.now.Add(cell.DefaultLimits().StopGrace)
+	harness.answerPoll(start.Order.Upstream, runningRuns(start.Run, 0))
+	harness.now = harness.now.Add(time.Millisecond)
+	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.answerPoll(start.Order.Upstream, nil))), 0)
 	harness.now = harness.now.Add(cell.DefaultLimits().StopGrace)
 	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.answerPoll(start.Order.Upstream, nil))), 1)
 }
