--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -144,8 +144,14 @@
 		}
 		lease := time.Duration(float64(limits.Lease) / (1 - limits.ClockSlack))
 		runsEnd := scheduler.now.Sub(sentAt) + lease
-		assert.Assert(t, runsEnd < entryVM.quarantine(), "%d peers: runs end after %v, the quarantine after %v",
-			peers, runsEnd, entryVM.quarantine())
+		entryVM.handle(entryVM.now, ticked{})
+		quarantine := entryVM.quarantine()
+		assert.Assert(t, runsEnd < quarantine, "%d peers: runs end after %v, the quarantine after %v",
+			peers, runsEnd, quarantine)
+
+		// The scheduler, which does not hear this process, keeps to the interval that it knows.
+		entryVM.applyDivision(entryVM.view.AdoptDivision(region.DividedByDomain))
+		assert.Equal(t, entryVM.quarantine(), quarantine)
 	}
 }
 
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -36,6 +36,9 @@
 	// removeAfter is the silence after which a process is no longer a member. It
 	// is longer than the partitions that the election is designed for.
 	removeAfter = 60 * time.Second
+	// intervalMemory is how long an announced interval between heartbeats counts. It exceeds
+	// the liveness timeouts of all regions.
+	intervalMemory = 10 * time.Second
 	// removeForeignAfter is the silence after which a process of another cell is no
 	// longer a peer. Heartbeats cross cells only while one of the two holds jobs of
 	// the other, or starts.
@@ -134,6 +137,10 @@
 	roster map[string]Member
 	// rosterChangedAt is when the roster last changed.
 	rosterChangedAt time.Time
+	// longestInterval is the longest interval between heartbeats that this process has
+	// lately announced, and longestIntervalAt when it did so last.
+	longestInterval   time.Duration
+	longestIntervalAt time.Time
 	// homes caches the homes of upstreams by ID. It is discarded when the members
 	// of the cell change.
 	homes map[string]string
@@ -160,6 +167,11 @@
 // other processes, which would otherwise all appear to have failed.
 func (view *View) Advance(now time.Time, paused time.Duration) {
 	view.now = now
+	interval := view.HeartbeatInterval()
+	if interval >= view.longestInterval || now.Sub(view.longestIntervalAt) > intervalMemory {
+		view.longestInterval = interval
+		view.longestIntervalAt = now
+	}
 	if paused <= 0 {
 		return
 	}
@@ -292,9 +304,13 @@
 	return max(MinHeartbeatInterval, time.Duration(view.cellPeerCount())*heartbeatIntervalPerPeer)
 }
 
-// LivenessTimeout returns the silence after which the other processes of the cell no
-// longer take this one as live.
-func (view *View) LivenessTimeout() time.Duration { return livenessTimeout(view.HeartbeatInterval()) }
+// LivenessTimeout returns the silence after which no other process considers this one live,
+// by the intervals that it has lately announced. The interval falls when the region is
+// divided or peers expire, and processes that no longer hear this one know only the earlier
+// one.
+func (view *View) LivenessTimeout() time.Duration {
+	return livenessTimeout(max(view.longestInterval, view.HeartbeatInterval()))
+}
 
 // livenessTimeout returns the silence after which a process that announced an interval
 // between its heartbeats is no longer live.
