--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -128,6 +128,7 @@
 		for number := range peers {
 			entryVM.addMembers([]region.Member{{
 				Address: fmt.Sprintf("10.0.1.%d:1", number),
+				Domain:  fmt.Sprintf("domain-%d", number%3),
 			}})
 		}
 		heartbeat := heartbeatTo("10.0.0.1:1")
