Replace the stream to a peer that does not hear this process

Effect: all jobs of an entry VM time out, for as long as it follows a scheduler that does not hear it.

Change: heartbeats say whether their sender hears the receiver. If it does not for a second, the receiver resets its stream to it (E728).

--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -24,6 +24,9 @@
 	speedsInterval = 5 * time.Second
 	// membersInterval is the time between heartbeats that list all known processes.
 	membersInterval = 2 * time.Second
+	// unheardInterval is the time between resets of the stream to a peer that does not hear
+	// this process. It exceeds the time in which a new stream is opened and heard.
+	unheardInterval = time.Second
 	// divisionInterval is the minimum time between answers to a process of another
 	// cell that does not know the division.
 	divisionInterval = 200 * time.Millisecond
@@ -38,6 +41,10 @@
 	loop.addMembers(heartbeat.Members)
 	loop.applyDivision(loop.view.AdoptDivision(heartbeat.Division))
 	loop.reportDropped(heartbeat.Member)
+	if heartbeat.Unheard && loop.sendDue("reset "+address, unheardInterval) {
+		loop.log(logevent.StreamReset, "member", address)
+		loop.dispatcher.links.Reset(address)
+	}
 	if !loop.view.InCell(address) {
 		loop.foreignEntryVMRestarted(heartbeat)
 		loop.answerForeignHeartbeat(heartbeat)
@@ -204,6 +211,7 @@
 		Eligible:        loop.view.Eligible(),
 		ShedShare:       loop.loadMonitor.shedShare,
 		Division:        loop.view.Division(),
+		Unheard:         !loop.view.Live(address),
 	}
 	if loop.routes != nil {
 		heartbeat.RoutesVersion = loop.routes.Version
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -336,6 +336,12 @@
 		Level:  log.DebugLevel,
 		Text:   "run that the upstream does not list is considered over",
 	}
+	StreamReset = Event{
+		Number: 728,
+		Name:   "stream-reset",
+		Level:  log.InfoLevel,
+		Text:   "peer does not hear this process; the stream to it is replaced",
+	}
 	StoreUnreachable = Event{
 		Number: 731,
 		Name:   "store-unreachable",
@@ -385,7 +391,7 @@
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
-		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled,
+		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
 	}
 }
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -98,6 +98,9 @@
 	// UpstreamSet identifies the set of upstreams that the sender knows, of which some
 	// may have left the list; 0 if it knows none. Only a scheduler sets it.
 	UpstreamSet uint64 `cbor:"14,keyasint,omitempty"`
+	// Unheard is set if the sender does not hear the receiver. The stream from the receiver
+	// may have become silent for good without breaking.
+	Unheard bool `cbor:"15,keyasint,omitempty"`
 }
 
 // peerState is what this process knows of another one.
