--- a/soak/simulation/network.go
+++ b/soak/simulation/network.go
@@ -169,7 +169,7 @@
 func (stream *stream) notify(event link.Event) {
 	owner := stream.owner
 	owner.later(0, func() {
-		owner.receive(func() { owner.dispatcher.Notify(event) })
+		owner.receive(func() { owner.enqueue(func() { owner.dispatcher.Notify(event) }) })
 	})
 }
 
@@ -220,7 +220,11 @@
 	}
 	world := stream.owner.world
 	connection := stream.connection
-	connection.lastArrival = max(connection.lastArrival, world.now+world.latency())
+	transit := world.latency()
+	if world.linkDelay != nil {
+		transit += world.linkDelay(stream.owner.node, stream.peer.node)
+	}
+	connection.lastArrival = max(connection.lastArrival, world.now+transit)
 	world.after(connection.lastArrival-world.now, func() { connection.arrive(data) })
 }
 
@@ -262,7 +266,7 @@
 			connection.fail()
 			return
 		}
-		receiver.dispatcher.Notify(received)
+		receiver.enqueue(func() { receiver.dispatcher.Notify(received) })
 	})
 }
 
--- a/soak/simulation/process.go
+++ b/soak/simulation/process.go
@@ -47,6 +47,10 @@
 	backlog   []func()
 	directory directory
 	callers   []*connection
+	// lag is how long what arrives waits in the queue, and handledUntil when the queue is
+	// handled.
+	lag          time.Duration
+	handledUntil time.Duration
 }
 
 func newProcess(world *world, number int) *process {
@@ -84,6 +88,8 @@
 	process.streams = make(map[string]*stream)
 	process.lastStream = 0
 	process.backlog = nil
+	process.lag = 0
+	process.handledUntil = 0
 	process.directory = directory{
 		entries: make(map[string]cell.Upstream),
 	}
@@ -155,6 +161,18 @@
 	process.handleQueued()
 }
 
+// enqueue handles something that has been received, after what waits in the queue of a
+// process that lags.
+func (process *process) enqueue(action func()) {
+	now := process.world.now
+	if process.lag == 0 && now >= process.handledUntil {
+		action()
+		return
+	}
+	process.handledUntil = max(process.handledUntil, now+process.lag)
+	process.later(process.handledUntil-now, func() { process.receive(action) })
+}
+
 func (process *process) handleQueued() {
 	process.dispatcher.HandleQueued(process.world.time())
 	process.takeAnswers()
@@ -164,8 +182,10 @@
 	if process.paused {
 		return
 	}
-	process.dispatcher.Tick(process.world.time())
-	process.handleQueued()
+	process.enqueue(func() {
+		process.dispatcher.Tick(process.world.time())
+		process.handleQueued()
+	})
 }
 
 // pause stops the process for a time. What arrives meanwhile is handled afterwards,
@@ -316,7 +336,8 @@
 			return
 		}
 		exchange.finished = true
-		exchange.done(exchange.reply(outcome))
+		reply := exchange.reply(outcome)
+		process.enqueue(func() { exchange.done(reply) })
 	})
 }
 
--- a/soak/simulation/world.go
+++ b/soak/simulation/world.go
@@ -80,7 +80,9 @@
 	// lastEvent numbers the events, so that those of the same time keep their order.
 	lastEvent int
 
-	cuts      []*cut
+	cuts []*cut
+	// linkDelay, if set, returns how much longer messages between processes take.
+	linkDelay func(from, to *node) time.Duration
 	log       *platformLog
 	processes []*process
 	workers   []*worker
@@ -140,9 +142,16 @@
 	if world.chance(0.1) {
 		length = world.between(20*time.Second, 32*time.Second)
 	}
+	if options.Seed >= FirstScenarioSeed && world.scenario() == forgottenWorkers {
+		length = longSeriesLength
+	}
 	world.faultsEnd = warmUpTime + length
 	world.end = world.faultsEnd + coolDownTime
-	world.scheduleTroubles()
+	if options.Seed >= FirstScenarioSeed {
+		world.scheduleScenario()
+	} else {
+		world.scheduleTroubles()
+	}
 	world.callers.start(world)
 	return world
 }
