--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -77,6 +77,9 @@
 		deadline:   loop.now.Add(event.job.TimeLeft),
 		waiters:    []chan<- cell.Answer{event.answer},
 	}
+	if event.job.ResentAfter > 0 {
+		job.quarantineEnd = loop.now.Add(loop.quarantine() - event.job.ResentAfter)
+	}
 	if shouldShed(event.job.ID, loop.shedShare()) && !loop.chooseForeignScheduler(job) {
 		loop.log(logevent.JobGivenUp, "job", event.job.ID, "kind", event.job.Kind, "result", string(cell.NotRun),
 			"reason", "scheduler full")
--- a/shared/process/dispatcher/held_jobs_test.go
+++ b/shared/process/dispatcher/held_jobs_test.go
@@ -118,3 +118,19 @@
 	assert.Equal(t, heldJob.job.Generation, 1)
 	assert.Assert(t, heldJob.quarantineEnd.After(loop.now))
 }
+
+// Guards against a second run of a job that its caller has sent again after the first entry
+// VM was lost: the scheduler before may act on it until the end of a quarantine.
+func TestResentJobHasTheRestOfAQuarantine(t *testing.T) {
+	loop := newEntryVMLoop(t)
+	loop.acceptCallerJob(jobAccepted{
+		job: cell.Job{
+			ID:          "j",
+			TimeLeft:    time.Second,
+			ResentAfter: 1300 * time.Millisecond,
+		},
+	})
+	rest := loop.heldJobs["j"].quarantineEnd.Sub(loop.now)
+	assert.Equal(t, rest, loop.quarantine()-1300*time.Millisecond)
+	assert.Assert(t, rest > 500*time.Millisecond)
+}
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -103,7 +103,7 @@
 	}
 	cell.unblockTasks(job)
 	cell.enqueue(job)
-	if job.quarantineEnd.After(cell.now) {
+	if event.Job.Quarantine > 0 {
 		cell.quarantinedUntil = laterOf(cell.quarantinedUntil, job.quarantineEnd)
 		cell.verifyService(event.Job.Service)
 	}
@@ -129,11 +129,6 @@
 		quarantineEnd: cell.now.Add(submitted.Quarantine),
 		submittedAt:   cell.now,
 	}
-	leasesEnd := cell.createdAt.Add(cell.config.Limits.LeaseTime())
-	if submitted.Resent && submitted.Generation == 0 && cell.now.Before(leasesEnd) {
-		// The leases that the last Cell renewed may not be over.
-		job.quarantineEnd = leasesEnd
-	}
 	job.ratio = cell.config.Estimator.Ratio(submitted.Kind)
 	budget := submitted.LatencyBudget(job.ratio)
 	job.target = job.arrival.Add(budget - cell.config.Limits.Overhead)
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -53,9 +53,10 @@
 	// EarlierSets identifies the sets of upstreams that earlier schedulers knew which
 	// may still act on the job. Runs of the job may exist on any upstream in them.
 	EarlierSets []uint64 `cbor:"19,keyasint,omitempty"`
-	// Resent is set if the caller has sent the job before, perhaps to another entry VM, so
-	// that an earlier Cell may have had it although Generation is 0.
-	Resent bool `cbor:"20,keyasint,omitempty"`
+	// ResentAfter is set if the caller has sent the job before, perhaps to another entry VM,
+	// so that an earlier Cell may have had it although Generation is 0. It is the shortest
+	// time that has passed since the connection of that request broke.
+	ResentAfter time.Duration `cbor:"20,keyasint,omitempty"`
 }
 
 // ErrInvalidJob is wrapped by the errors of Validate.
--- a/shared/request/cell/resent_job_test.go
+++ b/shared/request/cell/resent_job_test.go
@@ -19,7 +19,7 @@
 	}))
 	assert.Equal(t, len(polls), 2)
 	job := testJob("j", 1)
-	job.Resent = true
+	job.Quarantine = 500 * time.Millisecond
 	job.Stretch = 20
 	harness.submit(job)
 	starts := decisionsOf[cell.StartRun](harness.handle(harness.pollReply(polls[0], nil, nil)))
--- a/shared/request/cell/takeover.go
+++ b/shared/request/cell/takeover.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	job.startsAllowed = true
-	if job.quarantineEnd.After(job.submittedAt) {
+	if job.submitted.Quarantine > 0 {
 		cell.decide(StartsAllowed{
 			Job:            job.submitted.ID,
 			Generation:     job.submitted.Generation,
--- a/soak/simulation/callers.go
+++ b/soak/simulation/callers.go
@@ -122,6 +122,9 @@
 	}
 	target.callers = append(target.callers, opened)
 	submitted := job.job
+	if job.sends > 1 {
+		submitted.ResentAfter = resendDelay
+	}
 	submitted.TimeLeft = world.between(3*time.Second, 6*time.Second)
 	world.trace("caller sends %s to %s (%d)", submitted.ID, target.node.name, job.sends)
 	target.later(world.latency(), func() {
