Replace the streams to peers that this process does not hear

Effect: an entry VM refuses all jobs ("no scheduler") for as long as its streams to and from the scheduler are silent in both directions without breaking.

Cause: each side learns from the other's heartbeats that it is not heard, and neither side's heartbeats arrive.

Change: a process resets its stream to a peer that it does not hear every 2 s. The queue of a stream holds pointers, so that a new one takes 32 KB in place of 650 KB.

--- a/shared/connection/link/links.go
+++ b/shared/connection/link/links.go
@@ -96,7 +96,7 @@
 	address string
 	// queue holds the messages for the current stream, or for the next one after Reset.
 	// It is replaced under the mutex of Links.
-	queue chan Message
+	queue chan *Message
 	// cancel ends the link.
 	cancel context.CancelFunc
 	// reset ends the current stream.
@@ -123,7 +123,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	opened := &peerLink{
 		address: address,
-		queue:   make(chan Message, maxQueuedMessages),
+		queue:   make(chan *Message, maxQueuedMessages),
 		cancel:  cancel,
 		reset:   make(chan struct{}, 1),
 	}
@@ -148,14 +148,14 @@
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	if target, ok := links.peerLinks[address]; ok {
-		target.queue = make(chan Message, maxQueuedMessages)
+		target.queue = make(chan *Message, maxQueuedMessages)
 		target.requestReset()
 	}
 }
 
 // nextQueue returns the queue for the next stream of a link, and discards a pending reset,
 // which was meant for an earlier stream.
-func (links *Links) nextQueue(target *peerLink) chan Message {
+func (links *Links) nextQueue(target *peerLink) chan *Message {
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	select {
@@ -187,7 +187,7 @@
 	links.mutex.Unlock()
 	message.SenderUptime = time.Since(links.createdAt)
 	select {
-	case queue <- message:
+	case queue <- &message:
 	default:
 		target.requestReset()
 	}
@@ -223,7 +223,7 @@
 }
 
 // discard removes the messages that a stream has not sent.
-func discard(queue chan Message) {
+func discard(queue chan *Message) {
 	for {
 		select {
 		case <-queue:
@@ -235,7 +235,7 @@
 
 // runStream opens one stream and sends the queued messages on it until it
 // breaks. It reports whether the stream was opened, and why it ended.
-func (links *Links) runStream(ctx context.Context, target *peerLink, queue <-chan Message) (bool, error) {
+func (links *Links) runStream(ctx context.Context, target *peerLink, queue <-chan *Message) (bool, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	tcpConn, err := links.options.Dial(dialCtx, target.address)
@@ -265,7 +265,7 @@
 			return true, ErrReset
 		case message := <-queue:
 			message.Stream = number
-			if err := stream.MsgSend(&message, peer.Encoding{}); err != nil {
+			if err := stream.MsgSend(message, peer.Encoding{}); err != nil {
 				return true, err
 			}
 		}
--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -27,6 +27,10 @@
 	// unheardInterval is the time between resets of the stream to a peer that does not hear
 	// this process. It exceeds the time in which a new stream is opened and heard.
 	unheardInterval = time.Second
+	// silentInterval is the time between resets of the stream to a peer that this process
+	// does not hear. If the streams in both directions have become silent for good, neither
+	// side learns that the other does not hear it.
+	silentInterval = 2 * time.Second
 	// divisionInterval is the minimum time between answers to a process of another
 	// cell that does not know the division.
 	divisionInterval = 200 * time.Millisecond
@@ -163,6 +167,7 @@
 	if withMembers {
 		loop.membersSentAt = loop.now
 	}
+	loop.resetSilentStreams()
 	loop.sendHeartbeats(withMembers)
 	if loop.cell != nil && loop.now.Sub(loop.speedsSentAt) >= speedsInterval {
 		loop.speedsSentAt = loop.now
@@ -170,6 +175,15 @@
 	}
 }
 
+// resetSilentStreams replaces the streams to the peers that this process does not hear.
+func (loop *loop) resetSilentStreams() {
+	for _, address := range loop.view.PeerAddresses() {
+		if !loop.view.Live(address) && loop.sendDue("silent "+address, silentInterval) {
+			loop.dispatcher.links.Reset(address)
+		}
+	}
+}
+
 func (loop *loop) sendHeartbeats(withMembers bool) {
 	loop.heartbeatsSentAt = loop.now
 	for _, address := range loop.view.PeerAddresses() {
--- a/shared/process/dispatcher/silent_stream_test.go
+++ b/shared/process/dispatcher/silent_stream_test.go
@@ -43,3 +43,28 @@
 	receive(true)
 	assert.Equal(t, int(*resets), 1)
 }
+
+// Guards against two processes that never hear each other again: the streams between them
+// are silent in both directions and do not break.
+func TestStreamToASilentPeerIsReplaced(t *testing.T) {
+	loop := newEntryVMLoop(t)
+	resets := new(resetCounter)
+	loop.dispatcher.links = resets
+	loop.view = region.New(loop.now, loop.view.Self())
+	hear := func() {
+		loop.handleHeartbeat(region.Heartbeat{
+			Member: region.Member{
+				Address: schedulerAddress,
+			},
+			Interval: region.MinHeartbeatInterval,
+		}, 0)
+	}
+	for range 15 {
+		hear()
+		loop.advance(region.MinHeartbeatInterval)
+	}
+	assert.Equal(t, int(*resets), 0)
+	loop.leader = ""
+	loop.advance(3 * silentInterval)
+	assert.Assert(t, *resets >= 2 && *resets <= 3, "%d resets", *resets)
+}
