--- a/soak/simulation/world.go
+++ b/soak/simulation/world.go
@@ -34,6 +34,9 @@
 	// UnnoticedBreaks makes processes notice some broken connections of callers only
 	// after the caller has sent its job again.
 	UnnoticedBreaks bool
+	// LateOrdersSurvive makes new processes of workers carry out orders that were sent to
+	// earlier ones. Series before FirstScenarioSeed do so in any case.
+	LateOrdersSurvive bool
 	// Log, if set, receives the log lines of all processes and the events of the
 	// workers, callers and troubles.
 	Log io.Writer
@@ -80,7 +83,9 @@
 	// lastEvent numbers the events, so that those of the same time keep their order.
 	lastEvent int
 
-	cuts      []*cut
+	cuts []*cut
+	// linkDelay, if set, returns how much longer messages between processes take.
+	linkDelay func(from, to *node) time.Duration
 	log       *platformLog
 	processes []*process
 	workers   []*worker
@@ -140,13 +145,25 @@
 	if world.chance(0.1) {
 		length = world.between(20*time.Second, 32*time.Second)
 	}
+	if options.Seed >= FirstScenarioSeed && world.scenario() == forgottenWorkers {
+		length = longSeriesLength
+	}
 	world.faultsEnd = warmUpTime + length
 	world.end = world.faultsEnd + coolDownTime
-	world.scheduleTroubles()
+	if options.Seed >= FirstScenarioSeed {
+		world.scheduleScenario()
+	} else {
+		world.scheduleTroubles()
+	}
 	world.callers.start(world)
 	return world
 }
 
+// lateOrdersSurvive reports whether an order may reach a worker that has restarted since.
+func (world *world) lateOrdersSurvive() bool {
+	return world.options.LateOrdersSurvive || world.options.Seed < FirstScenarioSeed
+}
+
 // time returns the present time on the elapsed clocks of the processes.
 func (world *world) time() time.Time { return epoch.Add(world.now) }
 
