--- a/soak/region/sheet.go
+++ b/soak/region/combined.go
@@ -11,12 +11,12 @@
 	"time"
 )
 
-// firstSheetSeed is the first seed whose soak plays the disturbances and jobs of the sheet
+// firstCombinedSeed is the first seed whose soak plays all disturbances and job classes
 // of rplar-breizh beside cuts, in series on the same processes and workers.
-const firstSheetSeed = 3000
+const firstCombinedSeed = 3000
 
-// playsSheet reports whether the seed is one with the disturbances of the sheet.
-func (options Options) playsSheet() bool { return options.Seed >= firstSheetSeed }
+// combinesFaults reports whether the seed is one with all disturbances at once.
+func (options Options) combinesFaults() bool { return options.Seed >= firstCombinedSeed }
 
 const (
 	// spareWorkers is the number of workers that join during the faults.
@@ -31,8 +31,8 @@
 	takeoverInterval = 30 * time.Millisecond
 )
 
-// sheetJob is a kind of job on the sheet.
-type sheetJob struct {
+// jobClass is a class of jobs of rplar-breizh.
+type jobClass struct {
 	// minTasks and maxTasks bound the number of tasks.
 	minTasks, maxTasks int
 	// taskTime is the mean run time of a task.
@@ -40,15 +40,15 @@
 }
 
 // recoveryJob is the class dedication-queue.
-var recoveryJob = sheetJob{
+var recoveryJob = jobClass{
 	minTasks: 2,
 	maxTasks: 4,
 	taskTime: 200 * time.Millisecond,
 }
 
-// sheetJobs holds the classes caller-check, dedication-queue and alert-flag. The first and
-// the last are more frequent than on the sheet, so that more tasks run during a fault.
-var sheetJobs = []sheetJob{
+// jobClasses holds the classes caller-check, dedication-queue and alert-flag. The first and
+// the last are more frequent than there, so that more tasks run during a fault.
+var jobClasses = []jobClass{
 	{
 		minTasks: 8,
 		maxTasks: 32,
@@ -64,13 +64,13 @@
 }
 
 const (
-	// sheetMilliCores is the processor capacity that a task takes: two run on a worker.
-	sheetMilliCores = 6800
-	// sheetTimeBudget is the time for which most callers of the sheet wait.
-	sheetTimeBudget = 1500 * time.Millisecond
-	// sheetBudgetShare is the share of callers with sheetTimeBudget. The others wait as
+	// classMilliCores is the processor capacity that a task takes: two run on a worker.
+	classMilliCores = 6800
+	// classTimeBudget is the time for which most callers wait.
+	classTimeBudget = 1500 * time.Millisecond
+	// classBudgetShare is the share of callers with classTimeBudget. The others wait as
 	// long as those of earlier seeds, so that their jobs outlive a change of scheduler.
-	sheetBudgetShare = 0.6
+	classBudgetShare = 0.6
 	// minLeave and leaveRange bound the time after which callers leave early.
 	minLeave   = 100 * time.Millisecond
 	leaveRange = 900 * time.Millisecond
@@ -78,21 +78,21 @@
 	estimateDeviation = 0.4
 )
 
-// useSheet gives the caller a job of the sheet. After the faults it is a small one: what
+// useClass gives the caller a job of some class. After the faults it is a small one: what
 // is left of the jobs before them then takes too little capacity to refuse any.
-func (caller *caller) useSheet(faultsEnded bool) {
-	job := sheetJobs[caller.random.IntN(len(sheetJobs))]
+func (caller *caller) useClass(faultsEnded bool) {
+	job := jobClasses[caller.random.IntN(len(jobClasses))]
 	if faultsEnded {
 		job = recoveryJob
 	}
 	caller.tasks = job.minTasks + caller.random.IntN(job.maxTasks-job.minTasks+1)
 	estimate := float64(job.taskTime.Milliseconds()) * (1 + estimateDeviation*(2*caller.random.Float64()-1))
-	caller.body = jobBody(job.taskTime.String(), caller.tasks, sheetMilliCores, int(estimate))
+	caller.body = jobBody(job.taskTime.String(), caller.tasks, classMilliCores, int(estimate))
 	if faultsEnded {
 		return
 	}
-	if caller.random.Float64() < sheetBudgetShare {
-		caller.timeBudget = sheetTimeBudget
+	if caller.random.Float64() < classBudgetShare {
+		caller.timeBudget = classTimeBudget
 	}
 	if caller.random.Float64() < caller.region.leaveShare() {
 		caller.leaveAfter = minLeave + time.Duration(caller.random.Int64N(int64(leaveRange)))
@@ -106,9 +106,9 @@
 	return region.leaving
 }
 
-// sheetState is the state that only a soak of the sheet has. The region's mutex protects
+// combinedState is the state that only a soak with combined faults has. The region's mutex protects
 // leaving and absent.
-type sheetState struct {
+type combinedState struct {
 	// leaving is the share of callers that leave early.
 	leaving float64
 	// absent holds the workers, by index, that are not on the list.
--- a/soak/region/sheet_faults.go
+++ b/soak/region/combined_faults.go
@@ -11,7 +11,7 @@
 )
 
 // The bounds of the time between two faults of a series, and between the starts of two
-// series, of a soak of the sheet. Series overlap.
+// series, of a soak with combined faults. Series overlap.
 const (
 	minStepInterval     = 200 * time.Millisecond
 	stepIntervalRange   = 800 * time.Millisecond
@@ -50,9 +50,9 @@
 	reaction time.Duration
 }
 
-// sheetFaults are the faults of a soak of the sheet. They may wait until they have ended.
+// combinedFaults are the faults of a soak with all disturbances. They may wait until they have ended.
 // One that is listed twice is twice as frequent.
-var sheetFaults = []func(region *region, step step){
+var combinedFaults = []func(region *region, step step){
 	(*region).cutDomain,
 	(*region).cutDomain,
 	(*region).cutProcess,
@@ -83,14 +83,14 @@
 	(*region).loseCallers,
 }
 
-// injectSheet starts series of faults until ctx ends. Faults end with ctx at the latest,
+// injectCombined starts series of faults until ctx ends. Faults end with ctx at the latest,
 // but for drains.
-func (region *region) injectSheet(ctx context.Context) {
+func (region *region) injectCombined(ctx context.Context) {
 	sleepContext(ctx, settleTime)
 	for ctx.Err() == nil {
 		target := region.drawTarget()
 		for range 1 + region.random.IntN(maxSteps) {
-			fault := sheetFaults[region.random.IntN(len(sheetFaults))]
+			fault := combinedFaults[region.random.IntN(len(combinedFaults))]
 			step := region.drawStep(target)
 			if end, limited := ctx.Deadline(); limited {
 				step.duration = min(step.duration, time.Until(end))
@@ -501,7 +501,7 @@
 	maxPowerLoss = 2 * time.Second
 	// leaveTime is the time from the first draining report of a worker to its end.
 	leaveTime = 2500 * time.Millisecond
-	// maxLag is the time after which the list shows an entry, as on the sheet.
+	// maxLag is the time after which the list shows an entry.
 	maxLag = 800 * time.Millisecond
 	// slowLogDelay is the time in which a slow log answers.
 	slowLogDelay = 250 * time.Millisecond
--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -25,7 +25,7 @@
 	PlatformProgram string
 	// Seed determines the schedule of faults. Seeds from 1000 on have additional
 	// kinds of faults, those from 2000 on cuts between failure domains, those from 3000
-	// on the disturbances of the sheet of rplar-breizh beside them.
+	// on all disturbances of rplar-breizh beside them.
 	Seed uint64
 	// Processes and Workers are the numbers of platform processes and workers.
 	Processes int
@@ -118,7 +118,7 @@
 	persistentClient *http.Client
 	mutex            sync.Mutex
 	configVersion    int
-	sheetState
+	combinedState
 }
 
 // Run runs the soak of one seed. Violations are in the Report; the error says why
@@ -150,7 +150,7 @@
 		store:    standin.NewStore(),
 		draining: make(map[int]bool),
 		cuts:     newCuts(),
-		sheetState: sheetState{
+		combinedState: combinedState{
 			absent: make(map[int]bool),
 		},
 	}
@@ -168,7 +168,7 @@
 		return Report{}, err
 	}
 	workerCount := options.Workers
-	if options.playsSheet() {
+	if options.combinesFaults() {
 		workerCount += spareWorkers
 	}
 	for index := range workerCount {
@@ -275,8 +275,8 @@
 			state := "ready"
 			if region.draining[index] {
 				state = "draining"
-				if !region.options.playsSheet() {
-					// The processes of a soak of the sheet may not reach the log for
+				if !region.options.combinesFaults() {
+					// The processes of a soak with combined faults may not reach the log for
 					// longer than the bound of the check for drained workers.
 					worker.MarkDraining()
 				}
@@ -302,8 +302,8 @@
 	callerContext, endCallers := context.WithTimeout(ctx, 2*settleTime+region.options.FaultDuration+recoveryTime)
 	defer endCallers()
 	switch {
-	case region.options.playsSheet():
-		go region.injectSheet(faultContext)
+	case region.options.combinesFaults():
+		go region.injectCombined(faultContext)
 	case region.options.CutsDomains():
 		go region.injectCuts(faultContext)
 	default:
@@ -328,8 +328,8 @@
 			timeBudget:    callerTimeout,
 		}
 		switch {
-		case region.options.playsSheet():
-			caller.useSheet(time.Since(start) > settleTime+region.options.FaultDuration)
+		case region.options.combinesFaults():
+			caller.useClass(time.Since(start) > settleTime+region.options.FaultDuration)
 		case region.options.CutsDomains():
 			caller.tasks = cutJobTasks
 			caller.body = jobBody("x", caller.tasks, taskMilliCores, cutEstimateMs)
