cell: upstreams of evacuated failure domains get no starts

DomainsEvacuated marks the upstreams of a domain: they are not usable for new tasks, retries and moved runs, and don't count in speeds, room and backlog. An evacuated cell hands its waiting jobs over at once. A job without a start is refused as not run when all upstreams of its service are evacuated.

go test ./shared/request/cell passes.

--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -32,6 +32,10 @@
 	waitingJobs []*jobState
 	// quarantinedUntil is when the last quarantine of a job ends.
 	quarantinedUntil time.Time
+	// evacuatedDomains holds the evacuated failure domains, unservedServices the services
+	// without upstreams elsewhere.
+	evacuatedDomains map[string]bool
+	unservedServices map[string]bool
 	// topSpeeds holds the highest speed of an upstream by service.
 	topSpeeds map[string]float64
 	// sortedAt is when waitingJobs was last sorted.
@@ -128,6 +132,8 @@
 		cell.pollReplied(event)
 	case UpstreamsListed:
 		cell.applyListing(event.Upstreams)
+	case DomainsEvacuated:
+		cell.evacuate(event)
 	case Tick:
 		cell.tick()
 	}
--- a/shared/request/cell/dump.go
+++ b/shared/request/cell/dump.go
@@ -12,7 +12,8 @@
 
 // UpstreamDump is the state of one upstream for operators. State is foreign, looking,
 // open or silent, as explained at UpstreamStates. Leaving is set while the upstream
-// drains, and Present while it is on the platform's list. FreeMilliCores is in
+// drains, Evacuated while its failure domain is evacuated, and Present while it is on
+// the platform's list. FreeMilliCores is in
 // thousandths of a core. Speed is the estimated speed relative to the reference speed
 // 1, Slowdown the recent ratio of actual to expected run times, and Failures the number
 // of consecutive failed runs.
@@ -20,6 +21,7 @@
 	ID             string  `json:"id"`
 	State          string  `json:"state"`
 	Leaving        bool    `json:"leaving"`
+	Evacuated      bool    `json:"evacuated,omitempty"`
 	Present        bool    `json:"present"`
 	Runs           int     `json:"runs"`
 	FreeMilliCores int     `json:"free-milli-cores"`
@@ -42,6 +44,7 @@
 			ID:             upstream.listing.ID,
 			State:          upstream.status.String(),
 			Leaving:        upstream.listing.Leaving,
+			Evacuated:      upstream.evacuated,
 			Present:        upstream.present,
 			Runs:           len(upstream.runs),
 			FreeMilliCores: upstream.free.MilliCores,
--- a/shared/request/cell/entry.go
+++ b/shared/request/cell/entry.go
@@ -56,6 +56,7 @@
 		return
 	}
 	upstream.listing = entry
+	upstream.evacuated = cell.evacuatedDomains[entry.Domain]
 	upstream.recomputeUsage()
 	if upstream.entryState() == entryAhead && (upstream.status == upstreamOpen || upstream.status == upstreamSilent) {
 		upstream.schedulePoll(cell.now)
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -382,6 +382,9 @@
 		cell.abandon(job, "deadline", 0)
 		return
 	}
+	if cell.refuseUnserved(job) {
+		return
+	}
 	if job.started || job.activeTasks > 0 {
 		if job.waitingTasks > 0 && cell.now.After(job.worthlessAt) {
 			cell.abandon(job, "overload", 0)
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -36,7 +36,7 @@
 		if upstream.slowdown > slowdownTolerance {
 			upstream.speed /= upstream.slowdown
 		}
-		if upstream.status == upstreamOpen {
+		if upstream.serves() {
 			cell.topSpeeds[upstream.listing.Service] = max(cell.topSpeeds[upstream.listing.Service], upstream.speed)
 		}
 	}
@@ -49,7 +49,7 @@
 func (cell *Cell) backlogTime(service string) time.Duration {
 	cores, work := 0.0, 0.0
 	for _, upstream := range cell.upstreamOrder {
-		if upstream.listing.Service == service && upstream.status == upstreamOpen {
+		if upstream.listing.Service == service && upstream.serves() {
 			cores += float64(upstream.listing.Capacity.MilliCores) * upstream.speed
 		}
 	}
@@ -72,7 +72,7 @@
 
 // acceptsTasks reports whether an upstream may get new tasks.
 func (cell *Cell) acceptsTasks(upstream *upstreamState) bool {
-	return upstream.status == upstreamOpen && upstream.present && !upstream.listing.Leaving &&
+	return upstream.serves() && upstream.present && !upstream.listing.Leaving &&
 		!cell.now.Before(upstream.listing.UsableAt) &&
 		upstream.entryState() != entryAhead &&
 		upstream.missedPolls == 0 && upstream.orphanCount == 0 &&
@@ -145,7 +145,7 @@
 	usable := cell.usableBuffer[:0]
 	free, total := 0, 0
 	for _, upstream := range cell.bySpeed {
-		if upstream.status == upstreamOpen {
+		if upstream.serves() {
 			total += upstream.listing.Capacity.MilliCores
 			free += max(upstream.free.MilliCores, 0)
 		}
--- a/shared/request/cell/surplus.go
+++ b/shared/request/cell/surplus.go
@@ -12,13 +12,14 @@
 
 // Surplus returns the jobs that may be handed to another cell: they have waited for
 // Limits.SurplusAfter without a start, no earlier Cell can have started them, and
-// they have not been handed over before. The jobs that would be served last come
-// first.
+// they have not been handed over before. If all upstreams here are evacuated, only the
+// second has to hold. The jobs that would be served last come first.
 func (cell *Cell) Surplus() []Surplus {
 	var surplus []Surplus
+	allEvacuated := cell.allEvacuated()
 	for _, job := range slices.Backward(cell.waitingJobs) {
-		if job.startOrdered || job.started || job.submitted.Spilled || !job.submitted.neverStarted() ||
-			cell.now.Sub(job.submittedAt) < cell.config.Limits.SurplusAfter {
+		if job.startOrdered || job.started || !job.submitted.neverStarted() ||
+			!cell.mayHandOver(job, allEvacuated) {
 			continue
 		}
 		surplus = append(surplus, Surplus{
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -32,6 +32,8 @@
 	status  upstreamStatus
 	// present is false if the upstream is no longer on the platform's list.
 	present bool
+	// evacuated is set while the failure domain is evacuated.
+	evacuated bool
 	// incarnation is the incarnation that answered last; 0 if none has.
 	incarnation int64
 	// clock is the upstream's clock in ms when an answer arrived at clockAt.
