Evacuations reach every process, from the log or from a peer

Schedulers of a divided region exchange it with their reports. A relay refuses a start in an evacuated domain to a scheduler that does not know of it, and tells it.

go test -race of shared/process, shared/connection, shared/version/region, platform and tanagerctl passes.

--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -5,6 +5,7 @@
 
 	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/version/evacuation"
 	"tanagerfall/shared/version/region"
 	"tanagerfall/shared/version/routing"
 )
@@ -43,6 +44,8 @@
 	Dropped   *Dropped       `cbor:"19,keyasint,omitempty"`
 	// Leaving is sent to a process that has started.
 	Leaving *LeavingUpstreams `cbor:"20,keyasint,omitempty"`
+	// Evacuations is sent to a peer that has an older snapshot.
+	Evacuations *evacuation.Snapshot `cbor:"21,keyasint,omitempty"`
 }
 
 // Dropped is sent by a scheduler to an entry VM that was silent, when its heartbeats
@@ -60,6 +63,9 @@
 // to the entry VMs of its cell.
 type CellStates struct {
 	Cells []CellState `cbor:"1,keyasint"`
+	// Evacuations is the sender's snapshot, because cells exchange no other state; nil
+	// if it has seen no evacuation.
+	Evacuations *evacuation.Snapshot `cbor:"2,keyasint,omitempty"`
 }
 
 // CellState is the report of one cell's scheduler.
--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
+	"tanagerfall/shared/version/evacuation"
 	"tanagerfall/shared/version/region"
 	"tanagerfall/shared/version/routing"
 )
@@ -267,6 +268,14 @@
 	})
 }
 
+// SetEvacuations sets the evacuations that were just read from the platform. They are
+// ignored unless their position is higher than that of the ones in force.
+func (dispatcher *Dispatcher) SetEvacuations(snapshot evacuation.Snapshot) {
+	dispatcher.post(evacuationsRead{
+		snapshot: snapshot,
+	})
+}
+
 // SetUpstreams sets the list of upstreams that was just read from the platform.
 func (dispatcher *Dispatcher) SetUpstreams(upstreams []cell.Upstream) {
 	dispatcher.post(upstreamsRead{
--- /dev/null
+++ b/shared/process/dispatcher/evacuated_orders_test.go
@@ -0,0 +1,66 @@
+package dispatcher
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/connection/relay"
+	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/version/evacuation"
+	"tanagerfall/shared/version/region"
+)
+
+// Guards against a relay that starts tasks in an evacuated domain for a scheduler that
+// does not know of the evacuation yet, and against one that knows less than the scheduler
+// and refuses its starts after the evacuation was taken back.
+func TestRelayRefusesStartsInEvacuatedDomains(t *testing.T) {
+	loop := newEntryVMLoop(t)
+	executed := 0
+	loop.dispatcher.execute = func(relay.Order, func(cell.Event)) { executed++ }
+	loop.adoptUpstreams([]cell.Upstream{{
+		ID:     "u1",
+		Domain: "a",
+	}, {
+		ID:     "u2",
+		Domain: "b",
+	}}, 0)
+	loop.evacuations.AdoptRead(evacuation.Snapshot{
+		Position: 7,
+		Domains:  []string{"a"},
+	})
+	start := func(upstream string) relay.Order {
+		return relay.Order{
+			Start: &cell.StartRun{
+				Order: cell.Order{
+					Upstream: upstream,
+				},
+			},
+		}
+	}
+	poll := relay.Order{
+		Poll: &cell.Poll{
+			Order: cell.Order{
+				Upstream: "u1",
+			},
+		},
+	}
+	loop.executeRelayedOrders(schedulerAddress, 1, []relay.Order{start("u1"), start("u2"), poll})
+	assert.Equal(t, executed, 2)
+	replies := loop.queuedReplies[remoteScheduler{
+		address:     schedulerAddress,
+		incarnation: 1,
+	}]
+	assert.Equal(t, len(replies), 1)
+	assert.Equal(t, replies[0].Outcome, cell.OutcomeFull)
+
+	loop.view.HandleHeartbeat(region.Heartbeat{
+		Member: region.Member{
+			Address:     schedulerAddress,
+			Incarnation: 1,
+		},
+		EvacuationsPosition: 9,
+	}, 0)
+	loop.executeRelayedOrders(schedulerAddress, 1, []relay.Order{start("u1")})
+	assert.Equal(t, executed, 3)
+}
--- a/shared/process/dispatcher/events.go
+++ b/shared/process/dispatcher/events.go
@@ -6,6 +6,7 @@
 	"tanagerfall/shared/connection/link"
 	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/version/evacuation"
 	"tanagerfall/shared/version/region"
 	"tanagerfall/shared/version/routing"
 )
@@ -40,6 +41,10 @@
 	routesRead struct {
 		table *routing.Table
 	}
+	// evacuationsRead holds the evacuations read from the platform.
+	evacuationsRead struct {
+		snapshot evacuation.Snapshot
+	}
 	// upstreamsRead holds the list of upstreams read from the platform.
 	upstreamsRead struct {
 		upstreams []cell.Upstream
@@ -79,6 +84,7 @@
 func (callerLeft) isEvent()       {}
 func (cancelRequested) isEvent()  {}
 func (routesRead) isEvent()       {}
+func (evacuationsRead) isEvent()  {}
 func (upstreamsRead) isEvent()    {}
 func (membersRead) isEvent()      {}
 func (orderReplied) isEvent()     {}
--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -60,6 +60,7 @@
 	}
 	if replaced || !wasLive {
 		loop.sendLeaving(address)
+		loop.sendEvacuations(address, heartbeat.EvacuationsPosition)
 	}
 	if loop.cell != nil {
 		entryVM := entryVMName(address, heartbeat.Member.Incarnation)
@@ -124,14 +125,17 @@
 	loop.sendHeartbeat(address, true)
 }
 
-// sendNewerState sends a peer the routing table if the peer's is older, and a
-// scheduler the list of upstreams if its list is stale.
+// sendNewerState sends a peer the routing table and the evacuations if the peer's are
+// older, and a scheduler the list of upstreams if its list is stale.
 func (loop *loop) sendNewerState(address string, heartbeat region.Heartbeat) {
 	if loop.routes != nil && heartbeat.RoutesVersion < loop.routes.Version && loop.sendDue("routes "+address, routesInterval) {
 		loop.send(address, link.Message{
 			Routes: loop.routes,
 		})
 	}
+	if loop.evacuations.NewerThan(heartbeat.EvacuationsPosition) && loop.sendDue("evacuations "+address, evacuationsInterval) {
+		loop.sendEvacuations(address, heartbeat.EvacuationsPosition)
+	}
 	if heartbeat.ActiveFor > 0 && heartbeat.UpstreamListAge > staleListAge && !loop.listReadAt.IsZero() {
 		age := loop.now.Sub(loop.listReadAt)
 		if age+minListAdvance < heartbeat.UpstreamListAge && loop.sendDue("list "+address, staleListAge) {
@@ -203,7 +207,8 @@
 func (loop *loop) sendCellStates() {
 	states := link.Message{
 		Cells: &link.CellStates{
-			Cells: loop.cellStates(),
+			Cells:       loop.cellStates(),
+			Evacuations: loop.evacuations.Snapshot(),
 		},
 	}
 	for _, address := range loop.view.PeerAddresses() {
@@ -226,6 +231,8 @@
 		ShedShare:       loop.loadMonitor.shedShare,
 		Division:        loop.view.Division(),
 		Unheard:         !loop.view.Live(address),
+
+		EvacuationsPosition: loop.evacuations.Position(),
 	}
 	if loop.routes != nil {
 		heartbeat.RoutesVersion = loop.routes.Version
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -10,6 +10,7 @@
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
+	"tanagerfall/shared/version/evacuation"
 	"tanagerfall/shared/version/region"
 	"tanagerfall/shared/version/routing"
 )
@@ -79,6 +80,7 @@
 	// role is the role that was last reported to the options.
 	role           Role
 	routes         *routing.Table
+	evacuations    evacuation.State
 	upstreams      []cell.Upstream
 	knownUpstreams upstreamSets
 	// listReadAt is when the list of upstreams was read; zero before the first.
@@ -149,6 +151,8 @@
 		loop.handleCancelRequest(event)
 	case routesRead:
 		loop.adoptRoutes(event.table, "platform")
+	case evacuationsRead:
+		loop.adoptEvacuations(loop.evacuations.AdoptRead(event.snapshot), "platform")
 	case upstreamsRead:
 		loop.adoptUpstreams(event.upstreams, 0)
 	case membersRead:
@@ -322,6 +326,8 @@
 		loop.handleCancelResult(*message.Cancelled)
 	case message.Routes != nil:
 		loop.adoptRoutes(message.Routes.Index(), message.From)
+	case message.Evacuations != nil:
+		loop.adoptEvacuations(loop.evacuations.AdoptReceived(*message.Evacuations), message.From)
 	case message.Upstreams != nil:
 		loop.adoptUpstreams(message.Upstreams.Upstreams, message.Upstreams.Age)
 	case message.Released != nil:
@@ -336,6 +342,9 @@
 	case message.Replies != nil:
 		loop.handleRelayReplies(*message.Replies)
 	case message.Cells != nil:
+		if snapshot := message.Cells.Evacuations; snapshot != nil {
+			loop.adoptEvacuations(loop.evacuations.AdoptReceived(*snapshot), message.From)
+		}
 		loop.handleCellStates(message.From, message.Cells.Cells)
 	case message.Dropped != nil:
 		loop.handleDropped(message.From)
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -32,6 +32,8 @@
 	metricLostRelayedOrders = "tanagerfall_region_relayed_orders_lost_total"
 	metricStaleMessages     = "tanagerfall_region_stale_messages_total"
 	metricInvalidMessages   = "tanagerfall_region_invalid_messages_total"
+	metricEvacuatedDomains  = "tanagerfall_region_evacuated_domains"
+	metricEvacuatedOrders   = "tanagerfall_region_evacuated_orders_refused_total"
 )
 
 // MetricNames returns the names of all metrics of a Dispatcher.
@@ -39,7 +41,7 @@
 	return []string{
 		metricAnswers, metricAnswerSeconds, metricWithdrawn, metricOrders, metricOrderSeconds, metricRunsLost, metricStartsAllowed, metricLeasesExpired, metricSchedules,
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
-		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages,
+		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages, metricEvacuatedDomains, metricEvacuatedOrders,
 	}
 }
 
@@ -116,6 +118,7 @@
 	if loop.routes != nil {
 		instruments.setGauge(metricRoutesVersion, float64(loop.routes.Version))
 	}
+	instruments.setGauge(metricEvacuatedDomains, float64(len(loop.evacuations.Domains())))
 	instruments.setGauge(metricDroppedLogLines, float64(loop.options.Logger.Dropped()))
 	instruments.setGauge(metricRelayedOrders, float64(loop.relayedOrders))
 	if loop.cell == nil {
--- a/shared/process/dispatcher/neighbours.go
+++ b/shared/process/dispatcher/neighbours.go
@@ -101,7 +101,8 @@
 	loop.neighbours.sentAt = loop.now
 	message := link.Message{
 		Cells: &link.CellStates{
-			Cells: loop.cellStates(),
+			Cells:       loop.cellStates(),
+			Evacuations: loop.evacuations.Snapshot(),
 		},
 	}
 	for _, address := range loop.foreignContacts() {
@@ -199,7 +200,8 @@
 	if isNew && loop.cell == nil && loop.leader != "" && !loop.view.InCell(from) {
 		loop.send(loop.leader, link.Message{
 			Cells: &link.CellStates{
-				Cells: loop.cellStates(),
+				Cells:       loop.cellStates(),
+				Evacuations: loop.evacuations.Snapshot(),
 			},
 		})
 	}
--- a/shared/process/dispatcher/platform_lists.go
+++ b/shared/process/dispatcher/platform_lists.go
@@ -62,6 +62,9 @@
 	if loop.cell == nil {
 		return
 	}
+	if len(loop.evacuations.Domains()) > 0 {
+		loop.passEvacuations()
+	}
 	cellUpstreams := loop.view.Upstreams(loop.upstreams)
 	loop.relays.SetUpstreams(cellUpstreams)
 	loop.notifyCell(cell.UpstreamsListed{
--- a/shared/process/dispatcher/relays.go
+++ b/shared/process/dispatcher/relays.go
@@ -69,6 +69,10 @@
 			loop.queueReply(scheduler, relay.NewReply(order.Number, nil))
 			continue
 		}
+		if reply, refused := loop.refuseEvacuated(from, order); refused {
+			loop.queueReply(scheduler, reply)
+			continue
+		}
 		loop.relayedOrders++
 		dispatcher := loop.dispatcher
 		dispatcher.execute(order, func(reply cell.Event) {
--- a/shared/process/dispatcher/state.go
+++ b/shared/process/dispatcher/state.go
@@ -32,6 +32,10 @@
 	Neighbours []spill.Report `json:"neighbours,omitempty"`
 	// RoutesVersion is the version of the routing table in force; 0 if none.
 	RoutesVersion int64 `json:"routes-version"`
+	// Evacuated lists the failure domains that operators have evacuated, according to
+	// the log up to EvacuationsPosition; 0 if this process has seen no evacuation.
+	Evacuated           []string `json:"evacuated,omitempty"`
+	EvacuationsPosition int64    `json:"evacuations-position,omitempty"`
 	// ListAgeMs is the age of the list of upstreams in ms; an hour if there is none.
 	ListAgeMs int64 `json:"list-age-ms"`
 	// HeldJobs is the number of jobs that callers of this process wait for.
@@ -61,6 +65,9 @@
 		HeldJobs:        len(loop.heldJobs),
 		RelayedOrders:   loop.relayedOrders,
 		SuspectedRelays: loop.suspectedRelays,
+		Evacuated:       loop.evacuations.Domains(),
+
+		EvacuationsPosition: loop.evacuations.Position(),
 	}
 	if loop.routes != nil {
 		state.RoutesVersion = loop.routes.Version
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -101,6 +101,9 @@
 	// Unheard is set if the sender does not hear the receiver. The stream from the receiver
 	// may have become silent for good without breaking.
 	Unheard bool `cbor:"15,keyasint,omitempty"`
+	// EvacuationsPosition is the position of the sender's evacuation.Snapshot; 0 if it
+	// has seen no evacuation.
+	EvacuationsPosition int64 `cbor:"16,keyasint,omitempty"`
 }
 
 // peerState is what this process knows of another one.
--- a/tanagerctl/explanation/explain.go
+++ b/tanagerctl/explanation/explain.go
@@ -75,6 +75,8 @@
 			return "no worker was free in time", "given up after " + endLine.fields["took"]
 		case "scheduler full":
 			return "the scheduler turned a share of jobs away", ""
+		case "evacuated":
+			return "all failure domains of its service are evacuated", ""
 		case "no scheduler":
 			return "no scheduler was known", logs.schedulerChange(endLine)
 		default:
