Cold upstreams: a speed that rises, and a limit of starts meanwhile

cold-remaining-ms of a worker's entry and cold-start-s and cold-per-s of a service were not read. An upstream that is cold now counts as slower in placement and predictions, its starts are spaced by the service's limit, and its runs don't change its learned speed.

go test -race of cell, dispatcher, link, routing and platform/store passes.

--- a/shared/process/dispatcher/platform_lists.go
+++ b/shared/process/dispatcher/platform_lists.go
@@ -36,11 +36,21 @@
 		return
 	}
 	loop.listReadAt = readAt
-	loop.upstreams = loop.markLeaving(loop.retainRemoved(upstreams))
+	loop.upstreams = loop.markLeaving(loop.retainRemoved(setColdUntil(readAt, upstreams)))
 	loop.updateKnownUpstreams()
 	loop.passUpstreams()
 }
 
+// setColdUntil sets the time at which each upstream of a list has its full speed.
+func setColdUntil(readAt time.Time, upstreams []cell.Upstream) []cell.Upstream {
+	for i := range upstreams {
+		if upstream := &upstreams[i]; upstream.ColdFor > 0 {
+			upstream.ColdUntil = readAt.Add(upstream.ColdFor)
+		}
+	}
+	return upstreams
+}
+
 // updateKnownUpstreams updates the set of upstreams that heartbeats report, and delays the
 // use of new members. An entry VM that stops hearing this process leaves it after one
 // liveness timeout and names the set of the last heartbeat to the next scheduler. This
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -9,6 +9,7 @@
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/version/region"
+	"tanagerfall/shared/version/routing"
 )
 
 // elect follows the elected scheduler. If that is this process, it starts to
@@ -51,6 +52,7 @@
 		Claims:         loop.view.Claim,
 		NextToken:      loop.nextToken,
 		GuardsCapacity: loop.guardsCapacity,
+		WarmUp:         loop.warmUp,
 		KnowsUpstreams: func(sets []uint64) bool { return loop.knownUpstreams.covers(loop.now, sets) },
 		Limits:         loop.options.Limits,
 	})
@@ -73,6 +75,15 @@
 	return loop.routes != nil && loop.routes.EnforcesCapacity(service)
 }
 
+// warmUp returns how the upstreams of a service start, according to the routing table in
+// force.
+func (loop *loop) warmUp(service string) routing.WarmUp {
+	if loop.routes == nil {
+		return routing.WarmUp{}
+	}
+	return loop.routes.WarmUp(service)
+}
+
 // relayThreshold returns the number of upstreams from which on a scheduler uses
 // relays. limit is the number for a scheduler with 0.4 of a core and a link of 50
 // Mbit/s or more; it falls in proportion to what the scheduler lacks.
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -9,6 +9,7 @@
 
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
+	"tanagerfall/shared/version/routing"
 )
 
 // harness runs a Cell on virtual time and holds its latest decisions.
@@ -23,6 +24,8 @@
 	guardsCapacity bool
 	// unknownUpstreams is set if an earlier scheduler knew upstreams that are not listed.
 	unknownUpstreams bool
+	// warmUp is how the upstreams start.
+	warmUp routing.WarmUp
 	// lastDecisions holds the decisions on the last immediate poll of
 	// listUpstreams.
 	lastDecisions []cell.Decision
@@ -54,6 +57,7 @@
 			return harness.token
 		},
 		GuardsCapacity: func(string) bool { return harness.guardsCapacity },
+		WarmUp:         func(string) routing.WarmUp { return harness.warmUp },
 		KnowsUpstreams: func([]uint64) bool { return !harness.unknownUpstreams },
 		Limits:         cell.DefaultLimits(),
 	})
--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerfall/shared/request/estimate"
+	"tanagerfall/shared/version/routing"
 )
 
 // Claim says whether this process may take over an upstream, and from whom.
@@ -34,6 +35,8 @@
 	// GuardsCapacity reports whether the upstreams of a service refuse runs that exceed
 	// their capacity. A service that is not known counts as one that does not.
 	GuardsCapacity func(service string) bool
+	// WarmUp returns how the upstreams of a service start; nil if all start at full speed.
+	WarmUp func(service string) routing.WarmUp
 	// KnowsUpstreams reports whether this process knows all upstreams of the sets that
 	// Job.EarlierSets identifies.
 	KnowsUpstreams func(sets []uint64) bool
--- a/shared/request/cell/dump.go
+++ b/shared/request/cell/dump.go
@@ -13,7 +13,7 @@
 // UpstreamDump is the state of one upstream for operators. State is foreign, looking,
 // open or silent, as explained at UpstreamStates. Leaving is set while the upstream
 // drains, Evacuated while its failure domain is evacuated, and Present while it is on
-// the platform's list. FreeMilliCores is in
+// the platform's list. ColdMs is the time until its full speed. FreeMilliCores is in
 // thousandths of a core. Speed is the estimated speed relative to the reference speed
 // 1, Slowdown the recent ratio of actual to expected run times, and Failures the number
 // of consecutive failed runs.
@@ -22,6 +22,7 @@
 	State          string  `json:"state"`
 	Leaving        bool    `json:"leaving"`
 	Evacuated      bool    `json:"evacuated,omitempty"`
+	ColdMs         int64   `json:"cold-ms,omitempty"`
 	Present        bool    `json:"present"`
 	Runs           int     `json:"runs"`
 	FreeMilliCores int     `json:"free-milli-cores"`
@@ -45,6 +46,7 @@
 			State:          upstream.status.String(),
 			Leaving:        upstream.listing.Leaving,
 			Evacuated:      upstream.evacuated,
+			ColdMs:         max(upstream.listing.ColdUntil.Sub(cell.now), 0).Milliseconds(),
 			Present:        upstream.present,
 			Runs:           len(upstream.runs),
 			FreeMilliCores: upstream.free.MilliCores,
--- a/shared/request/cell/health.go
+++ b/shared/request/cell/health.go
@@ -60,6 +60,10 @@
 	upstream := run.upstream
 	ratio := float64(runTime) / float64(run.expectedTime)
 	upstream.recordSlowdown(ratio)
+	if run.cold {
+		// The speed of a cold upstream says nothing about that after its warm-up.
+		return
+	}
 	estimate := run.job.submitted.Steps[run.name.Task.Step].Estimate
 	cell.config.Estimator.Observe(run.job.submitted.Kind, upstream.listing.ID, milliseconds(estimate), milliseconds(runTime))
 }
@@ -114,6 +118,7 @@
 	upstream.ejectedUntil = time.Time{}
 	upstream.probing = false
 	upstream.slowdown = 1
+	upstream.nextColdStartAt = time.Time{}
 }
 
 // applyProgress records the progress of a run and moves the run if it is
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -177,6 +177,11 @@
 	// recently. It gets no new tasks but may still execute runs that another
 	// process started.
 	Removed bool `cbor:"10,keyasint,omitempty"`
+	// ColdFor is the time from the reading of the list until the upstream, which has
+	// started, has its full speed; 0 if it has.
+	ColdFor time.Duration `cbor:"11,keyasint,omitempty"`
+	// ColdUntil is the time at which ColdFor is over.
+	ColdUntil time.Time `cbor:"-"`
 	// UsableAt is the time from which the upstream may get tasks; zero for no bound.
 	UsableAt time.Time `cbor:"-"`
 }
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -36,6 +36,7 @@
 		if upstream.slowdown > slowdownTolerance {
 			upstream.speed /= upstream.slowdown
 		}
+		upstream.speed *= cell.warmShare(upstream)
 		if upstream.serves() {
 			cell.topSpeeds[upstream.listing.Service] = max(cell.topSpeeds[upstream.listing.Service], upstream.speed)
 		}
@@ -78,7 +79,7 @@
 		upstream.missedPolls == 0 && upstream.orphanCount == 0 &&
 		!upstream.ejectedUntil.After(cell.now) && !upstream.fullUntil.After(cell.now) &&
 		cell.now.Sub(upstream.clockAt) < maxClockAge &&
-		upstream.usedSlots < upstream.listing.Slots && (!upstream.probing || upstream.usedSlots == 0)
+		upstream.usedSlots < upstream.listing.Slots && !upstream.nextColdStartAt.After(cell.now) && (!upstream.probing || upstream.usedSlots == 0)
 }
 
 // placeTasks starts waiting tasks as far as capacity allows.
@@ -298,7 +299,7 @@
 	if upstream.listing.Service != job.submitted.Service || upstream.usedSlots >= upstream.listing.Slots || !upstream.free.fits(step.Need) {
 		return false
 	}
-	if upstream.probing && upstream.usedSlots > 0 {
+	if (upstream.probing && upstream.usedSlots > 0) || upstream.nextColdStartAt.After(cell.now) {
 		return false
 	}
 	if task.failures > 0 && (upstream.consecutiveFailures > 0 || upstream.probing || upstream.listing.ID == task.avoidedUpstream) {
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -56,7 +56,9 @@
 	orphanDeadline time.Time
 	// expectedTime is the predicted run time.
 	expectedTime time.Duration
-	percent      int
+	// cold is set if the upstream was cold when the start was ordered.
+	cold    bool
+	percent int
 	// progressedAt is when percent last rose.
 	progressedAt time.Time
 	// stopReason says why the run is being stopped; empty if it is not.
@@ -90,6 +92,7 @@
 	}
 	task.currentRun = run
 	cell.addRun(run)
+	cell.recordColdStart(run)
 	cell.counters.Starts++
 	cell.recordNeed(step.Need.MilliCores)
 	cell.decide(StartRun{
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -99,6 +99,8 @@
 	// probing is set from an ejection with backoff until a run is done. The
 	// upstream gets one task at a time meanwhile.
 	probing bool
+	// nextColdStartAt is the earliest time of the next start while the upstream is cold.
+	nextColdStartAt time.Time
 }
 
 func (cell *Cell) applyListing(listings []Upstream) {
--- a/shared/version/routing/table.go
+++ b/shared/version/routing/table.go
@@ -50,6 +50,15 @@
 	EnforcesCapacity bool `cbor:"2,keyasint,omitempty" json:"guards"`
 	// MaxConnections limits the connections to one upstream; 0 means no limit.
 	MaxConnections int `cbor:"3,keyasint,omitempty" json:"max-connections"`
+	// WarmUp describes the upstreams after their start; zero if they start at full speed.
+	WarmUp WarmUp `cbor:"4,keyasint,omitzero" json:"warm-up"`
+}
+
+// WarmUp describes upstreams that are slow after their start. Their speed rises for
+// Duration. StartsPerSecond limits the starts at one of them meanwhile; 0 means no limit.
+type WarmUp struct {
+	Duration        time.Duration `cbor:"1,keyasint,omitempty" json:"duration-ns"`
+	StartsPerSecond float64       `cbor:"2,keyasint,omitempty" json:"starts-per-second"`
 }
 
 // Limits bounds callers' requests. MaxHeaderBytes and MaxBodyBytes are sizes,
@@ -89,6 +98,16 @@
 	return false
 }
 
+// WarmUp returns that of a service; zero for a service that the table does not have.
+func (table *Table) WarmUp(name string) WarmUp {
+	for i := range table.Services {
+		if table.Services[i].Name == name {
+			return table.Services[i].WarmUp
+		}
+	}
+	return WarmUp{}
+}
+
 // Match returns the route for a host, with or without a port, that has the
 // longest prefix of path, the remainder of the path after the prefix, and whether
 // there is such a route.
