An evacuated domain that is cut off refuses its callers at once

A Cell that has had no other upstreams for 0.5 s, and can't hand jobs to another cell, now refuses jobs without a start at the next tick.

--- a/shared/process/dispatcher/evacuations.go
+++ b/shared/process/dispatcher/evacuations.go
@@ -7,6 +7,7 @@
 	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/version/region"
 )
 
 // evacuationsInterval is the minimum time between copies of the evacuations for a peer.
@@ -25,12 +26,27 @@
 
 // passEvacuations passes the evacuations to the Cell, if this process schedules.
 func (loop *loop) passEvacuations() {
+	loop.passedMayHandOver = loop.mayHandOver()
 	loop.notifyCell(cell.DomainsEvacuated{
-		Domains:  loop.evacuations.Domains(),
-		Unserved: loop.unservedServices(),
+		Domains:     loop.evacuations.Domains(),
+		Unserved:    loop.unservedServices(),
+		MayHandOver: loop.passedMayHandOver,
 	})
 }
 
+// mayHandOver reports whether the scheduler of another cell is known, which may take jobs
+// that wait here.
+func (loop *loop) mayHandOver() bool {
+	return loop.view.Division() == region.DividedByDomain && len(loop.neighbours.planner.Reports(loop.now)) > 0
+}
+
+// updateEvacuations passes the evacuations again when mayHandOver has changed.
+func (loop *loop) updateEvacuations() {
+	if len(loop.evacuations.Domains()) > 0 && loop.mayHandOver() != loop.passedMayHandOver {
+		loop.passEvacuations()
+	}
+}
+
 // unservedServices returns the services that have upstreams in the region, but none
 // that may get new tasks outside the evacuated failure domains.
 func (loop *loop) unservedServices() []string {
--- a/shared/process/dispatcher/evacuations_test.go
+++ b/shared/process/dispatcher/evacuations_test.go
@@ -105,6 +105,27 @@
 	assert.Equal(t, fleet.startedIn("domain-0"), before)
 }
 
+// Guards against callers that wait until their deadline in an evacuated domain that is cut
+// off from the other cells.
+func TestEvacuatedCellWithoutOthersRefusesJobs(t *testing.T) {
+	fleet := newFleet(50*time.Millisecond, 90)
+	processes := startDividedRegion(t, fleet)
+	for number, process := range processes {
+		if number%3 == 0 {
+			readEvacuations(process, 7, "domain-0")
+		} else {
+			process.kill()
+		}
+	}
+	time.Sleep(2500 * time.Millisecond)
+	sentAt := time.Now()
+	answer, err := processes[0].dispatcher.Submit(t.Context(), testJob("refused", 1, 8*time.Second))
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Result, cell.NotRun)
+	assert.Equal(t, answer.Reason, "evacuated")
+	assert.Assert(t, time.Since(sentAt) < 500*time.Millisecond)
+}
+
 // Guards against callers of an evacuated domain that are not served by the upstreams of
 // others, against cells that learn of an evacuation only from the log, and against
 // callers that wait when all domains are evacuated.
@@ -114,6 +135,9 @@
 	readEvacuations(processes[1], 7, "domain-0")
 	awaitEvacuated(t, processes, "domain-0")
 	before := fleet.startedIn("domain-0")
+	// A cell whose upstreams are all evacuated refuses jobs from then on, if no other
+	// takes them.
+	time.Sleep(cell.DefaultLimits().IsolatedAfter + 100*time.Millisecond)
 	entryVM := processes[(schedulerOf(t, processes, 0)+3)%len(processes)]
 	fleet.checkAnswers(t, submitJobs(t, slices.Repeat([]*regionProcess{entryVM}, 12), func() {}))
 	assert.Equal(t, fleet.startedIn("domain-0"), before)
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -78,11 +78,13 @@
 	queuedCount int
 
 	// role is the role that was last reported to the options.
-	role           Role
-	routes         *routing.Table
-	evacuations    evacuation.State
-	upstreams      []cell.Upstream
-	knownUpstreams upstreamSets
+	role        Role
+	routes      *routing.Table
+	evacuations evacuation.State
+	// passedMayHandOver is the value that was last passed to the Cell.
+	passedMayHandOver bool
+	upstreams         []cell.Upstream
+	knownUpstreams    upstreamSets
 	// listReadAt is when the list of upstreams was read; zero before the first.
 	listReadAt time.Time
 	// removedAt holds when upstreams left the list, by ID.
@@ -208,6 +210,7 @@
 		loop.loadMonitor.updateShedShare(loop.now)
 		loop.removeLostEntryVMs()
 		loop.updateRelays()
+		loop.updateEvacuations()
 		loop.executeDecisions(loop.cell.Handle(loop.now, cell.Tick{}))
 		loop.spillJobs()
 		loop.publishPendingJobs(loop.regionPending())
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -36,6 +36,10 @@
 	// without upstreams elsewhere.
 	evacuatedDomains map[string]bool
 	unservedServices map[string]bool
+	// reachedAt holds, by service, when the Cell last had an upstream outside the evacuated
+	// domains, or could hand jobs over; it is kept during evacuations only.
+	reachedAt   map[string]time.Time
+	mayHandOver bool
 	// topSpeeds holds the highest speed of an upstream by service.
 	topSpeeds map[string]float64
 	// sortedAt is when waitingJobs was last sorted.
@@ -145,6 +149,7 @@
 	for _, upstream := range cell.upstreamOrder {
 		cell.tickUpstream(upstream)
 	}
+	cell.recordReach()
 	for _, id := range cell.jobIDs() {
 		cell.tickJob(cell.jobs[id])
 	}
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -14,10 +14,12 @@
 
 // harness runs a Cell on virtual time and holds its latest decisions.
 type harness struct {
-	t         *testing.T
-	now       time.Time
-	cell      *cell.Cell
-	claim     cell.Claim
+	t     *testing.T
+	now   time.Time
+	cell  *cell.Cell
+	claim cell.Claim
+	// claims, if set, replaces claim.
+	claims    func(cell.Upstream) cell.Claim
 	token     int64
 	decisions []cell.Decision
 	// guardsCapacity is set if the upstreams refuse what exceeds their capacity.
@@ -51,7 +53,12 @@
 func (harness *harness) newCell() *cell.Cell {
 	return cell.New(harness.now, cell.Config{
 		Estimator: estimate.New(),
-		Claims:    func(cell.Upstream) cell.Claim { return harness.claim },
+		Claims: func(upstream cell.Upstream) cell.Claim {
+			if harness.claims != nil {
+				return harness.claims(upstream)
+			}
+			return harness.claim
+		},
 		NextToken: func() int64 {
 			harness.token += 1024
 			return harness.token
--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -125,6 +125,9 @@
 	// SurplusAfter is how long a job waits for a start before it may be handed to
 	// another cell.
 	SurplusAfter time.Duration
+	// IsolatedAfter is the time for which a Cell must have had no upstreams but evacuated
+	// ones before it refuses their jobs. A new Cell claims its upstreams within it.
+	IsolatedAfter time.Duration
 	// MinRetryAfter and MaxRetryAfter bound the retry delay advised to callers
 	// whose jobs were refused.
 	MinRetryAfter time.Duration
@@ -170,6 +173,7 @@
 		Overhead:              15 * time.Millisecond,
 		IdleShare:             0.3,
 		SurplusAfter:          10 * time.Millisecond,
+		IsolatedAfter:         500 * time.Millisecond,
 		MinRetryAfter:         time.Second,
 		MaxRetryAfter:         5 * time.Second,
 	}
--- a/shared/request/cell/evacuation_test.go
+++ b/shared/request/cell/evacuation_test.go
@@ -105,6 +105,37 @@
 	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.answerPoll("b", nil, endedRun(1, findRun(started, "b"), cell.EndDone)))), 1)
 }
 
+// Guards against callers that wait until their deadline on the side of a cut that has only
+// evacuated upstreams, and against refusals by a Cell that has not claimed its upstreams
+// yet.
+func TestJobsAreRefusedInAnEvacuatedDomainThatIsCutOff(t *testing.T) {
+	harness := newHarness(t)
+	harness.claims = func(upstream cell.Upstream) cell.Claim {
+		if upstream.Domain == "b" {
+			return cell.ClaimNone
+		}
+		return cell.ClaimFirm
+	}
+	harness.cell = harness.newCell()
+	harness.evacuate("a")
+	harness.listDomains(nil)
+	job := testJob("early", 1)
+	job.Objective = time.Second
+	harness.submit(job)
+	assert.Equal(t, len(decisionsOf[cell.AnswerJob](harness.advance(25*time.Millisecond))), 0)
+	answers := decisionsOf[cell.AnswerJob](harness.advance(cell.DefaultLimits().IsolatedAfter))
+	assert.Equal(t, len(answers), 1)
+	assert.Equal(t, answers[0].Answer.Result, cell.NotRun)
+
+	harness.claims = nil
+	harness.advance(25 * time.Millisecond)
+	harness.answerPoll("b", nil)
+	job.ID = "served"
+	starts := harness.submit(job)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Upstream, "b")
+}
+
 func findRun(starts []cell.StartRun, upstream string) cell.RunName {
 	for _, start := range starts {
 		if start.Order.Upstream == upstream {
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -346,6 +346,8 @@
 	DomainsEvacuated struct {
 		Domains  []string
 		Unserved []string
+		// MayHandOver is set if another cell may take jobs that wait here.
+		MayHandOver bool
 	}
 	// Tick lets the Cell act on the passage of time.
 	Tick struct{}
--- a/shared/request/cell/surplus.go
+++ b/shared/request/cell/surplus.go
@@ -19,7 +19,7 @@
 	allEvacuated := cell.allEvacuated()
 	for _, job := range slices.Backward(cell.waitingJobs) {
 		if job.startOrdered || job.started || !job.submitted.neverStarted() ||
-			!cell.mayHandOver(job, allEvacuated) {
+			!cell.handsOver(job, allEvacuated) {
 			continue
 		}
 		surplus = append(surplus, Surplus{
