tanagerctl plan evacuate: evacuations in the product's own plan

The plan holds the evacuated failure domains. An entry VM of such a domain starts nothing on its upstreams, lends and borrows none, and refuses jobs without a start at once; what runs ends as it is. A sheet that is published meanwhile keeps the evacuations. The scenario evacuate plays it end to end.

go test -race of shared/version/plan, shared/request/dispatch, tanagerctl and entry, and the scenario three times, pass.

--- a/entry/callerapi/server.go
+++ b/entry/callerapi/server.go
@@ -257,7 +257,8 @@
 		return http.StatusGone
 	case job.ReasonDeadline:
 		return http.StatusGatewayTimeout
-	case job.ReasonNotReady, job.ReasonStopping, job.ReasonNotDelivered, job.ReasonKeyUnbound, job.ReasonPaused:
+	case job.ReasonNotReady, job.ReasonStopping, job.ReasonNotDelivered, job.ReasonKeyUnbound, job.ReasonPaused,
+		job.ReasonEvacuated:
 		return http.StatusServiceUnavailable
 	case job.ReasonForged, job.ReasonWrongTeam:
 		return http.StatusForbidden
--- a/local/scenario/scenario_test.go
+++ b/local/scenario/scenario_test.go
@@ -39,6 +39,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"system":   startSystem,
 			"publish":  publish,
+			"evacuate": evacuate,
 			"ready":    awaitReady,
 			"job":      submitJob,
 			"keyed":    submitWithKey,
@@ -168,6 +169,14 @@
 	script.Check(scenario.System.Publish(context.Background(), system.SamplePlan(scenario.System.Domains())))
 }
 
+// evacuate publishes the sample plan with the given failure domains evacuated, and no others.
+func evacuate(script *testscript.TestScript, _ bool, args []string) {
+	scenario := stateOf(script).scenario
+	evacuated := *system.SamplePlan(scenario.System.Domains())
+	evacuated.Evacuated = args
+	script.Check(scenario.System.Replace(context.Background(), &evacuated))
+}
+
 func awaitReady(script *testscript.TestScript, negated bool, args []string) {
 	scenario := stateOf(script).scenario
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
--- a/local/system/publish.go
+++ b/local/system/publish.go
@@ -36,19 +36,33 @@
 
 // Publish appends a plan to the log as a change of the empty plan.
 func (system *System) Publish(ctx context.Context, published *plan.Plan) error {
-	record := &plan.Publication{
+	return system.appendRecord(ctx, &plan.Publication{
 		PublishID: "local-sample-plan",
 		Author:    "local",
 		Change:    plan.Diff(plan.Empty(), published),
 		Digest:    plan.DigestOf(published),
-	}
+	})
+}
+
+// Replace appends a plan to the log that is adopted whatever the current one is.
+func (system *System) Replace(ctx context.Context, published *plan.Plan) error {
+	digest := plan.DigestOf(published)
+	return system.appendRecord(ctx, &plan.Recovery{
+		PublishID: "local-plan-" + digest.String(),
+		Author:    "local",
+		Digest:    digest,
+		Plan:      published,
+	})
+}
+
+func (system *System) appendRecord(ctx context.Context, record plan.Record) error {
 	data, err := plan.Encode(record)
 	if err != nil {
-		return eris.Wrap(err, "encoding the sample plan")
+		return eris.Wrap(err, "encoding the plan")
 	}
 	client := wire.NewClient(system.PlatformURL, http.DefaultClient)
 	_, err = client.Append(ctx, planStream, data)
-	return eris.Wrap(err, "publishing the sample plan")
+	return eris.Wrap(err, "publishing the plan")
 }
 
 // planStream is the plan stream of settings.DefaultEntry.
--- a/shared/request/dispatch/admission.go
+++ b/shared/request/dispatch/admission.go
@@ -128,6 +128,9 @@
 // and false for a job that is admitted. It runs before the scheduler gets
 // anything of the job.
 func (core *Core) admissionRefusal(candidate *jobState) (job.Answer, bool) {
+	if core.evacuated {
+		return core.evacuationRefusal(), true
+	}
 	if answer, refused := core.ruleRefusal(candidate); refused {
 		return answer, true
 	}
--- a/shared/request/dispatch/core.go
+++ b/shared/request/dispatch/core.go
@@ -30,8 +30,11 @@
 	// VM, the need of that task. The task waits for borrowed slots.
 	unplaceable map[submission.Key]placement.Need
 	// hasPlan is false until the first plan arrives.
-	hasPlan      bool
-	guards       plan.Guards
+	hasPlan bool
+	guards  plan.Guards
+	// evacuated is set while the plan evacuates the failure domain of this VM, which is that
+	// of all its upstreams.
+	evacuated    bool
 	admission    limit.Admission
 	retryBudgets map[string]*limit.Budget
 	// nextUnbudgetedRetry holds, by kind, the earliest time of the next retry
--- a/shared/request/dispatch/dump.go
+++ b/shared/request/dispatch/dump.go
@@ -22,8 +22,10 @@
 	OpenSpeed float64 `json:"open-speed"`
 	Ejected   int     `json:"ejected-upstreams"`
 	// Timers counts the armed timers.
-	Timers    int            `json:"timers"`
-	Guards    plan.Guards    `json:"guards"`
+	Timers int         `json:"timers"`
+	Guards plan.Guards `json:"guards"`
+	// Evacuated is set while operators have evacuated the failure domain.
+	Evacuated bool           `json:"evacuated,omitempty"`
 	Counters  Counters       `json:"counters"`
 	Upstreams []UpstreamDump `json:"upstreams"`
 	Budgets   []BudgetDump   `json:"retry-budgets"`
@@ -132,6 +134,7 @@
 		Ejected:            core.health.ejected + core.health.unreachable,
 		Timers:             len(core.timers),
 		Guards:             core.guards,
+		Evacuated:          core.evacuated,
 		Counters:           core.counters,
 		Upstreams:          core.dumpUpstreams(),
 		Budgets:            core.dumpBudgets(),
--- a/shared/request/dispatch/jobs.go
+++ b/shared/request/dispatch/jobs.go
@@ -169,6 +169,8 @@
 	case acceptedJob.unsettledAttempts > 0:
 	case acceptedJob.ambiguous:
 		core.answer(acceptedJob, job.Failure(job.StartedUnknown, acceptedJob.reason, acceptedJob.detail))
+	case acceptedJob.reason == job.ReasonEvacuated:
+		core.answer(acceptedJob, core.evacuationRefusal())
 	default:
 		core.answer(acceptedJob, job.Refusal(acceptedJob.reason, acceptedJob.detail))
 	}
--- a/shared/request/dispatch/lending.go
+++ b/shared/request/dispatch/lending.go
@@ -14,8 +14,11 @@
 
 // Shortage returns what this VM could borrow. Tasks that wait although slots are
 // idle count only if they fit no upstream of this VM: the others wait for a
-// faster slot on purpose.
+// faster slot on purpose. In an evacuated failure domain no peer has slots to lend.
 func (core *Core) Shortage() Shortage {
+	if core.evacuated {
+		return Shortage{}
+	}
 	for key, need := range core.unplaceable {
 		if core.fitsUsable(need) {
 			delete(core.unplaceable, key)
--- a/shared/request/dispatch/rules.go
+++ b/shared/request/dispatch/rules.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"tanagerfall/shared/request/job"
@@ -56,10 +58,42 @@
 			core.setSchedulerShare(key, latest)
 		}
 	}
+	core.evacuated = slices.Contains(newPlan.Evacuated, core.config.Domain)
 	core.applyGuards(newPlan.Guards)
+	if core.evacuated {
+		core.refuseWaiting()
+	}
 	core.mayPlace = true
 }
 
+// refuseWaiting refuses the jobs of which no attempt was made. Jobs with attempts, and
+// tasks of theirs that wait, go on until their deadline.
+func (core *Core) refuseWaiting() {
+	var waiting []*jobState
+	for _, acceptedJob := range core.jobs {
+		if !acceptedJob.started && !acceptedJob.ambiguous && acceptedJob.unsettledAttempts == 0 {
+			waiting = append(waiting, acceptedJob)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *jobState) int {
+		return cmp.Or(cmp.Compare(a.key.Incarnation, b.key.Incarnation), cmp.Compare(a.key.Counter, b.key.Counter))
+	})
+	for _, acceptedJob := range waiting {
+		core.close(acceptedJob, job.ReasonEvacuated, evacuatedDetail)
+	}
+}
+
+// evacuatedDetail explains ReasonEvacuated to people.
+const evacuatedDetail = "operators have evacuated the failure domain"
+
+// evacuationRefusal returns the refusal of a job in an evacuated failure domain. Nobody can
+// say when the evacuation ends.
+func (core *Core) evacuationRefusal() job.Answer {
+	answer := job.Refusal(job.ReasonEvacuated, evacuatedDetail)
+	answer.RetryAfterMs = core.config.Limits.MaxRetryAfter.Milliseconds()
+	return answer
+}
+
 // setSchedulerShare sets the scheduler's share and cap of a rule. The sheet gives
 // both for each team and kind, so the scheduler has one queue per team and kind.
 func (core *Core) setSchedulerShare(key ruleKey, rule plan.Rule) {
--- a/shared/request/dispatch/upstreams.go
+++ b/shared/request/dispatch/upstreams.go
@@ -172,7 +172,7 @@
 // how many slots.
 func (core *Core) syncScheduler(upstream *upstreamState) {
 	slots := upstream.health.limitSlots(upstream.declared.Slots - upstream.occupiedElsewhere)
-	open := slots > 0 && upstream.occupancyKnown && upstream.usable() && !upstream.health.ejected()
+	open := slots > 0 && !core.evacuated && upstream.occupancyKnown && upstream.usable() && !upstream.health.ejected()
 	if open == upstream.open && (!open || slots == upstream.slots) {
 		return
 	}
--- a/shared/request/job/answer.go
+++ b/shared/request/job/answer.go
@@ -50,6 +50,7 @@
 	ReasonKeyUnbound     Reason = "key-unbound"    // the idempotency key could not be bound to a submission ID
 	ReasonNotReady       Reason = "not-ready"      // the entry VM has no plan or knows no upstream
 	ReasonStopping       Reason = "stopping"       // the entry VM is stopping
+	ReasonEvacuated      Reason = "evacuated"      // operators have evacuated the failure domain
 	ReasonRetriesUsedUp  Reason = "retries-used-up"
 	ReasonNotIdempotent  Reason = "not-idempotent"
 	ReasonPaused         Reason = "paused" // the lease of a task expired while the entry VM was paused
--- a/shared/version/plan/change.go
+++ b/shared/version/plan/change.go
@@ -13,14 +13,16 @@
 	Set []Rule `cbor:"1,keyasint,omitempty" json:"set,omitempty"`
 	// Remove lists the keys of the rules to remove.
 	Remove []Key `cbor:"2,keyasint,omitempty" json:"remove,omitempty"`
-	// Domains and Guards replace those of the plan; nil leaves them.
-	Domains *Domains `cbor:"3,keyasint,omitempty" json:"domains,omitempty"`
-	Guards  *Guards  `cbor:"4,keyasint,omitempty" json:"guards,omitempty"`
+	// Domains, Guards and Evacuated replace those of the plan; nil leaves them.
+	Domains   *Domains `cbor:"3,keyasint,omitempty" json:"domains,omitempty"`
+	Guards    *Guards  `cbor:"4,keyasint,omitempty" json:"guards,omitempty"`
+	Evacuated *Domains `cbor:"5,keyasint,omitempty" json:"evacuated,omitempty"`
 }
 
 // IsEmpty reports whether applying the change has no effect.
 func (change *Change) IsEmpty() bool {
-	return len(change.Set) == 0 && len(change.Remove) == 0 && change.Domains == nil && change.Guards == nil
+	return len(change.Set) == 0 && len(change.Remove) == 0 && change.Domains == nil && change.Guards == nil &&
+		change.Evacuated == nil
 }
 
 // Diff returns the change that turns the plan from into the plan to. Both must
@@ -31,6 +33,10 @@
 		domains := slices.Clone(to.Domains)
 		change.Domains = &domains
 	}
+	if !slices.Equal(from.Evacuated, to.Evacuated) {
+		evacuated := slices.Clone(to.Evacuated)
+		change.Evacuated = &evacuated
+	}
 	if from.Guards != to.Guards {
 		guards := to.Guards
 		change.Guards = &guards
@@ -81,7 +87,15 @@
 		digest += hashOf(*change.Domains) - hashOf(plan.Domains)
 		changed.Domains = *change.Domains
 	}
-	err := change.validate(changed.Domains)
+	if change.Evacuated != nil {
+		digest += hashOfEvacuated(*change.Evacuated) - hashOfEvacuated(plan.Evacuated)
+		changed.Evacuated = *change.Evacuated
+	}
+	err := validateEvacuated(changed.Evacuated, changed.Domains)
+	if err != nil {
+		return nil, 0, err
+	}
+	err = change.validate(changed.Domains)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/shared/version/plan/digest.go
+++ b/shared/version/plan/digest.go
@@ -9,7 +9,7 @@
 )
 
 // Digest identifies the content of a plan. It is the sum of the xxhash of
-// every rule, of the failure domains and of the guards, so that updating it
+// every rule, of the failure domains, of the guards and of the evacuated domains, so that updating it
 // after a change only hashes what the change touches. It detects accidental
 // differences; it does not protect against an attacker.
 type Digest uint64
@@ -38,13 +38,24 @@
 // DigestOf returns the digest of a plan. It hashes every rule; Change.Apply
 // derives the digest of the changed plan at less cost.
 func DigestOf(plan *Plan) Digest {
-	digest := hashOf(plan.Domains) + hashOf(plan.Guards)
+	digest := hashOf(plan.Domains) + hashOf(plan.Guards) + hashOfEvacuated(plan.Evacuated)
 	for _, rule := range plan.Rules {
 		digest += hashOf(rule)
 	}
 	return digest
 }
 
+// hashOfEvacuated returns the hash of the evacuated failure domains. It is 0 for none, as
+// in plans of earlier versions, and differs from that of the same list as Domains.
+func hashOfEvacuated(evacuated Domains) Digest {
+	if len(evacuated) == 0 {
+		return 0
+	}
+	return hashOf(map[string]Domains{
+		"evacuated": evacuated,
+	})
+}
+
 // hashOf returns the xxhash of the deterministic CBOR encoding of value. It
 // panics if value can't be encoded, which can't happen for the types it is
 // used with.
--- a/shared/version/plan/follower.go
+++ b/shared/version/plan/follower.go
@@ -475,14 +475,15 @@
 
 // Dump is the state of a Follower, for operators.
 type Dump struct {
-	Version    int64  `json:"version"`
-	Digest     Digest `json:"digest"`
-	PublishID  string `json:"publish-id,omitempty"`
-	Author     string `json:"author,omitempty"`
-	Source     Source `json:"source,omitempty"`
-	Rules      int    `json:"rules"`
-	Guards     Guards `json:"guards"`
-	NextOffset int64  `json:"next-offset"`
+	Version    int64   `json:"version"`
+	Digest     Digest  `json:"digest"`
+	PublishID  string  `json:"publish-id,omitempty"`
+	Author     string  `json:"author,omitempty"`
+	Source     Source  `json:"source,omitempty"`
+	Rules      int     `json:"rules"`
+	Guards     Guards  `json:"guards"`
+	Evacuated  Domains `json:"evacuated,omitempty"`
+	NextOffset int64   `json:"next-offset"`
 	// KnownUpToOffset is the offset up to which the results of all records are
 	// known. It equals NextOffset while the Follower is synced.
 	KnownUpToOffset int64 `json:"known-up-to-offset"`
@@ -510,6 +511,7 @@
 		Source:          follower.current.Source,
 		Rules:           len(follower.plan.Rules),
 		Guards:          follower.plan.Guards,
+		Evacuated:       follower.plan.Evacuated,
 		NextOffset:      follower.nextOffset,
 		KnownUpToOffset: follower.knownUpTo,
 		FirstOffset:     follower.firstOffset,
--- a/shared/version/plan/plan.go
+++ b/shared/version/plan/plan.go
@@ -18,6 +18,9 @@
 	Rules   []Rule  `cbor:"2,keyasint" json:"rules" yaml:"rules"`
 	Guards  Guards  `cbor:"3,keyasint" json:"guards" yaml:"guards"`
 	Domains Domains `cbor:"4,keyasint" json:"domains" yaml:"domains"`
+	// Evacuated lists the failure domains whose upstreams get no new tasks. It must not
+	// be set as long as a reader of an earlier version is left, which would reject it.
+	Evacuated Domains `cbor:"5,keyasint,omitempty" json:"evacuated,omitempty" yaml:"evacuated,omitempty"`
 }
 
 // Rule limits what one team may run of one kind of job in one failure domain.
@@ -83,6 +86,8 @@
 	copied.Domains = slices.Clone(plan.Domains)
 	slices.SortStableFunc(copied.Rules, compareRules)
 	slices.Sort(copied.Domains)
+	copied.Evacuated = slices.Clone(plan.Evacuated)
+	slices.Sort(copied.Evacuated)
 	return &copied
 }
 
--- a/shared/version/plan/record_test.go
+++ b/shared/version/plan/record_test.go
@@ -77,3 +77,28 @@
 	assert.ErrorIs(t, err, plan.ErrMalformedRecord)
 	assert.ErrorContains(t, err, "larger than")
 }
+
+// Guards against evacuations that a change or its digest leaves out, that a plan of an
+// earlier version with the same rules has another digest, and against evacuations of
+// failure domains that the plan does not list.
+func TestChangesCarryEvacuations(t *testing.T) {
+	before := &plan.Plan{
+		Format:  plan.Format,
+		Domains: plan.Domains{"a", "b"},
+	}
+	after := *before
+	after.Evacuated = plan.Domains{"b"}
+	for _, pair := range [][2]*plan.Plan{{before, &after}, {&after, before}} {
+		change := plan.Diff(pair[0], pair[1])
+		assert.Assert(t, !change.IsEmpty())
+		changed, digest, err := change.Apply(pair[0], plan.DigestOf(pair[0]))
+		assert.NilError(t, err)
+		assert.Equal(t, len(changed.Evacuated), len(pair[1].Evacuated))
+		assert.Equal(t, digest, plan.DigestOf(pair[1]))
+	}
+	assert.Assert(t, plan.DigestOf(before) != plan.DigestOf(&after))
+	for _, evacuated := range []plan.Domains{{"c"}, {"b", "a"}, {"a", "a"}} {
+		after.Evacuated = evacuated
+		assert.ErrorIs(t, plan.Validate(&after), plan.ErrInvalidPlan)
+	}
+}
--- a/shared/version/plan/validate.go
+++ b/shared/version/plan/validate.go
@@ -54,6 +54,10 @@
 	if err != nil {
 		return err
 	}
+	err = validateEvacuated(plan.Evacuated, plan.Domains)
+	if err != nil {
+		return err
+	}
 	for i, rule := range plan.Rules {
 		err := validateRule(rule, plan.Domains)
 		if err != nil {
@@ -81,6 +85,20 @@
 	return nil
 }
 
+// validateEvacuated checks that the evacuated failure domains are in the plan's list, and in
+// canonical order.
+func validateEvacuated(evacuated, domains Domains) error {
+	for i, domain := range evacuated {
+		if _, listed := slices.BinarySearch(domains, domain); !listed {
+			return eris.Wrapf(ErrInvalidPlan, "evacuated failure domain %.80q is not in the plan's list", domain)
+		}
+		if i > 0 && evacuated[i-1] >= domain {
+			return eris.Wrapf(ErrInvalidPlan, "evacuated failure domain %s is out of order or repeated", domain)
+		}
+	}
+	return nil
+}
+
 func validateRule(rule Rule, domains Domains) error {
 	for _, name := range []string{rule.Team, rule.Kind, rule.Domain} {
 		if !ValidName(name) {
--- a/tanagerctl/command/output.go
+++ b/tanagerctl/command/output.go
@@ -36,7 +36,7 @@
 
 // writeChange writes one line for each changed rule: "+" marks an added rule or the
 // new value of a changed one, "-" a removed rule. "~" marks a change of the failure
-// domains or guards.
+// domains, guards or evacuations.
 func writeChange(writer io.Writer, change plan.Change) {
 	if change.IsEmpty() {
 		fmt.Fprintln(writer, "no difference")
@@ -48,6 +48,9 @@
 	if change.Guards != nil {
 		fmt.Fprintf(writer, "~ guards: %s\n", describeGuards(*change.Guards))
 	}
+	if change.Evacuated != nil {
+		fmt.Fprintf(writer, "~ evacuated: %s\n", describeDomains(*change.Evacuated))
+	}
 	shown := 0
 	for _, key := range change.Remove {
 		shown = writeRuleLine(writer, shown, "- "+key.String())
@@ -75,6 +78,13 @@
 		rule.Share, rule.Cap, rule.Cores, rule.MemoryMb, rule.Accelerators, rule.Idempotent, rule.DeadlineMs, rule.Priority, rule.Spill)
 }
 
+func describeDomains(domains plan.Domains) string {
+	if len(domains) == 0 {
+		return "none"
+	}
+	return strings.Join(domains, ", ")
+}
+
 func describeGuards(guards plan.Guards) string {
 	if guards == (plan.Guards{}) {
 		return "all enabled"
--- a/tanagerctl/command/plan.go
+++ b/tanagerctl/command/plan.go
@@ -25,6 +25,7 @@
 		newPlanCheckCommand(flags),
 		newPlanDiffCommand(flags),
 		newPlanPublishCommand(flags),
+		newPlanEvacuateCommand(flags),
 		newPlanStatusCommand(flags),
 		newPlanHistoryCommand(flags),
 		newPlanExportCommand(flags),
@@ -219,14 +220,20 @@
 	if request.PublishID != "" && !plan.ValidPublishID(request.PublishID) {
 		return eris.Wrapf(errUsage, "--publish-id %q, allowed are 8 to 64 letters, digits, '.', '_' and '-'", request.PublishID)
 	}
-	request.Author = settings.Author
-	if len(request.Author) > plan.MaxAuthorBytes {
-		return eris.Wrapf(errUsage, "--author has more than %d bytes", plan.MaxAuthorBytes)
-	}
 	request.Sheet, err = flags.readSheet(command, settings, file)
 	if err != nil {
 		return err
 	}
+	return flags.publishRequest(command, settings, file, request)
+}
+
+// publishRequest publishes a request and writes the result. subject names what is
+// published.
+func (flags *flags) publishRequest(command *cobra.Command, settings Settings, subject string, request publication.Request) error {
+	request.Author = settings.Author
+	if len(request.Author) > plan.MaxAuthorBytes {
+		return eris.Wrapf(errUsage, "--author has more than %d bytes", plan.MaxAuthorBytes)
+	}
 	client, err := settings.newPlatformClient()
 	if err != nil {
 		return err
@@ -248,7 +255,7 @@
 		return writeJSON(command.OutOrStdout(), result)
 	}
 	fmt.Fprintf(command.OutOrStdout(), "%s: %s as version %d (publish ID %s, digest %s)\n",
-		file, result.Outcome, result.Version, result.PublishID, result.Digest)
+		subject, result.Outcome, result.Version, result.PublishID, result.Digest)
 	if result.CurrentVersion > result.Version {
 		fmt.Fprintf(command.OutOrStdout(), "replaced since: version %d is current\n", result.CurrentVersion)
 	}
--- a/tanagerctl/publication/history.go
+++ b/tanagerctl/publication/history.go
@@ -254,12 +254,13 @@
 
 // Diff returns the current version, the change that publishing sheet would make
 // to its plan, and the current rules that would be kept until a row of the sheet
-// comes into force. Guards are left as they are.
+// comes into force. Guards and evacuations are left as they are.
 func (history *History) Diff(sheet *plan.Plan) (version int64, change plan.Change, kept []plan.Rule) {
 	version, _, currentPlan, _ := history.Current()
 	target, kept := plan.CarryOver(currentPlan, sheet, time.Now())
 	withGuards := *target
 	withGuards.Guards = currentPlan.Guards
+	withGuards.Evacuated = keptEvacuations(currentPlan, target)
 	return version, plan.Diff(currentPlan, &withGuards), kept
 }
 
--- a/tanagerctl/publication/publish.go
+++ b/tanagerctl/publication/publish.go
@@ -111,6 +111,9 @@
 	// GuardNames. The other guards keep their state.
 	EnableGuards  []string
 	DisableGuards []string
+	// Evacuated replaces the evacuated failure domains. If it is nil, those of the current
+	// plan stay evacuated that Sheet lists.
+	Evacuated *plan.Domains
 	// Recover publishes without a base, so that the plan is adopted whatever
 	// the current version is.
 	Recover bool
@@ -159,8 +162,12 @@
 	if request.PublishID != "" {
 		return request.PublishID
 	}
-	sum := sha256.Sum256(fmt.Appendf(nil, "%d %s %q %q %q %t",
-		base, plan.DigestOf(request.Sheet), request.Author, request.EnableGuards, request.DisableGuards, request.Recover))
+	identity := fmt.Appendf(nil, "%d %s %q %q %q %t",
+		base, plan.DigestOf(request.Sheet), request.Author, request.EnableGuards, request.DisableGuards, request.Recover)
+	if request.Evacuated != nil {
+		identity = fmt.Appendf(identity, " %q", *request.Evacuated)
+	}
+	sum := sha256.Sum256(identity)
 	return hex.EncodeToString(sum[:derivedPublishIDBytes])
 }
 
@@ -312,6 +319,10 @@
 	}
 	newPlan := *target
 	newPlan.Guards = guards
+	newPlan.Evacuated = keptEvacuations(currentPlan, target)
+	if request.Evacuated != nil {
+		newPlan.Evacuated = *request.Evacuated
+	}
 	err = checkSnapshotSize(&newPlan, request)
 	if err != nil {
 		return attempt{}, err
@@ -469,6 +480,18 @@
 	return Result{}, false, nil
 }
 
+// keptEvacuations returns the failure domains that are evacuated by one plan and listed by
+// the next.
+func keptEvacuations(from, to *plan.Plan) plan.Domains {
+	var kept plan.Domains
+	for _, domain := range from.Evacuated {
+		if slices.Contains(to.Domains, domain) {
+			kept = append(kept, domain)
+		}
+	}
+	return kept
+}
+
 // GuardNames returns the names of the guards that a Request can switch. A guard is
 // a protection of the entry VMs that a plan can disable; plan.Guards describes each.
 func GuardNames() []string {
