--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -32,6 +32,14 @@
 	waitingJobs []*jobState
 	// quarantinedUntil is when the last quarantine of a job ends.
 	quarantinedUntil time.Time
+	// evacuatedDomains holds the evacuated failure domains, unservedServices the services
+	// without upstreams elsewhere.
+	evacuatedDomains map[string]bool
+	unservedServices map[string]bool
+	// reachedAt holds, by service, when the Cell last had an upstream outside the evacuated
+	// domains, or could hand jobs over; it is kept during evacuations only.
+	reachedAt   map[string]time.Time
+	mayHandOver bool
 	// topSpeeds holds the highest speed of an upstream by service.
 	topSpeeds map[string]float64
 	// sortedAt is when waitingJobs was last sorted.
@@ -128,6 +136,8 @@
 		cell.pollReplied(event)
 	case UpstreamsListed:
 		cell.applyListing(event.Upstreams)
+	case DomainsEvacuated:
+		cell.evacuate(event)
 	case Tick:
 		cell.tick()
 	}
@@ -139,6 +149,7 @@
 	for _, upstream := range cell.upstreamOrder {
 		cell.tickUpstream(upstream)
 	}
+	cell.recordReach()
 	for _, id := range cell.jobIDs() {
 		cell.tickJob(cell.jobs[id])
 	}
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -9,20 +9,25 @@
 
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
+	"tanagerfall/shared/version/routing"
 )
 
 // harness runs a Cell on virtual time and holds its latest decisions.
 type harness struct {
-	t         *testing.T
-	now       time.Time
-	cell      *cell.Cell
-	claim     cell.Claim
+	t     *testing.T
+	now   time.Time
+	cell  *cell.Cell
+	claim cell.Claim
+	// claims, if set, replaces claim.
+	claims    func(cell.Upstream) cell.Claim
 	token     int64
 	decisions []cell.Decision
 	// guardsCapacity is set if the upstreams refuse what exceeds their capacity.
 	guardsCapacity bool
 	// unknownUpstreams is set if an earlier scheduler knew upstreams that are not listed.
 	unknownUpstreams bool
+	// warmUp is how the upstreams start.
+	warmUp routing.WarmUp
 	// lastDecisions holds the decisions on the last immediate poll of
 	// listUpstreams.
 	lastDecisions []cell.Decision
@@ -48,12 +53,18 @@
 func (harness *harness) newCell() *cell.Cell {
 	return cell.New(harness.now, cell.Config{
 		Estimator: estimate.New(),
-		Claims:    func(cell.Upstream) cell.Claim { return harness.claim },
+		Claims: func(upstream cell.Upstream) cell.Claim {
+			if harness.claims != nil {
+				return harness.claims(upstream)
+			}
+			return harness.claim
+		},
 		NextToken: func() int64 {
 			harness.token += 1024
 			return harness.token
 		},
 		GuardsCapacity: func(string) bool { return harness.guardsCapacity },
+		WarmUp:         func(string) routing.WarmUp { return harness.warmUp },
 		KnowsUpstreams: func([]uint64) bool { return !harness.unknownUpstreams },
 		Limits:         cell.DefaultLimits(),
 	})
--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerfall/shared/request/estimate"
+	"tanagerfall/shared/version/routing"
 )
 
 // Claim says whether this process may take over an upstream, and from whom.
@@ -34,6 +35,8 @@
 	// GuardsCapacity reports whether the upstreams of a service refuse runs that exceed
 	// their capacity. A service that is not known counts as one that does not.
 	GuardsCapacity func(service string) bool
+	// WarmUp returns how the upstreams of a service start; nil if all start at full speed.
+	WarmUp func(service string) routing.WarmUp
 	// KnowsUpstreams reports whether this process knows all upstreams of the sets that
 	// Job.EarlierSets identifies.
 	KnowsUpstreams func(sets []uint64) bool
@@ -122,6 +125,9 @@
 	// SurplusAfter is how long a job waits for a start before it may be handed to
 	// another cell.
 	SurplusAfter time.Duration
+	// IsolatedAfter is the time for which a Cell must have had no upstreams but evacuated
+	// ones before it refuses their jobs. A new Cell claims its upstreams within it.
+	IsolatedAfter time.Duration
 	// MinRetryAfter and MaxRetryAfter bound the retry delay advised to callers
 	// whose jobs were refused.
 	MinRetryAfter time.Duration
@@ -167,6 +173,7 @@
 		Overhead:              15 * time.Millisecond,
 		IdleShare:             0.3,
 		SurplusAfter:          10 * time.Millisecond,
+		IsolatedAfter:         500 * time.Millisecond,
 		MinRetryAfter:         time.Second,
 		MaxRetryAfter:         5 * time.Second,
 	}
--- a/shared/request/cell/dump.go
+++ b/shared/request/cell/dump.go
@@ -12,7 +12,8 @@
 
 // UpstreamDump is the state of one upstream for operators. State is foreign, looking,
 // open or silent, as explained at UpstreamStates. Leaving is set while the upstream
-// drains, and Present while it is on the platform's list. FreeMilliCores is in
+// drains, Evacuated while its failure domain is evacuated, and Present while it is on
+// the platform's list. ColdMs is the time until its full speed. FreeMilliCores is in
 // thousandths of a core. Speed is the estimated speed relative to the reference speed
 // 1, Slowdown the recent ratio of actual to expected run times, and Failures the number
 // of consecutive failed runs.
@@ -20,6 +21,8 @@
 	ID             string  `json:"id"`
 	State          string  `json:"state"`
 	Leaving        bool    `json:"leaving"`
+	Evacuated      bool    `json:"evacuated,omitempty"`
+	ColdMs         int64   `json:"cold-ms,omitempty"`
 	Present        bool    `json:"present"`
 	Runs           int     `json:"runs"`
 	FreeMilliCores int     `json:"free-milli-cores"`
@@ -42,6 +45,8 @@
 			ID:             upstream.listing.ID,
 			State:          upstream.status.String(),
 			Leaving:        upstream.listing.Leaving,
+			Evacuated:      upstream.evacuated,
+			ColdMs:         max(upstream.listing.ColdUntil.Sub(cell.now), 0).Milliseconds(),
 			Present:        upstream.present,
 			Runs:           len(upstream.runs),
 			FreeMilliCores: upstream.free.MilliCores,
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -177,6 +177,11 @@
 	// recently. It gets no new tasks but may still execute runs that another
 	// process started.
 	Removed bool `cbor:"10,keyasint,omitempty"`
+	// ColdFor is the time from the reading of the list until the upstream, which has
+	// started, has its full speed; 0 if it has.
+	ColdFor time.Duration `cbor:"11,keyasint,omitempty"`
+	// ColdUntil is the time at which ColdFor is over.
+	ColdUntil time.Time `cbor:"-"`
 	// UsableAt is the time from which the upstream may get tasks; zero for no bound.
 	UsableAt time.Time `cbor:"-"`
 }
@@ -336,18 +341,27 @@
 	UpstreamsListed struct {
 		Upstreams []Upstream
 	}
+	// DomainsEvacuated carries the failure domains whose upstreams get no new tasks until
+	// the next DomainsEvacuated, and the services that have upstreams in them only.
+	DomainsEvacuated struct {
+		Domains  []string
+		Unserved []string
+		// MayHandOver is set if another cell may take jobs that wait here.
+		MayHandOver bool
+	}
 	// Tick lets the Cell act on the passage of time.
 	Tick struct{}
 )
 
-func (JobSubmitted) event()    {}
-func (JobWithdrawn) event()    {}
-func (EntryVMLost) event()     {}
-func (StartReplied) event()    {}
-func (StopReplied) event()     {}
-func (PollReplied) event()     {}
-func (UpstreamsListed) event() {}
-func (Tick) event()            {}
+func (JobSubmitted) event()     {}
+func (JobWithdrawn) event()     {}
+func (EntryVMLost) event()      {}
+func (StartReplied) event()     {}
+func (StopReplied) event()      {}
+func (PollReplied) event()      {}
+func (UpstreamsListed) event()  {}
+func (DomainsEvacuated) event() {}
+func (Tick) event()             {}
 
 // Decision is an output of Cell.Handle for the process to carry out.
 type Decision interface{ decision() }
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -36,7 +36,8 @@
 		if upstream.slowdown > slowdownTolerance {
 			upstream.speed /= upstream.slowdown
 		}
-		if upstream.status == upstreamOpen {
+		upstream.speed *= cell.warmShare(upstream)
+		if upstream.serves() {
 			cell.topSpeeds[upstream.listing.Service] = max(cell.topSpeeds[upstream.listing.Service], upstream.speed)
 		}
 	}
@@ -49,7 +50,7 @@
 func (cell *Cell) backlogTime(service string) time.Duration {
 	cores, work := 0.0, 0.0
 	for _, upstream := range cell.upstreamOrder {
-		if upstream.listing.Service == service && upstream.status == upstreamOpen {
+		if upstream.listing.Service == service && upstream.serves() {
 			cores += float64(upstream.listing.Capacity.MilliCores) * upstream.speed
 		}
 	}
@@ -72,13 +73,13 @@
 
 // acceptsTasks reports whether an upstream may get new tasks.
 func (cell *Cell) acceptsTasks(upstream *upstreamState) bool {
-	return upstream.status == upstreamOpen && upstream.present && !upstream.listing.Leaving &&
+	return upstream.serves() && upstream.present && !upstream.listing.Leaving &&
 		!cell.now.Before(upstream.listing.UsableAt) &&
 		upstream.entryState() != entryAhead &&
 		upstream.missedPolls == 0 && upstream.orphanCount == 0 &&
 		!upstream.ejectedUntil.After(cell.now) && !upstream.fullUntil.After(cell.now) &&
 		cell.now.Sub(upstream.clockAt) < maxClockAge &&
-		upstream.usedSlots < upstream.listing.Slots && (!upstream.probing || upstream.usedSlots == 0)
+		upstream.usedSlots < upstream.listing.Slots && !upstream.nextColdStartAt.After(cell.now) && (!upstream.probing || upstream.usedSlots == 0)
 }
 
 // placeTasks starts waiting tasks as far as capacity allows.
@@ -145,7 +146,7 @@
 	usable := cell.usableBuffer[:0]
 	free, total := 0, 0
 	for _, upstream := range cell.bySpeed {
-		if upstream.status == upstreamOpen {
+		if upstream.serves() {
 			total += upstream.listing.Capacity.MilliCores
 			free += max(upstream.free.MilliCores, 0)
 		}
@@ -298,7 +299,7 @@
 	if upstream.listing.Service != job.submitted.Service || upstream.usedSlots >= upstream.listing.Slots || !upstream.free.fits(step.Need) {
 		return false
 	}
-	if upstream.probing && upstream.usedSlots > 0 {
+	if (upstream.probing && upstream.usedSlots > 0) || upstream.nextColdStartAt.After(cell.now) {
 		return false
 	}
 	if task.failures > 0 && (upstream.consecutiveFailures > 0 || upstream.probing || upstream.listing.ID == task.avoidedUpstream) {
