Estimates pass to the next scheduler; long tasks are not taken for slow upstreams

Cause: what a scheduler has learned of kinds was lost with it, and a run slower than expected counted against its upstream whatever the other runs there showed. Change: a digest of the estimator (ratios, distributions, speeds with incarnations) goes to the processes that may schedule next, in place of speeds to all. A slow run is moved, and counts against its upstream, by the probability that the upstream is the cause.

--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -5,6 +5,7 @@
 
 	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/version/region"
 	"tanagerfall/shared/version/routing"
 )
@@ -35,7 +36,6 @@
 	// Routes is the routing table, sent to a peer that has an older one.
 	Routes    *routing.Table `cbor:"10,keyasint,omitempty"`
 	Upstreams *UpstreamList  `cbor:"11,keyasint,omitempty"`
-	Speeds    *Speeds        `cbor:"12,keyasint,omitempty"`
 	Released  *Released      `cbor:"13,keyasint,omitempty"`
 	Orders    *OrderBatch    `cbor:"14,keyasint,omitempty"`
 	Replies   *ReplyBatch    `cbor:"15,keyasint,omitempty"`
@@ -43,6 +43,9 @@
 	Dropped   *Dropped       `cbor:"19,keyasint,omitempty"`
 	// Leaving is sent to a process that has started.
 	Leaving *LeavingUpstreams `cbor:"20,keyasint,omitempty"`
+	// Estimates is what a scheduler has learned, sent to those that may follow it.
+	// Earlier versions sent speeds only, with the number 12.
+	Estimates *estimate.Digest `cbor:"30,keyasint,omitempty"`
 }
 
 // Dropped is sent by a scheduler to an entry VM that was silent, when its heartbeats
@@ -133,12 +136,3 @@
 	// Age is the time since the sender read the list.
 	Age time.Duration `cbor:"2,keyasint"`
 }
-
-// Speeds is sent by the scheduler to all processes and carries its estimates of
-// speeds, so that another process that takes over need not learn them anew.
-type Speeds struct {
-	// Upstreams holds speeds by upstream ID, relative to the reference speed 1.
-	Upstreams map[string]float64 `cbor:"1,keyasint"`
-	// Kinds is not in use.
-	Kinds map[string]float64 `cbor:"2,keyasint"`
-}
--- /dev/null
+++ b/shared/process/dispatcher/estimates_test.go
@@ -0,0 +1,86 @@
+package dispatcher
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/connection/link"
+	"tanagerfall/shared/request/estimate"
+)
+
+// sentMessages records the digests that a process sends.
+type sentMessages struct {
+	estimates []*estimate.Digest
+}
+
+func (sent *sentMessages) Open(context.Context, string) {}
+func (sent *sentMessages) Close(string)                 {}
+func (sent *sentMessages) Reset(string)                 {}
+func (sent *sentMessages) Send(_ string, message link.Message) {
+	if message.Estimates != nil {
+		sent.estimates = append(sent.estimates, message.Estimates)
+	}
+}
+
+// digestOf returns what a scheduler has learned that observed a kind on u1.
+func digestOf(loop *loop, ratio float64) *estimate.Digest {
+	estimator := estimate.New()
+	for range 100 {
+		estimator.Observe("quote", "u1", 100, 100*ratio)
+	}
+	digest := estimator.Digest(loop.knownIncarnations())
+	return &digest
+}
+
+// Guards against a process that learns from a scheduler that it does not follow (one that
+// was paused or cut off), from a delayed digest, or while it schedules itself.
+func TestEstimatesOfTheSchedulerOnlyAreAdopted(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		leader    string
+		delay     time.Duration
+		schedules bool
+		want      float64
+	}{
+		{"scheduler", entryVMAddress, 0, false, 3},
+		{"not followed", schedulerAddress, 0, false, 1},
+		{"delayed", entryVMAddress, 2 * time.Second, false, 1},
+		{"schedules itself", entryVMAddress, 0, true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newEntryVMLoop(t)
+			if test.schedules {
+				loop = newSchedulerLoop(t)
+			}
+			loop.leader = test.leader
+			loop.receiveDelayed(test.delay, link.Message{
+				Estimates: digestOf(loop, 3),
+			})
+			ratio := loop.estimator.Ratio("quote")
+			assert.Assert(t, math.Abs(ratio-test.want) < 0.1, "%.2f", ratio)
+		})
+	}
+}
+
+// Guards against a scheduler that does not pass on what it has learned.
+func TestSchedulerSendsItsEstimates(t *testing.T) {
+	scheduler := newSchedulerLoop(t)
+	sent := &sentMessages{}
+	scheduler.dispatcher.links = sent
+	scheduler.receiveHeartbeat()
+	for range 100 {
+		scheduler.estimator.Observe("quote", "u1", 100, 300)
+	}
+	for range 2 * estimatesInterval / time.Second {
+		scheduler.advance(500 * time.Millisecond)
+		scheduler.receiveHeartbeat()
+	}
+	assert.Assert(t, len(sent.estimates) >= 1)
+	successor := estimate.New()
+	assert.Assert(t, successor.Adopt(*sent.estimates[0], 0, scheduler.knownIncarnations()))
+	assert.Assert(t, math.Abs(successor.Ratio("quote")-3) < 0.2)
+}
--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -12,6 +12,7 @@
 	"tanagerfall/shared/connection/peer"
 	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/version/region"
 	"tanagerfall/shared/version/routing"
 )
@@ -324,7 +325,7 @@
 		{Withdraw: &link.Withdraw{JobID: "j"}},
 		{Routes: &routing.Table{Version: 3}},
 		{Upstreams: &link.UpstreamList{Upstreams: []cell.Upstream{{ID: "u1"}}}},
-		{Speeds: &link.Speeds{Upstreams: map[string]float64{"u1": -1}}},
+		{Estimates: &estimate.Digest{Format: 1, Kinds: []estimate.KindDigest{{Name: "k", Ratio: -1, RunTimes: []float32{2}}}, Upstreams: []estimate.UpstreamDigest{{ID: "u1", Speed: -1}}}},
 		{Released: &link.Released{Jobs: []cell.Release{{ID: "j", RunsAt: []string{"u1"}}}}},
 		{Orders: &link.OrderBatch{Orders: []relay.Order{{Number: 1, SpecNumber: -2}}}},
 		{Replies: &link.ReplyBatch{ReceiverIncarnation: 1, Replies: []relay.Reply{{Number: 1}}}},
--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -20,8 +20,6 @@
 	// be to be worth sending. During an outage of the store a scheduler that took
 	// over with an old list gets the newest one that a process has.
 	minListAdvance = time.Second
-	// speedsInterval is the time between messages with the learned speeds.
-	speedsInterval = 5 * time.Second
 	// membersInterval is the time between heartbeats that list all known processes.
 	membersInterval = 2 * time.Second
 	// unheardInterval is the time between resets of the stream to a peer that does not hear
@@ -169,10 +167,7 @@
 	}
 	loop.resetSilentStreams()
 	loop.sendHeartbeats(withMembers)
-	if loop.cell != nil && loop.now.Sub(loop.speedsSentAt) >= speedsInterval {
-		loop.speedsSentAt = loop.now
-		loop.sendSpeeds()
-	}
+	loop.sendDueEstimates()
 }
 
 // resetSilentStreams replaces the streams to the peers that this process does not hear.
@@ -244,21 +239,3 @@
 		Heartbeat: &heartbeat,
 	})
 }
-
-// sendSpeeds sends the learned speeds of upstreams to all live peers, so that the
-// next scheduler starts with them.
-func (loop *loop) sendSpeeds() {
-	speeds := make(map[string]float64, len(loop.upstreams))
-	for _, upstream := range loop.upstreams {
-		speeds[upstream.ID] = loop.estimator.Speed(upstream.ID)
-	}
-	for _, address := range loop.view.PeerAddresses() {
-		if loop.view.Live(address) {
-			loop.send(address, link.Message{
-				Speeds: &link.Speeds{
-					Upstreams: speeds,
-				},
-			})
-		}
-	}
-}
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -98,7 +98,10 @@
 	gaugesUpdatedAt  time.Time
 	heartbeatsSentAt time.Time
 	membersSentAt    time.Time
-	speedsSentAt     time.Time
+	// estimatesSentAt is when this process last sent its estimates, and
+	// estimatesAdoptedAt when it last adopted those of a scheduler; zero if it has not.
+	estimatesSentAt    time.Time
+	estimatesAdoptedAt time.Time
 }
 
 // pendingCancel is a cancellation that the schedulers have not answered.
@@ -341,10 +344,8 @@
 		loop.handleDropped(message.From)
 	case message.Leaving != nil:
 		loop.recordLeaving(message.Leaving.Incarnations)
-	case message.Speeds != nil:
-		for id, speed := range message.Speeds.Upstreams {
-			loop.estimator.Declare(id, speed)
-		}
+	case message.Estimates != nil:
+		loop.adoptEstimates(message.From, *message.Estimates, delay)
 	}
 }
 
@@ -355,7 +356,7 @@
 func (loop *loop) handleStaleMessage(message link.Message, delay time.Duration) {
 	loop.dispatcher.instruments.increment(metricStaleMessages)
 	switch {
-	case message.Heartbeat != nil, message.Released != nil, message.Cells != nil:
+	case message.Heartbeat != nil, message.Released != nil, message.Cells != nil, message.Estimates != nil:
 	case message.Submit != nil:
 		loop.log(logevent.MessageStale, "member", message.From, "job", message.Submit.ID, "delay", delay)
 		loop.sendDecline(message.From, message.Submit.ID)
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -32,6 +32,8 @@
 	metricLostRelayedOrders = "tanagerfall_region_relayed_orders_lost_total"
 	metricStaleMessages     = "tanagerfall_region_stale_messages_total"
 	metricInvalidMessages   = "tanagerfall_region_invalid_messages_total"
+	metricMoves             = "tanagerfall_region_moves"
+	metricMovesInVain       = "tanagerfall_region_moves_in_vain"
 )
 
 // MetricNames returns the names of all metrics of a Dispatcher.
@@ -40,6 +42,7 @@
 		metricAnswers, metricAnswerSeconds, metricWithdrawn, metricOrders, metricOrderSeconds, metricRunsLost, metricStartsAllowed, metricLeasesExpired, metricSchedules,
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
 		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages,
+		metricMoves, metricMovesInVain,
 	}
 }
 
@@ -121,6 +124,9 @@
 	if loop.cell == nil {
 		return
 	}
+	counters := loop.cell.Counters()
+	instruments.setGauge(metricMoves, float64(counters.MovedRuns))
+	instruments.setGauge(metricMovesInVain, float64(counters.MovedInVain))
 	for state, count := range loop.cell.UpstreamStates() {
 		instruments.setGauge(fmt.Sprintf("%s{state=%q}", metricUpstreams, state), float64(count))
 	}
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -46,6 +46,7 @@
 	loop.relays = relay.New(loop.activation, relayThreshold(loop.options.RelayFrom, loop.view.Self()))
 	loop.relays.SetMembers(loop.now, loop.view.RelayCandidates())
 	loop.suspectedRelays = nil
+	loop.ageEstimates()
 	loop.cell = cell.New(loop.now, cell.Config{
 		Estimator:      loop.estimator,
 		Claims:         loop.view.Claim,
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -378,6 +378,18 @@
 		Level:  log.WarnLevel,
 		Text:   "log lines over the budget were dropped",
 	}
+	EstimatesInherited = Event{
+		Number: 761,
+		Name:   "estimates-inherited",
+		Level:  log.InfoLevel,
+		Text:   "scheduler starts with the estimates of the one before",
+	}
+	EstimatesIgnored = Event{
+		Number: 762,
+		Name:   "estimates-ignored",
+		Level:  log.WarnLevel,
+		Text:   "estimates of the scheduler are of another format and are ignored",
+	}
 )
 
 // Events returns all events in the order of their numbers.
@@ -393,5 +405,6 @@
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
+		EstimatesInherited, EstimatesIgnored,
 	}
 }
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -72,6 +72,9 @@
 	Fenced      int64 `json:"fenced"`
 	// HandedOver counts the jobs that went to another cell.
 	HandedOver int64 `json:"handed-over"`
+	// MovedInVain counts the slow runs that were moved and were as slow elsewhere,
+	// because their tasks are long.
+	MovedInVain int64 `json:"moved-in-vain"`
 }
 
 // New returns a Cell that claims upstreams from now on as config.Claims allows.
--- a/shared/request/cell/health.go
+++ b/shared/request/cell/health.go
@@ -15,11 +15,6 @@
 	// minObservedRunTime is the shortest run time from which a speed can be
 	// derived.
 	minObservedRunTime = 5 * time.Millisecond
-	// moveFactor is how many times longer the rest of a run must be than a new
-	// run elsewhere before the run is moved.
-	moveFactor = 2
-	// moveMargin is added for the stop and the new start.
-	moveMargin = 100 * time.Millisecond
 	// extrapolateAfterShare is the share of the expected run time after which the
 	// total run time is extrapolated from progress.
 	extrapolateAfterShare = 0.5
@@ -59,7 +54,8 @@
 	runTime = max(runTime, minObservedRunTime)
 	upstream := run.upstream
 	ratio := float64(runTime) / float64(run.expectedTime)
-	upstream.recordSlowdown(ratio)
+	upstream.recordSlowdown(1 + (ratio-1)*cell.upstreamShare(run, ratio))
+	cell.countMoveInVain(run, ratio)
 	estimate := run.job.submitted.Steps[run.name.Task.Step].Estimate
 	cell.config.Estimator.Observe(run.job.submitted.Kind, upstream.listing.ID, milliseconds(estimate), milliseconds(runTime))
 }
@@ -143,15 +139,7 @@
 	if percent <= 0 || elapsed < time.Duration(extrapolateAfterShare*float64(run.expectedTime)) || elapsed < 2*minObservedRunTime {
 		return
 	}
-	total := elapsed * 100 / time.Duration(percent)
-	if float64(total) > slowdownTolerance*float64(run.expectedTime) {
-		run.upstream.recordSlowdown(float64(total) / float64(run.expectedTime))
-	}
-	remaining := total - elapsed
-	newRunTime := run.job.predictRunTime(run.job.submitted.Steps[run.name.Task.Step].Estimate, 1)
-	if remaining > moveFactor*newRunTime+moveMargin && total > moveFactor*run.expectedTime {
-		cell.moveRun(run, "crawls")
-	}
+	cell.handleSlowRun(run, elapsed, elapsed*100/time.Duration(percent))
 }
 
 // stalled reports whether the time since the last progress of a run exceeds both
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -34,6 +34,10 @@
 	// avoidedUpstream is the upstream of the latest run that ended without a
 	// result.
 	avoidedUpstream string
+	// movedAsSlow is set once a run of the task was moved because it was slow, and
+	// longerThanExpected once a later run was slow as well.
+	movedAsSlow        bool
+	longerThanExpected bool
 }
 
 // jobState is the Cell's state of a job.
--- a/shared/request/estimate/estimator.go
+++ b/shared/request/estimate/estimator.go
@@ -55,6 +55,8 @@
 	// time.
 	variance     float64
 	observations float64
+	// runTimes holds the ratios of actual to predicted run times.
+	runTimes distribution
 }
 
 // New returns an Estimator without observations.
@@ -154,11 +156,13 @@
 		kind = &kindEstimate{
 			logRatio: estimator.meanDeviation(),
 			variance: priorLogStdDev * priorLogStdDev,
+			runTimes: newDistribution(),
 		}
 		estimator.kinds[kindName] = kind
 	}
 	predictedLogRatio := kind.logRatio - upstream.logDeclaredSpeed - upstream.logDeviation
 	residual := math.Log(actualMs/declaredMs) - predictedLogRatio
+	kind.runTimes.add(math.Exp(residual), 1)
 	residual = min(max(residual, -maxLogResidual), maxLogResidual)
 	kind.observations++
 	upstream.observations++
--- a/shared/version/region/election.go
+++ b/shared/version/region/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -127,6 +128,31 @@
 	return before < count
 }
 
+// Successors returns the addresses of the processes other than this one that would
+// begin to schedule if this one were lost, or if their failure domain were cut off: the
+// first count of all, and the first of each domain.
+func (view *View) Successors(count int) []string {
+	processes := view.candidates()[1:]
+	slices.SortStableFunc(processes, func(a, b candidate) int {
+		if preferred(a, b) {
+			return -1
+		}
+		return 1
+	})
+	var successors []string
+	coveredDomains := make(map[string]bool)
+	for _, process := range processes {
+		if process.activeFor > 0 || !view.inCell(process.member) {
+			continue
+		}
+		if len(successors) < count || !coveredDomains[process.member.Domain] {
+			successors = append(successors, process.member.Address)
+		}
+		coveredDomains[process.member.Domain] = true
+	}
+	return successors
+}
+
 // canContinue reports whether a process schedules and is strong enough to go
 // on. A weak process that became scheduler before the others had started is
 // replaced by a strong one.
