--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -34,6 +34,8 @@
 	metricInvalidMessages   = "tanagerfall_region_invalid_messages_total"
 	metricEvacuatedDomains  = "tanagerfall_region_evacuated_domains"
 	metricEvacuatedOrders   = "tanagerfall_region_evacuated_orders_refused_total"
+	metricMoves             = "tanagerfall_region_moves"
+	metricMovesInVain       = "tanagerfall_region_moves_in_vain"
 )
 
 // MetricNames returns the names of all metrics of a Dispatcher.
@@ -42,6 +44,7 @@
 		metricAnswers, metricAnswerSeconds, metricWithdrawn, metricOrders, metricOrderSeconds, metricRunsLost, metricStartsAllowed, metricLeasesExpired, metricSchedules,
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
 		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages, metricEvacuatedDomains, metricEvacuatedOrders,
+		metricMoves, metricMovesInVain,
 	}
 }
 
@@ -124,6 +127,9 @@
 	if loop.cell == nil {
 		return
 	}
+	counters := loop.cell.Counters()
+	instruments.setGauge(metricMoves, float64(counters.MovedRuns))
+	instruments.setGauge(metricMovesInVain, float64(counters.MovedInVain))
 	for state, count := range loop.cell.UpstreamStates() {
 		instruments.setGauge(fmt.Sprintf("%s{state=%q}", metricUpstreams, state), float64(count))
 	}
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -384,6 +384,18 @@
 		Level:  log.InfoLevel,
 		Text:   "failure domains that operators have evacuated changed",
 	}
+	EstimatesInherited = Event{
+		Number: 771,
+		Name:   "estimates-inherited",
+		Level:  log.InfoLevel,
+		Text:   "scheduler starts with the estimates of the one before",
+	}
+	EstimatesIgnored = Event{
+		Number: 772,
+		Name:   "estimates-ignored",
+		Level:  log.WarnLevel,
+		Text:   "estimates of the scheduler are of another format and are ignored",
+	}
 )
 
 // Events returns all events in the order of their numbers.
@@ -399,5 +411,6 @@
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed, EvacuationsChanged,
+		EstimatesInherited, EstimatesIgnored,
 	}
 }
