Intake: one budget of memory and connections for callers

Cause: bodies were read whole with no limit on all of them together, connections were accepted without a limit, jobs of any cost were scheduled, and a queue to a peer was bounded by messages only.

The scheduler refuses jobs beyond an eighth of the memory as not run, and queues to peers hold at most 1/32 of it.

--- a/shared/connection/link/links.go
+++ b/shared/connection/link/links.go
@@ -77,6 +77,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Notify is called with each event, concurrently from many goroutines.
 	Notify func(event Event)
+	// MaxQueuedBytes bounds the memory of the messages queued for a peer, as
+	// maxQueuedMessages bounds their number; 0 means no bound.
+	MaxQueuedBytes int64
 }
 
 // Links maintains one stream to each peer. It is safe for concurrent use.
@@ -96,7 +99,7 @@
 	address string
 	// queue holds the messages for the current stream, or for the next one after Reset.
 	// It is replaced under the mutex of Links.
-	queue chan *Message
+	queue *messageQueue
 	// cancel ends the link.
 	cancel context.CancelFunc
 	// reset ends the current stream.
@@ -123,7 +126,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	opened := &peerLink{
 		address: address,
-		queue:   make(chan *Message, maxQueuedMessages),
+		queue:   newMessageQueue(),
 		cancel:  cancel,
 		reset:   make(chan struct{}, 1),
 	}
@@ -148,14 +151,14 @@
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	if target, ok := links.peerLinks[address]; ok {
-		target.queue = make(chan *Message, maxQueuedMessages)
+		target.queue = newMessageQueue()
 		target.requestReset()
 	}
 }
 
 // nextQueue returns the queue for the next stream of a link, and discards a pending reset,
 // which was meant for an earlier stream.
-func (links *Links) nextQueue(target *peerLink) chan *Message {
+func (links *Links) nextQueue(target *peerLink) *messageQueue {
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	select {
@@ -186,9 +189,7 @@
 	queue := target.queue
 	links.mutex.Unlock()
 	message.SenderUptime = time.Since(links.createdAt)
-	select {
-	case queue <- &message:
-	default:
+	if !queue.add(&message, links.options.MaxQueuedBytes) {
 		target.requestReset()
 	}
 }
@@ -207,7 +208,7 @@
 			Err:     err,
 			Refused: !opened && isRefused(err),
 		})
-		discard(queue)
+		queue.discard()
 		if opened {
 			delay = minReconnectDelay
 		}
@@ -222,20 +223,9 @@
 	}
 }
 
-// discard removes the messages that a stream has not sent.
-func discard(queue chan *Message) {
-	for {
-		select {
-		case <-queue:
-		default:
-			return
-		}
-	}
-}
-
 // runStream opens one stream and sends the queued messages on it until it
 // breaks. It reports whether the stream was opened, and why it ended.
-func (links *Links) runStream(ctx context.Context, target *peerLink, queue <-chan *Message) (bool, error) {
+func (links *Links) runStream(ctx context.Context, target *peerLink, queue *messageQueue) (bool, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	tcpConn, err := links.options.Dial(dialCtx, target.address)
@@ -263,7 +253,8 @@
 			return true, eris.New("the peer closed the connection")
 		case <-target.reset:
 			return true, ErrReset
-		case message := <-queue:
+		case message := <-queue.messages:
+			queue.removed(message)
 			message.Stream = number
 			if err := stream.MsgSend(message, peer.Encoding{}); err != nil {
 				return true, err
--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -53,6 +53,9 @@
 	Logger    *logevent.Logger
 	// Limits configures the Cell with which this process schedules.
 	Limits cell.Limits
+	// MaxQueuedBytes bounds the memory of the messages queued for each peer; 0 means no
+	// bound.
+	MaxQueuedBytes int64
 	// OnRoleChange, if set, is called on the control goroutine with the new role of
 	// this process. It must not block.
 	OnRoleChange func(role Role)
@@ -113,8 +116,9 @@
 func New(options Options) *Dispatcher {
 	dispatcher := newDispatcher(time.Now(), options)
 	dispatcher.links = link.New(link.Options{
-		Dial:   link.DialTCP,
-		Notify: dispatcher.Notify,
+		Dial:           link.DialTCP,
+		Notify:         dispatcher.Notify,
+		MaxQueuedBytes: options.MaxQueuedBytes,
 	})
 	dispatcher.execute = func(order relay.Order, done func(reply cell.Event)) {
 		loop := dispatcher.loop
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -378,6 +378,12 @@
 		Level:  log.WarnLevel,
 		Text:   "log lines over the budget were dropped",
 	}
+	IntakeRefused = Event{
+		Number: 761,
+		Name:   "intake-refused",
+		Level:  log.InfoLevel,
+		Text:   "client turned away at a limit of this process",
+	}
 )
 
 // Events returns all events in the order of their numbers.
@@ -392,6 +398,6 @@
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
-		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
+		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed, IntakeRefused,
 	}
 }
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -15,6 +15,8 @@
 	createdAt time.Time
 	token     int64
 
+	// heldBytes is the memory of the jobs.
+	heldBytes int64
 	jobs      map[string]*jobState
 	upstreams map[string]*upstreamState
 	// upstreamOrder holds the upstreams in the order of their listing, so that
--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -126,6 +126,8 @@
 	// whose jobs were refused.
 	MinRetryAfter time.Duration
 	MaxRetryAfter time.Duration
+	// MaxJobBytes bounds the memory of the jobs of a Cell; 0 means no bound.
+	MaxJobBytes int64
 }
 
 // LeaseTime returns the longest time for which an upstream may run tasks after the last order
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -91,6 +91,11 @@
 		})
 		return
 	}
+	if !cell.admitsCost(&event.Job) {
+		cell.refuseForMemory(event)
+		return
+	}
+	cell.heldBytes += event.Job.scheduledCost()
 	job = cell.newJobState(event.Job)
 	job.entryVMs = []string{event.EntryVM}
 	cell.jobs[event.Job.ID] = job
@@ -344,6 +349,7 @@
 // removeJob removes a job and stops its runs.
 func (cell *Cell) removeJob(job *jobState, reason string) {
 	delete(cell.jobs, job.submitted.ID)
+	cell.heldBytes -= job.submitted.scheduledCost()
 	for _, task := range job.tasks {
 		if task.currentRun == nil {
 			continue
