--- a/shared/connection/intake/body.go
+++ b/shared/connection/intake/body.go
@@ -37,7 +37,9 @@
 	if conn.Conn != nil {
 		_ = conn.SetReadDeadline(now.Add(timeouts.Idle))
 	}
-	conn.progress(now)
+	conn.gate.mutex.Lock()
+	defer conn.gate.mutex.Unlock()
+	conn.gate.ledger.Read(now, conn.entry)
 }
 
 // AbortBody makes the server close the connection without reading the rest of the body.
@@ -58,6 +60,7 @@
 	}
 	startedAt := time.Now()
 	isLarge := declared > SmallBody
+	count := 0
 	for {
 		space, err := body.space(declared, isLarge)
 		if err != nil {
@@ -72,16 +75,16 @@
 				return body, err
 			}
 		}
-		if !conn.progress(now) {
+		if !conn.progress(now, count) {
 			return body, ErrEvicted
 		}
-		count, err := reader.Read(space)
+		count, err = reader.Read(space)
 		body.add(count)
 		switch {
 		case errors.Is(err, io.EOF):
 			return body, conn.endBody()
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if !conn.progress(now) {
+			if !conn.progress(now, 0) {
 				return body, ErrEvicted
 			}
 			return body, ErrTimeout
--- a/shared/connection/intake/gate.go
+++ b/shared/connection/intake/gate.go
@@ -130,6 +130,15 @@
 	return conn.Conn.Write(data)
 }
 
+// CloseWrite ends the sending direction of a TCP connection. The HTTP server does so before
+// it closes a connection with unread bytes, so that the client receives the answer.
+func (conn *Conn) CloseWrite() error {
+	if tcpConn, ok := conn.Conn.(*net.TCPConn); ok {
+		return tcpConn.CloseWrite()
+	}
+	return nil
+}
+
 // stop makes the read of a connection's body fail.
 func (conn *Conn) stop() {
 	if conn.Conn != nil {
@@ -137,11 +146,12 @@
 	}
 }
 
-// progress records progress of the body, and reports whether the connection may go on.
-func (conn *Conn) progress(now time.Time) bool {
+// progress records that bytes of the body have arrived, and reports whether the connection
+// may go on.
+func (conn *Conn) progress(now time.Time, bytes int) bool {
 	conn.gate.mutex.Lock()
 	defer conn.gate.mutex.Unlock()
-	conn.gate.ledger.Progress(now, conn.entry)
+	conn.gate.ledger.Progress(now, conn.entry, bytes)
 	return !conn.entry.evicted
 }
 
--- a/shared/connection/intake/ledger.go
+++ b/shared/connection/intake/ledger.go
@@ -9,6 +9,10 @@
 // another. Packets that are lost once are sent again within it.
 const minStall = 250 * time.Millisecond
 
+// progressBytes is how much of a body has to arrive to count as progress. Clients that send
+// single bytes to stay ahead of others gain nothing by it.
+const progressBytes = 1 << 10
+
 // largeJobShare is the share of the memory for jobs that large jobs can take; the rest is
 // for jobs of up to largeJob bytes.
 const (
@@ -37,6 +41,8 @@
 type Entry struct {
 	phase      phase
 	progressAt time.Time
+	// arrived counts the bytes of the body since progressAt.
+	arrived int
 	// element is the place in the list of the phase; nil in phaseServed.
 	element *list.Element
 	// bodyBytes is the memory reserved for the body, of the pool for large bodies if
@@ -159,6 +165,7 @@
 	ledger.unlink(entry)
 	entry.phase = phase
 	entry.progressAt = now
+	entry.arrived = 0
 	if phase != phaseServed {
 		entry.element = ledger.byPhase[phase].PushBack(entry)
 	}
@@ -209,13 +216,23 @@
 // Serve records that the process works on a request that it has received whole.
 func (ledger *Ledger) Serve(now time.Time, entry *Entry) { ledger.enter(now, entry, phaseServed) }
 
-// Progress records that bytes of a body have arrived, or that its reading begins.
-func (ledger *Ledger) Progress(now time.Time, entry *Entry) {
-	if entry.isLarge {
-		ledger.enter(now, entry, phaseLargeBody)
-		return
+// Read records that the reading of a body begins.
+func (ledger *Ledger) Read(now time.Time, entry *Entry) { ledger.enter(now, entry, phaseSmallBody) }
+
+// Progress records that bytes of a body have arrived.
+func (ledger *Ledger) Progress(now time.Time, entry *Entry, bytes int) {
+	entry.arrived += bytes
+	if entry.arrived >= progressBytes {
+		ledger.enter(now, entry, bodyPhase(entry.isLarge))
 	}
-	ledger.enter(now, entry, phaseSmallBody)
+}
+
+// bodyPhase returns the phase of a body.
+func bodyPhase(isLarge bool) phase {
+	if isLarge {
+		return phaseLargeBody
+	}
+	return phaseSmallBody
 }
 
 // poolOf returns the pool of an entry's body.
@@ -246,21 +263,19 @@
 	if target.limit == 0 || target.reserved+needed <= target.limit {
 		ledger.poolOf(entry).reserved -= entry.bodyBytes
 		entry.bodyBytes += bytes
-		entry.isLarge = isLarge
 		target.reserved += entry.bodyBytes
-		ledger.Progress(now, entry)
+		if isLarge && !entry.isLarge {
+			entry.isLarge = true
+			ledger.enter(now, entry, phaseLargeBody)
+		}
 		return Granted, nil
 	}
 	if needed > target.limit {
 		return Refused, nil
 	}
-	phase := phaseSmallBody
-	if isLarge {
-		phase = phaseLargeBody
-	}
 	var victims []*Entry
 	for target.reserved-target.leaving+needed > target.limit {
-		victim := ledger.front(phase)
+		victim := ledger.front(bodyPhase(isLarge))
 		if victim == nil || victim == entry || now.Sub(victim.progressAt) < minStall {
 			return Refused, victims
 		}
--- a/shared/request/cell/memory.go
+++ b/shared/request/cell/memory.go
@@ -12,9 +12,6 @@
 	memoryReserve = 0.25
 )
 
-// MaxSpecBytes is the longest Spec of a job.
-const MaxSpecBytes = 4000
-
 // MemoryCost returns the memory that a job takes where it waits for its answer.
 func (job *Job) MemoryCost() int64 {
 	cost := int64(jobBytes + len(job.ID) + len(job.Spec))
