--- a/shared/request/cell/memory.go
+++ b/shared/request/cell/memory.go
@@ -31,11 +31,12 @@
 	return cost
 }
 
-// admitsCost reports whether there is memory for a job. One that an earlier Cell may have
-// started is always admitted, because it can't be reported as not run.
+// admitsCost reports whether there is memory for a job. One that may have been started is
+// always admitted, because it can't be reported as not run.
 func (cell *Cell) admitsCost(job *Job) bool {
 	limit := cell.config.Limits.MaxJobBytes
-	if limit <= 0 || !job.neverStarted() {
+	mayHaveRun := !job.neverStarted() || len(cell.orphans[job.ID]) > 0 || len(cell.earlyEnds[job.ID]) > 0
+	if limit <= 0 || mayHaveRun {
 		return true
 	}
 	cost := job.scheduledCost()
