--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -396,6 +396,12 @@
 		Level:  log.WarnLevel,
 		Text:   "estimates of the scheduler are of another format and are ignored",
 	}
+	IntakeRefused = Event{
+		Number: 781,
+		Name:   "intake-refused",
+		Level:  log.InfoLevel,
+		Text:   "client turned away at a limit of this process",
+	}
 )
 
 // Events returns all events in the order of their numbers.
@@ -411,6 +417,6 @@
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed, EvacuationsChanged,
-		EstimatesInherited, EstimatesIgnored,
+		EstimatesInherited, EstimatesIgnored, IntakeRefused,
 	}
 }
