--- a/shared/request/cell/evacuation.go
+++ b/shared/request/cell/evacuation.go
@@ -5,6 +5,18 @@
 	"time"
 )
 
+// DomainsEvacuated is the Event that carries the failure domains whose upstreams get no new
+// tasks until the next one.
+type DomainsEvacuated struct {
+	Domains []string
+	// Unserved holds the services that have upstreams in these domains only.
+	Unserved []string
+	// MayHandOver is set if another cell may take jobs that wait here.
+	MayHandOver bool
+}
+
+func (DomainsEvacuated) event() {}
+
 // evacuate applies the evacuations. Runs in evacuated domains go on and are adopted as
 // elsewhere.
 func (cell *Cell) evacuate(event DomainsEvacuated) {
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -341,27 +341,18 @@
 	UpstreamsListed struct {
 		Upstreams []Upstream
 	}
-	// DomainsEvacuated carries the failure domains whose upstreams get no new tasks until
-	// the next DomainsEvacuated, and the services that have upstreams in them only.
-	DomainsEvacuated struct {
-		Domains  []string
-		Unserved []string
-		// MayHandOver is set if another cell may take jobs that wait here.
-		MayHandOver bool
-	}
 	// Tick lets the Cell act on the passage of time.
 	Tick struct{}
 )
 
-func (JobSubmitted) event()     {}
-func (JobWithdrawn) event()     {}
-func (EntryVMLost) event()      {}
-func (StartReplied) event()     {}
-func (StopReplied) event()      {}
-func (PollReplied) event()      {}
-func (UpstreamsListed) event()  {}
-func (DomainsEvacuated) event() {}
-func (Tick) event()             {}
+func (JobSubmitted) event()    {}
+func (JobWithdrawn) event()    {}
+func (EntryVMLost) event()     {}
+func (StartReplied) event()    {}
+func (StopReplied) event()     {}
+func (PollReplied) event()     {}
+func (UpstreamsListed) event() {}
+func (Tick) event()            {}
 
 // Decision is an output of Cell.Handle for the process to carry out.
 type Decision interface{ decision() }
