Cancels are remembered by whoever may hold or start the job

A cancel ended only the job that the asked scheduler had at that moment. Each process now remembers cancelled job IDs for 75 s, 8,192 at most, ends and refuses these jobs, and passes cancels to its peers, again on each new stream.

--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerfall/shared/connection/relay"
+	"tanagerfall/shared/request/cancellation"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/version/region"
 	"tanagerfall/shared/version/routing"
@@ -43,6 +44,15 @@
 	Dropped   *Dropped       `cbor:"19,keyasint,omitempty"`
 	// Leaving is sent to a process that has started.
 	Leaving *LeavingUpstreams `cbor:"20,keyasint,omitempty"`
+	// Cancellations is sent to all peers when jobs are cancelled, and on each new
+	// stream. The numbers 21 to 24 are not in use.
+	Cancellations *Cancellations `cbor:"25,keyasint,omitempty"`
+}
+
+// Cancellations tells which jobs callers have cancelled lately. The receiver must not
+// hold or start them.
+type Cancellations struct {
+	Jobs []cancellation.Cancellation `cbor:"1,keyasint"`
 }
 
 // Dropped is sent by a scheduler to an entry VM that was silent, when its heartbeats
--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"tanagerfall/shared/connection/link"
 	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/request/cancellation"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/version/region"
@@ -143,6 +144,7 @@
 		droppedEntryVMs:     make(map[string]string),
 		leavingIncarnations: make(map[string]int64),
 		pendingCancels:      make(map[uint64]pendingCancel),
+		cancellations:       cancellation.NewSet(cancellationRetention, maxCancellations),
 		lastSentAt:          make(map[string]time.Time),
 		removedAt:           make(map[string]time.Time),
 		queuedReplies:       make(map[remoteScheduler][]relay.Reply),
@@ -218,8 +220,10 @@
 }
 
 // Cancel cancels a job in the region, whichever entry VM holds it. It reports
-// whether the scheduler knew the job. If no scheduler answers before ctx ends,
-// Cancel returns the error of ctx; if the control loop has ended, ErrStopped.
+// whether the scheduler or this process knew the job. In either case the job does not
+// start later, if it is held elsewhere or submitted again. If no scheduler answers
+// before ctx ends, Cancel returns the error of ctx; if the control loop has ended,
+// ErrStopped.
 func (dispatcher *Dispatcher) Cancel(ctx context.Context, id string) (bool, error) {
 	jobKnown := make(chan bool, 1)
 	dispatcher.post(cancelRequested{
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -77,6 +77,10 @@
 		deadline:   loop.now.Add(event.job.TimeLeft),
 		waiters:    []chan<- cell.Answer{event.answer},
 	}
+	if loop.refuseCancelled(event.job.ID) {
+		loop.answerCallers(job, cancelledAnswer(event.job.ID))
+		return
+	}
 	if event.job.ResentAfter > 0 {
 		job.quarantineEnd = loop.now.Add(loop.quarantine() - event.job.ResentAfter)
 	}
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -8,6 +8,7 @@
 	"tanagerfall/shared/connection/link"
 	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/request/cancellation"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/version/region"
@@ -23,9 +24,6 @@
 	// below the silence after which a process counts as lost, and above the time
 	// for which a busy process leaves messages unread.
 	staleMessageDelay = 600 * time.Millisecond
-	// cancelTimeout is how long the loop keeps a caller's cancellation that the
-	// scheduler has not answered.
-	cancelTimeout = time.Second
 )
 
 // loop is the state of the control loop. Only the control goroutine uses it.
@@ -89,6 +87,10 @@
 	// pendingCancels holds the cancellations sent to the scheduler, by number.
 	pendingCancels   map[uint64]pendingCancel
 	lastCancelNumber uint64
+	// cancellations holds the jobs that callers have cancelled lately, and
+	// cancellationsSent counts those that the peers were told of.
+	cancellations     *cancellation.Set
+	cancellationsSent int
 	// lastSentAt holds, for the messages that sendDue limits, when each was last
 	// due.
 	lastSentAt  map[string]time.Time
@@ -101,14 +103,6 @@
 	speedsSentAt     time.Time
 }
 
-// pendingCancel is a cancellation that the schedulers have not answered.
-type pendingCancel struct {
-	jobKnown chan<- bool
-	// unanswered is the number of schedulers that have not answered.
-	unanswered int
-	expiresAt  time.Time
-}
-
 // entryVMName returns the name of one incarnation of an entry VM, by which the
 // Cell distinguishes it from earlier processes at the same address.
 func entryVMName(address string, incarnation uint64) string {
@@ -197,7 +191,7 @@
 	loop.elect()
 	loop.sendDueHeartbeats()
 	loop.updateHeldJobs()
-	loop.expireCancels()
+	loop.updateCancellations()
 	loop.yield()
 	if loop.cell != nil {
 		loop.loadMonitor.slack = loop.cell.TightestSlack()
@@ -283,6 +277,7 @@
 		loop.handleMessage(event.Message, delay)
 	case link.Up:
 		loop.sendHeartbeat(event.Address, true)
+		loop.sendKnownCancellations(event.Address)
 		if event.Address == loop.leader {
 			loop.resubmitAll()
 		} else if !loop.view.InCell(event.Address) {
@@ -317,9 +312,11 @@
 	case message.Decline != nil:
 		loop.handleDecline(message.From, message.Decline.JobID, message.Decline.Target)
 	case message.Cancel != nil:
-		loop.handlePeerCancel(message.From, *message.Cancel)
+		loop.handlePeerCancel(message.From, *message.Cancel, delay)
 	case message.Cancelled != nil:
 		loop.handleCancelResult(*message.Cancelled)
+	case message.Cancellations != nil:
+		loop.handleCancellations(message.Cancellations.Jobs, delay)
 	case message.Routes != nil:
 		loop.adoptRoutes(message.Routes.Index(), message.From)
 	case message.Upstreams != nil:
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -32,6 +32,9 @@
 	metricLostRelayedOrders = "tanagerfall_region_relayed_orders_lost_total"
 	metricStaleMessages     = "tanagerfall_region_stale_messages_total"
 	metricInvalidMessages   = "tanagerfall_region_invalid_messages_total"
+	metricCancellations     = "tanagerfall_region_cancellations"
+
+	metricCancelledSubmissions = "tanagerfall_region_cancelled_submissions_total"
 )
 
 // MetricNames returns the names of all metrics of a Dispatcher.
@@ -39,7 +42,7 @@
 	return []string{
 		metricAnswers, metricAnswerSeconds, metricWithdrawn, metricOrders, metricOrderSeconds, metricRunsLost, metricStartsAllowed, metricLeasesExpired, metricSchedules,
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
-		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages,
+		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages, metricCancellations, metricCancelledSubmissions,
 	}
 }
 
@@ -112,6 +115,7 @@
 	instruments.setGauge(metricSchedules, isScheduler)
 	instruments.setGauge(metricLiveProcesses, float64(loop.view.LiveCount()))
 	instruments.setGauge(metricHeldJobs, float64(len(loop.heldJobs)))
+	instruments.setGauge(metricCancellations, float64(loop.cancellations.Len()))
 	instruments.setGauge(metricListAge, loop.listAge().Seconds())
 	if loop.routes != nil {
 		instruments.setGauge(metricRoutesVersion, float64(loop.routes.Version))
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -251,6 +251,13 @@
 		loop.sendDecline(address, job.ID)
 		return
 	}
+	if loop.refuseCancelled(job.ID) {
+		answer := cancelledAnswer(job.ID)
+		loop.send(address, link.Message{
+			Answer: &answer,
+		})
+		return
+	}
 	entryVM := entryVMName(address, incarnation)
 	_, known := loop.entryVMs[address]
 	loop.entryVMs[address] = entryVM
@@ -293,85 +300,6 @@
 	}
 }
 
-// handleCancelRequest passes a caller's cancellation to the scheduler.
-func (loop *loop) handleCancelRequest(event cancelRequested) {
-	schedulers := loop.otherSchedulers()
-	if loop.cell != nil {
-		if known := loop.cancelInCell(event.id); known || len(schedulers) == 0 {
-			event.jobKnown <- known
-			return
-		}
-	} else {
-		schedulers = append(schedulers, loop.leader)
-	}
-	loop.lastCancelNumber++
-	loop.pendingCancels[loop.lastCancelNumber] = pendingCancel{
-		jobKnown:   event.jobKnown,
-		unanswered: len(schedulers),
-		expiresAt:  loop.now.Add(cancelTimeout),
-	}
-	for _, scheduler := range schedulers {
-		if !loop.view.InCell(scheduler) {
-			loop.useForeignLink(scheduler)
-		}
-		loop.send(scheduler, link.Message{
-			Cancel: &link.Cancel{
-				JobID:         event.id,
-				RequestNumber: loop.lastCancelNumber,
-			},
-		})
-	}
-}
-
-// cancelInCell cancels a job in the Cell and reports whether the Cell knew it.
-func (loop *loop) cancelInCell(id string) bool {
-	known, decisions := loop.cell.Cancel(loop.now, id)
-	loop.executeDecisions(decisions)
-	return known
-}
-
-// handlePeerCancel executes a cancellation that a peer passed on.
-func (loop *loop) handlePeerCancel(from string, cancel link.Cancel) {
-	if loop.cell == nil {
-		return
-	}
-	if !loop.view.InCell(from) {
-		loop.useForeignLink(from)
-	}
-	loop.send(from, link.Message{
-		Cancelled: &link.Cancelled{
-			RequestNumber: cancel.RequestNumber,
-			Found:         loop.cancelInCell(cancel.JobID),
-		},
-	})
-}
-
-// handleCancelResult passes the result to the caller that cancelled: as soon as a
-// scheduler had the job, or when none did.
-func (loop *loop) handleCancelResult(result link.Cancelled) {
-	pendingCancel, known := loop.pendingCancels[result.RequestNumber]
-	if !known {
-		return
-	}
-	pendingCancel.unanswered--
-	if !result.Found && pendingCancel.unanswered > 0 {
-		loop.pendingCancels[result.RequestNumber] = pendingCancel
-		return
-	}
-	pendingCancel.jobKnown <- result.Found
-	delete(loop.pendingCancels, result.RequestNumber)
-}
-
-// expireCancels drops cancellations that the scheduler did not answer in time. The
-// waiting calls end with their context.
-func (loop *loop) expireCancels() {
-	for number, pendingCancel := range loop.pendingCancels {
-		if loop.now.After(pendingCancel.expiresAt) {
-			delete(loop.pendingCancels, number)
-		}
-	}
-}
-
 // quarantine returns how long an earlier scheduler may act on a job after this process
 // has left it without a release. That scheduler withdraws the job when it has not heard
 // this process for its liveness timeout. An upstream that it can't reach any more runs
--- a/shared/process/dispatcher/state.go
+++ b/shared/process/dispatcher/state.go
@@ -36,6 +36,8 @@
 	ListAgeMs int64 `json:"list-age-ms"`
 	// HeldJobs is the number of jobs that callers of this process wait for.
 	HeldJobs int `json:"held-jobs"`
+	// Cancellations is the number of cancelled jobs that this process remembers.
+	Cancellations int `json:"cancellations"`
 	// RelayedOrders is the number of orders that this process is executing for
 	// schedulers elsewhere.
 	RelayedOrders int `json:"relayed-orders"`
@@ -59,6 +61,7 @@
 		Neighbours:      loop.neighbours.planner.Reports(loop.now),
 		ListAgeMs:       int64(loop.listAge() / time.Millisecond),
 		HeldJobs:        len(loop.heldJobs),
+		Cancellations:   loop.cancellations.Len(),
 		RelayedOrders:   loop.relayedOrders,
 		SuspectedRelays: loop.suspectedRelays,
 	}
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -282,6 +282,18 @@
 		Level:  log.InfoLevel,
 		Text:   "job withdrawn because no caller waits for it",
 	}
+	CancelApplied = Event{
+		Number: 718,
+		Name:   "cancel-applied",
+		Level:  log.InfoLevel,
+		Text:   "job ended because a peer reported its cancellation",
+	}
+	CancelledSubmission = Event{
+		Number: 719,
+		Name:   "cancelled-submission",
+		Level:  log.InfoLevel,
+		Text:   "submitted job is not accepted because it was cancelled",
+	}
 	RequestRefused = Event{
 		Number: 715,
 		Name:   "request-refused",
@@ -390,7 +402,7 @@
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
-		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
+		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, CancelApplied, CancelledSubmission, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
 	}
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -296,9 +296,13 @@
 	}
 }
 
+// ReasonCancelled is the reason in the answer of a job that a caller has cancelled.
+// Such a job must not be submitted again.
+const ReasonCancelled = "cancelled"
+
 // Cancel stops a job at a caller's request, whichever entry VM has it, and
-// reports whether the Cell has it. The entry VMs receive the result
-// Interrupted.
+// reports whether the Cell has it. The entry VMs receive an answer with
+// ReasonCancelled. Runs of the job that an earlier Cell started are stopped as well.
 func (cell *Cell) Cancel(now time.Time, id string) (bool, []Decision) {
 	if now.After(cell.now) {
 		cell.now = now
@@ -306,7 +310,11 @@
 	cell.decisions = nil
 	job, ok := cell.jobs[id]
 	if ok {
-		cell.abandon(job, "cancelled", 0)
+		cell.abandon(job, ReasonCancelled, 0)
+	}
+	for _, orphan := range cell.orphans[id] {
+		// The next tick stops the run.
+		orphan.orphanDeadline = cell.now
 	}
 	return ok, cell.decisions
 }
