Members that are lost for good don't hold claims

Members that refuse connections, and those that neither this process nor a peer has heard since its start, are now absent and don't count.

--- a/shared/process/dispatcher/state.go
+++ b/shared/process/dispatcher/state.go
@@ -26,6 +26,8 @@
 	LiveProcesses int `json:"live"`
 	// Members lists all known processes, this one included.
 	Members []region.Member `json:"members"`
+	// AbsentMembers is the number of members of the cell that are taken to be lost.
+	AbsentMembers int `json:"absent-members"`
 	// Division says how this process takes the region to be divided.
 	Division string `json:"division"`
 	// Neighbours lists the recent reports of the schedulers of other cells.
@@ -57,6 +59,7 @@
 		Token:           loop.token,
 		LiveProcesses:   loop.view.LiveCount(),
 		Members:         loop.view.Members(),
+		AbsentMembers:   loop.view.AbsentCount(),
 		Division:        loop.view.Division().String(),
 		Neighbours:      loop.neighbours.planner.Reports(loop.now),
 		ListAgeMs:       int64(loop.listAge() / time.Millisecond),
--- a/shared/version/region/claim.go
+++ b/shared/version/region/claim.go
@@ -5,7 +5,7 @@
 // Claim returns the claim of this process on an upstream, for the case that it
 // schedules. The claim is firm if the home of the upstream is this process or
 // follows it. It is weak if the home is not live and most of the known
-// processes follow this one. Two schedulers that reach each other again after a
+// processes follow this one; those that are absent don't count. Two schedulers that reach each other again after a
 // partition therefore don't take upstreams from each other before one of them
 // has stepped down.
 func (view *View) Claim(upstream cell.Upstream) cell.Claim {
@@ -13,7 +13,7 @@
 	if view.isFollower(home) {
 		return cell.ClaimFirm
 	}
-	if !view.Live(home) && 2*view.followerCount() > 1+view.cellPeerCount() {
+	if !view.Live(home) && 2*view.followerCount() > 1+view.presentPeerCount() {
 		return cell.ClaimWeak
 	}
 	return cell.ClaimNone
--- a/shared/version/region/division.go
+++ b/shared/version/region/division.go
@@ -108,9 +108,9 @@
 		if !view.divisionDue(upstreams) {
 			return nil, false
 		}
-		return view.adoptDivision(ChooseDivision(view.rosterMembers(), upstreams)), true
+		return view.adoptDivision(ChooseDivision(view.presentRoster(), upstreams)), true
 	case Undivided:
-		if !view.rosterSettled() || ChooseDivision(view.rosterMembers(), upstreams*4/5) != DividedByDomain {
+		if !view.rosterSettled() || ChooseDivision(view.presentRoster(), upstreams*4/5) != DividedByDomain {
 			return nil, false
 		}
 		return view.adoptDivision(DividedByDomain), true
@@ -133,7 +133,7 @@
 	// Further members only raise the budget of the strongest, so that a region
 	// that is not divided now needs no wait.
 	return view.now.Sub(view.startedAt) >= startupListenTime &&
-		ChooseDivision(view.rosterMembers(), upstreams) == Undivided
+		ChooseDivision(view.presentRoster(), upstreams) == Undivided
 }
 
 // rosterSettled reports whether the roster has not changed for a while.
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -113,8 +113,13 @@
 	// learnedAt is when this process first learned of the peer.
 	learnedAt time.Time
 	// refusedAt is when the peer first refused a connection after its last
-	// heartbeat; zero if it has not.
-	refusedAt time.Time
+	// heartbeat, lastRefusedAt when it last did; zero if it has not.
+	refusedAt     time.Time
+	lastRefusedAt time.Time
+	// firstHeardAt is when the first heartbeat of this incarnation was received, and
+	// reportedAt when another process last reported that it has heard the peer.
+	firstHeardAt time.Time
+	reportedAt   time.Time
 }
 
 // View is one process's view of the membership of its region. It is not safe
@@ -246,19 +251,29 @@
 		clear(view.homes)
 	}
 	restarted = sender.heartbeatReceived && sender.heartbeat.Member.Incarnation != heartbeat.Member.Incarnation
+	if restarted || !sender.heartbeatReceived {
+		sender.firstHeardAt = view.now
+	}
 	sender.heartbeat = heartbeat
 	sender.heartbeatReceived = true
+	view.recordReports(sender, heartbeat.Members)
 	if sentAt := view.now.Add(-delay); restarted || sentAt.After(sender.lastHeartbeatAt) {
 		sender.lastHeartbeatAt = sentAt
 	}
 	sender.refusedAt = time.Time{}
+	sender.lastRefusedAt = time.Time{}
 	return restarted
 }
 
 // HandleRefusal records that a connection to an address was refused, so that no
 // process listens there.
 func (view *View) HandleRefusal(address string) {
-	if peer, ok := view.peers[address]; ok && peer.refusedAt.IsZero() {
+	peer, ok := view.peers[address]
+	if !ok {
+		return
+	}
+	peer.lastRefusedAt = view.now
+	if peer.refusedAt.IsZero() {
 		peer.refusedAt = view.now
 	}
 }
--- a/shared/version/region/view_test.go
+++ b/shared/version/region/view_test.go
@@ -30,6 +30,8 @@
 	connected func(from, to int) bool
 	// upstreams is the number of upstreams on the platform's list.
 	upstreams int
+	// lists is set if heartbeats carry the members that their sender reports.
+	lists bool
 }
 
 func newNetwork(size int) *network {
@@ -51,12 +53,15 @@
 		network.now = network.now.Add(region.MinHeartbeatInterval)
 		for _, view := range network.views {
 			view.Advance(network.now, 0)
+			view.RemoveExpired()
 			view.UpdateDivision(network.upstreams)
 		}
 		for to, view := range network.views {
 			for from, sender := range network.views {
 				if from != to && network.connected(from, to) {
-					view.HandleHeartbeat(network.heartbeat(from, sender), 0)
+					heartbeat := network.heartbeat(from, sender)
+					view.HandleHeartbeat(heartbeat, 0)
+					view.AddMembers(heartbeat.Members)
 					view.AdoptDivision(sender.Division())
 				}
 			}
@@ -76,6 +81,9 @@
 		Interval:  region.MinHeartbeatInterval,
 		Eligible:  view.Eligible(),
 	}
+	if network.lists {
+		heartbeat.Members = view.Introductions()
+	}
 	if leader, active, found := view.Leader(); found && active {
 		heartbeat.Follows = leader.Address
 	}
