--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerfall/shared/connection/relay"
+	"tanagerfall/shared/request/cancellation"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/version/evacuation"
@@ -49,6 +50,15 @@
 	// Estimates is what a scheduler has learned, sent to those that may follow it.
 	// Earlier versions sent speeds only, with the number 12.
 	Estimates *estimate.Digest `cbor:"30,keyasint,omitempty"`
+	// Cancellations is sent to all peers when jobs are cancelled, and on each new
+	// stream.
+	Cancellations *Cancellations `cbor:"25,keyasint,omitempty"`
+}
+
+// Cancellations tells which jobs callers have cancelled lately. The receiver must not
+// hold or start them.
+type Cancellations struct {
+	Jobs []cancellation.Cancellation `cbor:"1,keyasint"`
 }
 
 // Dropped is sent by a scheduler to an entry VM that was silent, when its heartbeats
--- a/shared/process/dispatcher/estimates_test.go
+++ b/shared/process/dispatcher/estimates_test.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"context"
 	"math"
 	"testing"
 	"time"
@@ -12,20 +11,6 @@
 	"tanagerfall/shared/request/estimate"
 )
 
-// sentMessages records the digests that a process sends.
-type sentMessages struct {
-	estimates []*estimate.Digest
-}
-
-func (sent *sentMessages) Open(context.Context, string) {}
-func (sent *sentMessages) Close(string)                 {}
-func (sent *sentMessages) Reset(string)                 {}
-func (sent *sentMessages) Send(_ string, message link.Message) {
-	if message.Estimates != nil {
-		sent.estimates = append(sent.estimates, message.Estimates)
-	}
-}
-
 // digestOf returns what a scheduler has learned that observed a kind on u1.
 func digestOf(loop *loop, ratio float64) *estimate.Digest {
 	estimator := estimate.New()
@@ -69,7 +54,7 @@
 // Guards against a scheduler that does not pass on what it has learned.
 func TestSchedulerSendsItsEstimates(t *testing.T) {
 	scheduler := newSchedulerLoop(t)
-	sent := &sentMessages{}
+	sent := make(sentMessages)
 	scheduler.dispatcher.links = sent
 	scheduler.receiveHeartbeat()
 	for range 100 {
@@ -79,8 +64,14 @@
 		scheduler.advance(500 * time.Millisecond)
 		scheduler.receiveHeartbeat()
 	}
-	assert.Assert(t, len(sent.estimates) >= 1)
+	var digests []*estimate.Digest
+	for _, message := range sent[entryVMAddress] {
+		if message.Estimates != nil {
+			digests = append(digests, message.Estimates)
+		}
+	}
+	assert.Assert(t, len(digests) >= 1)
 	successor := estimate.New()
-	assert.Assert(t, successor.Adopt(*sent.estimates[0], 0, scheduler.knownIncarnations()))
+	assert.Assert(t, successor.Adopt(*digests[0], 0, scheduler.knownIncarnations()))
 	assert.Assert(t, math.Abs(successor.Ratio("quote")-3) < 0.2)
 }
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -36,6 +36,9 @@
 	metricEvacuatedOrders   = "tanagerfall_region_evacuated_orders_refused_total"
 	metricMoves             = "tanagerfall_region_moves"
 	metricMovesInVain       = "tanagerfall_region_moves_in_vain"
+	metricCancellations     = "tanagerfall_region_cancellations"
+
+	metricCancelledSubmissions = "tanagerfall_region_cancelled_submissions_total"
 )
 
 // MetricNames returns the names of all metrics of a Dispatcher.
@@ -44,7 +47,7 @@
 		metricAnswers, metricAnswerSeconds, metricWithdrawn, metricOrders, metricOrderSeconds, metricRunsLost, metricStartsAllowed, metricLeasesExpired, metricSchedules,
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
 		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages, metricEvacuatedDomains, metricEvacuatedOrders,
-		metricMoves, metricMovesInVain,
+		metricMoves, metricMovesInVain, metricCancellations, metricCancelledSubmissions,
 	}
 }
 
@@ -117,6 +120,7 @@
 	instruments.setGauge(metricSchedules, isScheduler)
 	instruments.setGauge(metricLiveProcesses, float64(loop.view.LiveCount()))
 	instruments.setGauge(metricHeldJobs, float64(len(loop.heldJobs)))
+	instruments.setGauge(metricCancellations, float64(loop.cancellations.Len()))
 	instruments.setGauge(metricListAge, loop.listAge().Seconds())
 	if loop.routes != nil {
 		instruments.setGauge(metricRoutesVersion, float64(loop.routes.Version))
--- a/shared/process/dispatcher/state.go
+++ b/shared/process/dispatcher/state.go
@@ -26,6 +26,8 @@
 	LiveProcesses int `json:"live"`
 	// Members lists all known processes, this one included.
 	Members []region.Member `json:"members"`
+	// AbsentMembers is the number of members of the cell that are taken to be lost.
+	AbsentMembers int `json:"absent-members"`
 	// Division says how this process takes the region to be divided.
 	Division string `json:"division"`
 	// Neighbours lists the recent reports of the schedulers of other cells.
@@ -40,6 +42,8 @@
 	ListAgeMs int64 `json:"list-age-ms"`
 	// HeldJobs is the number of jobs that callers of this process wait for.
 	HeldJobs int `json:"held-jobs"`
+	// Cancellations is the number of cancelled jobs that this process remembers.
+	Cancellations int `json:"cancellations"`
 	// RelayedOrders is the number of orders that this process is executing for
 	// schedulers elsewhere.
 	RelayedOrders int `json:"relayed-orders"`
@@ -59,10 +63,12 @@
 		Token:           loop.token,
 		LiveProcesses:   loop.view.LiveCount(),
 		Members:         loop.view.Members(),
+		AbsentMembers:   loop.view.AbsentCount(),
 		Division:        loop.view.Division().String(),
 		Neighbours:      loop.neighbours.planner.Reports(loop.now),
 		ListAgeMs:       int64(loop.listAge() / time.Millisecond),
 		HeldJobs:        len(loop.heldJobs),
+		Cancellations:   loop.cancellations.Len(),
 		RelayedOrders:   loop.relayedOrders,
 		SuspectedRelays: loop.suspectedRelays,
 		Evacuated:       loop.evacuations.Domains(),
