Evacuated upstreams don't count in the share that may be ejected

A third of all upstreams may be ejected. With a domain evacuated this could be half of those that serve, or all of a few. The new test fails without the change.

--- a/shared/request/cell/evacuation_test.go
+++ b/shared/request/cell/evacuation_test.go
@@ -59,6 +59,30 @@
 	assert.Equal(t, starts[0].Order.Upstream, "a")
 }
 
+// Guards against the ejection of all upstreams that serve, because evacuated ones count
+// among those of which a third may be ejected.
+func TestEvacuatedUpstreamsDoNotAllowEjections(t *testing.T) {
+	harness := newHarness(t)
+	upstreams := []cell.Upstream{testUpstream("a1"), testUpstream("a2"), testUpstream("a3"), testUpstream("b")}
+	upstreams[3].Domain = "b"
+	harness.handle(cell.UpstreamsListed{
+		Upstreams: upstreams,
+	})
+	for _, upstream := range upstreams {
+		harness.answerPoll(upstream.ID, nil)
+	}
+	harness.evacuate("a")
+	for number, id := range []string{"j", "k"} {
+		starts := harness.submit(testJob(id, 1))
+		assert.Equal(t, len(starts), 1)
+		harness.confirm(starts[0])
+		harness.answerPoll("b", nil, endedRun(int64(number+1), starts[0].Run, cell.EndFailed))
+	}
+	for _, upstream := range harness.cell.Dump().Upstreams {
+		assert.Assert(t, !upstream.Ejected, upstream.ID)
+	}
+}
+
 // Guards against runs that are stopped, or started a second time, because their domain is
 // evacuated when another process takes over.
 func TestRunsInAnEvacuatedDomainAreAdopted(t *testing.T) {
--- a/shared/request/cell/health.go
+++ b/shared/request/cell/health.go
@@ -78,15 +78,20 @@
 const slowdownTolerance = 1.8
 
 // eject stops the placement of tasks on an upstream for a time. It has no
-// effect if more than MaxEjectedShare of the upstreams would be ejected.
+// effect if more than MaxEjectedShare of the upstreams would be ejected, without those in
+// evacuated domains.
 func (cell *Cell) eject(upstream *upstreamState, duration time.Duration, reason string) {
-	ejected := 0
+	ejected, candidates := 0, 0
 	for _, candidate := range cell.upstreamOrder {
+		if candidate.evacuated {
+			continue
+		}
+		candidates++
 		if candidate.ejectedUntil.After(cell.now) {
 			ejected++
 		}
 	}
-	if float64(ejected+1) > cell.config.Limits.MaxEjectedShare*float64(len(cell.upstreamOrder)) {
+	if float64(ejected+1) > cell.config.Limits.MaxEjectedShare*float64(candidates) {
 		return
 	}
 	until := cell.now.Add(duration)
--- a/shared/request/cell/surplus.go
+++ b/shared/request/cell/surplus.go
@@ -12,8 +12,8 @@
 
 // Surplus returns the jobs that may be handed to another cell: they have waited for
 // Limits.SurplusAfter without a start, no earlier Cell can have started them, and
-// they have not been handed over before. If all upstreams here are evacuated, only the
-// second has to hold. The jobs that would be served last come first.
+// they have not been handed over before. If all upstreams here are evacuated, neither the
+// wait nor an earlier hand-over matters. The jobs that would be served last come first.
 func (cell *Cell) Surplus() []Surplus {
 	var surplus []Surplus
 	allEvacuated := cell.allEvacuated()
