--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -379,7 +379,7 @@
 		Text:   "log lines over the budget were dropped",
 	}
 	EvacuationsChanged = Event{
-		Number: 761,
+		Number: 781,
 		Name:   "evacuations-changed",
 		Level:  log.InfoLevel,
 		Text:   "failure domains that operators have evacuated changed",
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -103,7 +103,7 @@
 	Unheard bool `cbor:"15,keyasint,omitempty"`
 	// EvacuationsPosition is the position of the sender's evacuation.Snapshot; 0 if it
 	// has seen no evacuation.
-	EvacuationsPosition int64 `cbor:"16,keyasint,omitempty"`
+	EvacuationsPosition int64 `cbor:"18,keyasint,omitempty"`
 }
 
 // peerState is what this process knows of another one.
