--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -390,12 +390,6 @@
 		Level:  log.WarnLevel,
 		Text:   "log lines over the budget were dropped",
 	}
-	EvacuationsChanged = Event{
-		Number: 761,
-		Name:   "evacuations-changed",
-		Level:  log.InfoLevel,
-		Text:   "failure domains that operators have evacuated changed",
-	}
 	EstimatesInherited = Event{
 		Number: 771,
 		Name:   "estimates-inherited",
@@ -408,8 +402,14 @@
 		Level:  log.WarnLevel,
 		Text:   "estimates of the scheduler are of another format and are ignored",
 	}
-	IntakeRefused = Event{
+	EvacuationsChanged = Event{
 		Number: 781,
+		Name:   "evacuations-changed",
+		Level:  log.InfoLevel,
+		Text:   "failure domains that operators have evacuated changed",
+	}
+	IntakeRefused = Event{
+		Number: 791,
 		Name:   "intake-refused",
 		Level:  log.InfoLevel,
 		Text:   "client turned away at a limit of this process",
@@ -428,7 +428,7 @@
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, CancelApplied, CancelledSubmission, RequestRefused, JobLate,
 		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
-		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed, EvacuationsChanged,
-		EstimatesInherited, EstimatesIgnored, IntakeRefused,
+		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
+		EstimatesInherited, EstimatesIgnored, EvacuationsChanged, IntakeRefused,
 	}
 }
