Cell, entry VMs: no job that was sent again is refused as not run; hopeless jobs are answered

A job that its caller had sent again (ResentAfter, Generation 0) was answered 503 'not run' if nothing started it here, although its first request may have run it. It is answered as interrupted now, isn't shed, and isn't handed to another cell, whose upstreams don't show the first run.

A job without a scheduler was held until three times its objective, or its deadline. It is answered as soon as the fastest upstream could not end it in time.

--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -16,6 +16,9 @@
 	// abandoned here. It is less than the scheduler's margin, because the answer of
 	// the scheduler holds more information.
 	answerMargin = 60 * time.Millisecond
+	// minRunShare is the least share of its declared run time that a job is taken to
+	// need by a process that has seen no runs of its kind.
+	minRunShare = 0.6
 	// callerRetryAfter is the retry delay reported to callers whose jobs were shed
 	// or found no scheduler.
 	callerRetryAfter = time.Second
@@ -58,9 +61,14 @@
 }
 
 // tooLate reports whether no scheduler has the job and its answer would come too
-// late to be of use.
-func (heldJob *heldJob) tooLate(now time.Time) bool {
-	return heldJob.scheduler == "" && now.Sub(heldJob.receivedAt) > cell.LateFactor*heldJob.job.LatencyBudget(1)
+// late to be of use even if the job started now on the fastest upstream.
+func (heldJob *heldJob) tooLate(now time.Time, speed float64) bool {
+	if heldJob.scheduler != "" {
+		return false
+	}
+	finishAt := now.Add(time.Duration(minRunShare * float64(heldJob.job.LongestChain()) / speed))
+	worthlessAt := heldJob.receivedAt.Add(cell.LateFactor * heldJob.job.LatencyBudget(1))
+	return finishAt.After(worthlessAt) || finishAt.After(heldJob.deadline.Add(-answerMargin))
 }
 
 // acceptCallerJob holds a job of a caller and submits it to the scheduler. A job
@@ -80,7 +88,7 @@
 	if event.job.ResentAfter > 0 {
 		job.quarantineEnd = loop.now.Add(loop.quarantine() - event.job.ResentAfter)
 	}
-	if shouldShed(event.job.ID, loop.shedShare()) && !loop.chooseForeignScheduler(job) {
+	if event.job.ResentAfter == 0 && shouldShed(event.job.ID, loop.shedShare()) && !loop.chooseForeignScheduler(job) {
 		loop.log(logevent.JobGivenUp, "job", event.job.ID, "kind", event.job.Kind, "result", string(cell.NotRun),
 			"reason", "scheduler full")
 		event.answer <- cell.Answer{
@@ -341,8 +349,12 @@
 // updateHeldJobs submits the jobs that wait for a scheduler and abandons those
 // whose deadline is near or whose answer would be too late.
 func (loop *loop) updateHeldJobs() {
+	topSpeed := 0.0
 	for _, heldJob := range inOrder(loop.heldJobs) {
-		if loop.now.Before(heldJob.deadline.Add(-answerMargin)) && !heldJob.tooLate(loop.now) {
+		if topSpeed == 0 && heldJob.scheduler == "" {
+			topSpeed = loop.topSpeed()
+		}
+		if loop.now.Before(heldJob.deadline.Add(-answerMargin)) && !heldJob.tooLate(loop.now, topSpeed) {
 			loop.submit(heldJob)
 			continue
 		}
@@ -350,15 +362,25 @@
 	}
 }
 
+// topSpeed returns the highest known speed of an upstream, and at least 1.
+func (loop *loop) topSpeed() float64 {
+	speed := 1.0
+	for i := range loop.upstreams {
+		speed = max(speed, loop.estimator.Speed(loop.upstreams[i].ID))
+	}
+	return speed
+}
+
 // abandon answers a job that will not be completed in time. It is reported as not
-// run only if no scheduler can have started it.
+// run only if no scheduler can have started it, nor an earlier request for it.
 func (loop *loop) abandon(heldJob *heldJob, reason string) {
 	answer := cell.Answer{
 		ID:     heldJob.job.ID,
 		Result: cell.Interrupted,
 		Reason: reason,
 	}
-	if heldJob.submissions == 0 || (heldJob.scheduler == "" && heldJob.notStarted) {
+	neverStarted := heldJob.submissions == 0 || (heldJob.scheduler == "" && heldJob.notStarted)
+	if neverStarted && heldJob.job.ResentAfter == 0 {
 		answer.Result = cell.NotRun
 		answer.Reason = "no scheduler"
 		answer.RetryAfter = callerRetryAfter
--- a/shared/process/dispatcher/held_jobs_test.go
+++ b/shared/process/dispatcher/held_jobs_test.go
@@ -105,6 +105,45 @@
 	}
 }
 
+// Guards against a job without a scheduler that is held although even the fastest upstream
+// could not end it in time, and against a false "not run" for a job that was sent before.
+func TestJobWithoutASchedulerIsAnsweredOnceItIsHopeless(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		resentAfter time.Duration
+		want        cell.Result
+	}{
+		{"first request", 0, cell.NotRun},
+		{"sent again", 1300 * time.Millisecond, cell.Interrupted},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newEntryVMLoop(t)
+			loop.leader = ""
+			answer := make(chan cell.Answer, 1)
+			loop.acceptCallerJob(jobAccepted{
+				job: cell.Job{
+					ID: "j",
+					Steps: []cell.Step{{
+						Count:    1,
+						Estimate: 900 * time.Millisecond,
+					}},
+					Stretch:     1.6,
+					TimeLeft:    1500 * time.Millisecond,
+					ResentAfter: test.resentAfter,
+				},
+				answer: answer,
+			})
+			loop.now = loop.now.Add(850 * time.Millisecond)
+			loop.updateHeldJobs()
+			assert.Equal(t, len(answer), 0, "the job can still end in time")
+			loop.now = loop.now.Add(100 * time.Millisecond)
+			loop.updateHeldJobs()
+			assert.Equal(t, len(answer), 1, "the job is held although it is hopeless")
+			assert.Equal(t, (<-answer).Result, test.want)
+		})
+	}
+}
+
 // Guards against a repeated submission that a Cell takes for a new job: the Cell
 // may have dropped the job and its runs in the meantime.
 func TestResubmissionIncreasesTheGeneration(t *testing.T) {
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -96,9 +96,14 @@
 	return job.Objective + time.Duration(job.Stretch*ratio*float64(longestChain(job.Steps)))
 }
 
+// LongestChain returns the declared run time of the longest chain of dependent steps.
+func (job *Job) LongestChain() time.Duration { return longestChain(job.Steps) }
+
 // neverStarted reports whether no task can have run before this Cell received
-// the job.
-func (job *Job) neverStarted() bool { return job.Generation == 0 || job.NotStarted }
+// the job. The first request of a job that was sent again may have run it.
+func (job *Job) neverStarted() bool {
+	return job.ResentAfter == 0 && (job.Generation == 0 || job.NotStarted)
+}
 
 // Release reports to an entry VM where runs of a job may still exist when a Cell steps
 // down, so that the next Cell has to verify only these upstreams.
--- a/shared/request/cell/resent_job_test.go
+++ b/shared/request/cell/resent_job_test.go
@@ -35,3 +35,21 @@
 	assert.Equal(t, harness.cell.Counters().AdoptedRuns, int64(1))
 	assert.Equal(t, harness.cell.Counters().Starts, int64(0))
 }
+
+// Guards against a false refusal: a job that its caller has sent again was answered as not
+// run because nothing started it here, although its first request may have run it.
+func TestResentJobIsNeverAnsweredAsNotRun(t *testing.T) {
+	harness := newHarness(t)
+	harness.listUpstreams(nil, "u1")
+	for _, start := range harness.submit(testJob("running", 2)) {
+		harness.confirm(start)
+	}
+	resent := testJob("resent", 1)
+	resent.ResentAfter = time.Second
+	assert.Equal(t, len(harness.submit(resent)), 0)
+	harness.advance(20 * time.Millisecond)
+	assert.Equal(t, len(harness.cell.Surplus()), 0, "its first run may be in this cell")
+	known, decisions := harness.cell.Cancel(harness.now, "resent")
+	assert.Assert(t, known)
+	assert.Equal(t, harness.onlyAnswer(decisions).Result, cell.Interrupted)
+}
