Admission: served shares, keys, arriving work by cost, digests

Under sustained overload the queue alone is short-sighted: a job is kept only if it starts in time also with the work of lower cost that arrives meanwhile. The kinds and failure domains served worst are preferred, a key costs more beyond half of its kind's served jobs, and a drawn part of each kind's largest tenth is served. Digest carries the cost from which new jobs are refused.

--- a/shared/request/admission/planner.go
+++ b/shared/request/admission/planner.go
@@ -77,7 +77,10 @@
 	// Hold holds, by index of the job, whether none of its tasks should start now even
 	// if some fit: under overload a job starts when all its tasks can end in time, or
 	// not at all. Jobs behind it in Order may start. A started job is never held.
-	Hold    []bool
+	Hold []bool
+	// Refused holds the jobs to refuse now. The planner knows no single upstreams: after
+	// the jobs in Order are placed, the caller refuses only those of which an upstream
+	// with free capacity can't take a task, and tries to place the others.
 	Refused []Refusal
 	// Load is the predicted work that has to be done before the deadlines, relative
 	// to the capacity until then. Above 1 not all jobs can meet their objectives.
@@ -105,19 +108,20 @@
 }
 
 const (
-	// slackLoad is the load up to which the order is by slack alone, and costLoad that
-	// from which it is by cost alone.
-	slackLoad = 0.9
-	costLoad  = 1.2
-	// weightTime smooths the change between the two orders, so that it follows the
-	// load and not single jobs.
+	// slackLoad is the load up to which the order is by slack alone. From costLoad on
+	// the cost has its full weight of maxCostWeight. Some weight of the slack remains,
+	// since of two jobs of equal cost the more urgent one goes first.
+	slackLoad     = 0.9
+	costLoad      = 1.2
+	maxCostWeight = 0.7
+	// weightTime smooths the change between the two orders. The load rises and falls
+	// with single jobs, and the order should not.
 	weightTime = 100 * time.Millisecond
-	// minHorizon is the shortest time over which the load is measured.
-	minHorizon = 50 * time.Millisecond
-	// overloadCertainty is the share of the arriving work that a refusal assumes: a job
-	// that would be served if somewhat less arrived is not refused.
-	overloadCertainty = 0.8
-	// priorityStep is the extra cost of a job per step of priority.
+	// arrivalCertainty is the part of the smoothed arriving work that is expected to
+	// arrive also in the time that a job would wait.
+	arrivalCertainty = 0.9
+	// priorityStep is the extra cost of a job per step of priority. With much higher
+	// steps the lowest priority gets nothing under overload.
 	priorityStep = 0.25
 )
 
@@ -125,25 +129,27 @@
 const (
 	// ReasonOverload means that cheaper or more urgent jobs need the capacity.
 	ReasonOverload = "overload"
-	// ReasonHopeless means that the job could not be served in time even if it were
-	// started now.
+	// ReasonHopeless means that the job could not be served in time even if it started
+	// now.
 	ReasonHopeless = "hopeless"
 )
 
 // Planner decides for the jobs of one service. It is not safe for concurrent use.
 type Planner struct {
-	config  Config
-	kinds   shares
-	domains shares
-	sizes   map[string]*sizes
-	arrivals
-	// weight is the share of the cost in the order: 0 orders by slack, 1 by cost.
-	weight    float64
-	plannedAt time.Time
+	config   Config
+	kinds    map[string]*kind
+	domains  map[string]*share
+	arrivals arrivals
+	// costWeight is the share of the cost in the order, up to maxCostWeight.
+	costWeight float64
+	plannedAt  time.Time
+	// load, drain, topSpeed and threshold are those of the last Plan; see Digest.
+	load      float64
 	drain     float64
+	topSpeed  float64
+	threshold float64
 	full      bool
-	load      float64
-
+	// The buffers are used again by each Plan.
 	entries  []entry
 	deferred []entry
 	timeline timeline
@@ -154,30 +160,28 @@
 func New(config Config) *Planner {
 	return &Planner{
 		config:  config,
-		kinds:   shares{},
-		domains: shares{},
-		sizes:   make(map[string]*sizes),
+		kinds:   make(map[string]*kind),
+		domains: make(map[string]*share),
 	}
 }
 
 // Arrived records that a job arrived.
 func (planner *Planner) Arrived(now time.Time, job Job) {
 	work := job.work()
-	kind := planner.sizes[job.Kind]
-	if kind == nil {
-		kind = &sizes{}
-		planner.sizes[job.Kind] = kind
-	}
-	kind.add(work)
-	planner.kinds.touch(now, job.Kind)
-	planner.domains.touch(now, job.Domain)
+	kind := planner.kind(now, job.Kind)
+	kind.addSize(work)
+	planner.domain(now, job.Domain)
 	planner.arrivals.add(now, planner.cost(&job), work)
 }
 
 // Ended records how a job ended. Jobs that their callers withdrew are not recorded.
 func (planner *Planner) Ended(now time.Time, job Job, outcome Outcome) {
-	planner.kinds.add(now, job.Kind, outcome == OutcomeOnTime)
-	planner.domains.add(now, job.Domain, outcome == OutcomeOnTime)
+	kind := planner.kind(now, job.Kind)
+	kind.served.add(now, outcome == OutcomeOnTime)
+	planner.domain(now, job.Domain).add(now, outcome == OutcomeOnTime)
+	if outcome != OutcomeMissed {
+		kind.addKey(now, job.Key)
+	}
 }
 
 // work returns the work of the waiting tasks in core seconds at speed 1.
@@ -185,118 +189,57 @@
 	return float64(job.Tasks) * float64(job.MilliCores) / 1000 * job.RunTime.Seconds()
 }
 
-// cost returns what the job costs relative to an average job of its kind: by its work,
-// its priority, and how well its kind and failure domain are served. Kinds are compared
-// with themselves, since a long job is not worth less to its caller than a short one.
+// need returns what the waiting tasks occupy together.
+func (job *Job) need() int { return job.Tasks * job.MilliCores }
+
+// cost returns what the job costs relative to an average job of its kind. It answers
+// overload by all kinds: least work first serves most callers, and work relative to the
+// kind serves all kinds alike, since a long job is not worth less to its caller than a
+// short one. Priority, and how well the kind, failure domain and key are served, shift
+// it.
 func (planner *Planner) cost(job *Job) float64 {
-	cost := 1.0
-	if kind := planner.sizes[job.Kind]; kind != nil {
-		cost = kind.relative(job.ID, job.work())
+	cost := 1 + priorityStep*float64(job.Priority)
+	if kind := planner.kinds[job.Kind]; kind != nil {
+		cost *= kind.relativeSize(job.ID, job.work()) * kind.served.factor * kind.keyFactor(job.Key)
 	}
-	return cost * (1 + priorityStep*float64(job.Priority)) * planner.kinds.factor(job.Kind) * planner.domains.factor(job.Domain)
-}
-
-// Classes of waiting jobs, in the order in which they get capacity.
-const (
-	classOnTime = iota
-	classLate
-	classWorthless
-)
-
-// entry is a waiting job with its predictions, in seconds from now.
-type entry struct {
-	index       int
-	class       int
-	key         float64
-	cost        float64
-	work        float64
-	slack       float64
-	target      float64
-	worthlessAt float64
-	run         float64
-	fastestRun  float64
+	if domain := planner.domains[job.Domain]; domain != nil {
+		cost *= domain.factor
+	}
+	return cost
 }
 
 // Plan decides about all jobs with waiting tasks. Equal arguments and earlier calls
 // yield equal plans.
 func (planner *Planner) Plan(now time.Time, jobs []Job, capacity Capacity) Plan {
-	planner.prepare(now, jobs, capacity)
-	load := planner.measureLoad(now, capacity)
-	planner.load = load
-	planner.updateWeight(now, load)
-	planner.sort()
+	speed := max(capacity.Speed, 0)
+	if speed == 0 {
+		speed = 1
+	}
+	planner.topSpeed = max(capacity.TopSpeed, speed)
+	planner.predict(now, jobs, speed)
+	planner.measureLoad(now, capacity, speed)
+	planner.updateWeight(now)
 	plan := &planner.plan
-	plan.Load = load
+	plan.Load = planner.load
 	plan.Order = plan.Order[:0]
 	plan.Refused = plan.Refused[:0]
 	plan.Deferred = resize(plan.Deferred, len(jobs))
 	plan.Hold = resize(plan.Hold, len(jobs))
-	if planner.weight == 0 && load < slackLoad {
-		for i := range planner.entries {
-			plan.Order = append(plan.Order, planner.entries[i].index)
-		}
-		planner.full = false
-		planner.plannedAt = now
-		return *plan
+	planner.threshold = 0
+	planner.full = false
+	if planner.costWeight > 0 {
+		planner.weighCosts(jobs)
 	}
-	planner.schedule(now, jobs, capacity)
-	planner.plannedAt = now
+	planner.sort()
+	planner.schedule(now, jobs, capacity, speed)
 	return *plan
 }
 
 func resize(flags []bool, n int) []bool {
 	if cap(flags) < n {
-		return make([]bool, n)
+		return make([]bool, n, 2*n)
 	}
 	flags = flags[:n]
 	clear(flags)
 	return flags
 }
-
-// prepare fills entries with the predictions for all jobs.
-func (planner *Planner) prepare(now time.Time, jobs []Job, capacity Capacity) {
-	speed, topSpeed := speeds(capacity)
-	entries := planner.entries[:0]
-	for i := range jobs {
-		job := &jobs[i]
-		next := entry{
-			index:       i,
-			work:        job.work(),
-			target:      job.Target.Sub(now).Seconds(),
-			worthlessAt: job.WorthlessAt.Sub(now).Seconds(),
-			run:         job.Remaining.Seconds() / speed,
-			fastestRun:  job.Remaining.Seconds() / topSpeed,
-		}
-		next.slack = next.target - next.fastestRun
-		switch {
-		case next.slack >= 0:
-			next.class = classOnTime
-		case next.fastestRun <= next.worthlessAt:
-			next.class = classLate
-		default:
-			next.class = classWorthless
-		}
-		entries = append(entries, next)
-	}
-	planner.entries = entries
-	for i := range entries {
-		if entries[i].class == classOnTime {
-			entries[i].key = entries[i].slack
-		} else {
-			entries[i].key = -now.Sub(jobs[entries[i].index].Arrival).Seconds()
-		}
-	}
-	if planner.weight > 0 || len(entries) > 0 {
-		for i := range entries {
-			entries[i].cost = planner.cost(&jobs[entries[i].index])
-		}
-	}
-}
-
-func speeds(capacity Capacity) (speed, topSpeed float64) {
-	speed, topSpeed = capacity.Speed, capacity.TopSpeed
-	if speed <= 0 {
-		speed = 1
-	}
-	return speed, max(topSpeed, speed)
-}
--- a/shared/request/admission/schedule.go
+++ b/shared/request/admission/schedule.go
@@ -7,40 +7,100 @@
 	"time"
 )
 
-// loadSteps is the number of deadlines at which the load is measured.
-const loadSteps = 32
+// Classes of waiting jobs, in the order in which they get capacity.
+const (
+	// classOnTime is for jobs that can meet their objective.
+	classOnTime = iota
+	// classLate is for jobs that can't meet their objective.
+	classLate
+	// classWorthless is for jobs whose answer will have no value to the caller.
+	classWorthless
+)
 
-// measureLoad returns the highest ratio, over a number of deadlines, of the work that
-// has to be done until then to the capacity until then; or the ratio of the arriving work
-// to the capacity if that is higher and jobs wait for capacity.
-func (planner *Planner) measureLoad(now time.Time, capacity Capacity) float64 {
-	speed, _ := speeds(capacity)
-	total := float64(capacity.MilliCores) / 1000 * speed
-	if len(planner.entries) == 0 {
-		return 0
+// entry is a waiting job with its predictions, in seconds from now.
+type entry struct {
+	index int
+	class int
+	// key orders the entries of a class.
+	key         float64
+	cost        float64
+	work        float64
+	target      float64
+	worthlessAt float64
+	run         float64
+	fastestRun  float64
+}
+
+// predict fills entries with all jobs. Their keys are the slack to the objective, or the
+// arrival for those that can't meet it.
+func (planner *Planner) predict(now time.Time, jobs []Job, speed float64) {
+	entries := planner.entries[:0]
+	for i := range jobs {
+		job := &jobs[i]
+		remaining := job.Remaining.Seconds()
+		next := entry{
+			index:       i,
+			work:        job.work(),
+			target:      job.Target.Sub(now).Seconds(),
+			worthlessAt: job.WorthlessAt.Sub(now).Seconds(),
+			run:         remaining / speed,
+			fastestRun:  remaining / planner.topSpeed,
+		}
+		switch {
+		case next.fastestRun <= next.target:
+			next.key = next.target - next.fastestRun
+		case next.fastestRun <= next.worthlessAt:
+			next.class = classLate
+		default:
+			next.class = classWorthless
+		}
+		if next.class != classOnTime {
+			next.key = job.Arrival.Sub(now).Seconds()
+		}
+		entries = append(entries, next)
 	}
-	if total == 0 {
-		return math.Inf(1)
+	planner.entries = entries
+}
+
+const (
+	// loadSteps is the number of deadlines at which the load is measured.
+	loadSteps = 32
+	// minHorizon is the shortest time over which the load is measured, in seconds. The
+	// load until an earlier deadline is that of few tasks.
+	minHorizon = 0.05
+)
+
+// measureLoad sets load to the highest ratio, over a number of deadlines, of the work
+// that has to be done until then to the capacity until then. Under sustained overload
+// the queue alone is short-sighted: while jobs wait for capacity, load is at least the
+// ratio of arriving work to capacity.
+func (planner *Planner) measureLoad(now time.Time, capacity Capacity, speed float64) {
+	planner.load = 0
+	planner.drain = 0
+	if len(planner.entries) == 0 {
+		return
 	}
-	horizon := minHorizon.Seconds()
+	horizon := minHorizon
 	waiting := 0.0
 	for i := range planner.entries {
-		waiting += planner.entries[i].work
-		if planner.entries[i].class == classOnTime {
-			horizon = max(horizon, planner.entries[i].target)
+		next := &planner.entries[i]
+		waiting += next.work
+		if next.class == classOnTime {
+			horizon = max(horizon, next.target)
 		}
 	}
 	var due [loadSteps]float64
 	for i := range planner.entries {
 		if next := &planner.entries[i]; next.class == classOnTime {
-			step := int(max(next.target, minHorizon.Seconds()) / horizon * loadSteps)
+			step := int(max(next.target, minHorizon) / horizon * loadSteps)
 			due[min(step, loadSteps-1)] += next.work
 		}
 	}
-	load, work, available := 0.0, 0.0, 0.0
-	rate := float64(capacity.FreeMilliCores) / 1000 * speed
+	work, available := 0.0, 0.0
+	cores := speed / 1000
+	rate := float64(capacity.FreeMilliCores) * cores
 	release := 0
-	for step := range due {
+	for step, dueWork := range due {
 		end := horizon * float64(step+1) / loadSteps
 		available += rate * horizon / loadSteps
 		for ; release < len(capacity.Releases); release++ {
@@ -48,54 +108,58 @@
 			if at >= end {
 				break
 			}
-			freed := float64(capacity.Releases[release].MilliCores) / 1000 * speed
+			freed := float64(capacity.Releases[release].MilliCores) * cores
 			rate += freed
 			available += freed * (end - max(at, horizon*float64(step)/loadSteps))
 		}
-		work += due[step]
-		if work > 0 && end >= minHorizon.Seconds() {
-			load = max(load, work/max(available, 1e-9))
+		work += dueWork
+		if work > 0 && end >= minHorizon {
+			planner.load = max(planner.load, work/max(available, 1e-9))
 		}
 	}
-	free := float64(capacity.FreeMilliCores) / 1000 * speed
+	total := max(float64(capacity.MilliCores)*cores, 1e-9)
 	arriving := planner.arrivals.rate(now)
-	if waiting > free*minHorizon.Seconds() {
-		load = max(load, arriving/total)
+	if waiting > float64(capacity.FreeMilliCores)*cores*minHorizon {
+		planner.load = max(planner.load, arriving/total)
 	}
 	planner.drain = math.Inf(1)
 	if total > arriving {
 		planner.drain = waiting / (total - arriving)
 	}
-	return load
 }
 
 // updateWeight moves the weight of the cost towards that of the load.
-func (planner *Planner) updateWeight(now time.Time, load float64) {
-	wanted := min(max((load-slackLoad)/(costLoad-slackLoad), 0), 1)
-	elapsed := now.Sub(planner.plannedAt).Seconds()
-	planner.weight += (wanted - planner.weight) * (1 - math.Exp(-max(elapsed, 0)/weightTime.Seconds()))
-	if wanted == 0 && planner.weight < 0.01 {
-		planner.weight = 0
+func (planner *Planner) updateWeight(now time.Time) {
+	wanted := maxCostWeight * min(max((planner.load-slackLoad)/(costLoad-slackLoad), 0), 1)
+	elapsed := max(now.Sub(planner.plannedAt).Seconds(), 0)
+	planner.costWeight += (wanted - planner.costWeight) * (1 - math.Exp(-elapsed/weightTime.Seconds()))
+	if wanted == 0 && planner.costWeight < 0.01 {
+		planner.costWeight = 0
 	}
+	planner.plannedAt = now
 }
 
-// sort sorts the entries by class, then by a mean of slack and cost.
-func (planner *Planner) sort() {
-	entries := planner.entries
-	if planner.weight > 0 {
-		var sum [classWorthless + 1]float64
-		var count [classWorthless + 1]float64
-		for i := range entries {
-			sum[entries[i].class] += math.Abs(entries[i].key)
-			count[entries[i].class]++
-		}
-		for i := range entries {
-			next := &entries[i]
-			mean := max(sum[next.class]/count[next.class], 1e-6)
-			next.key = (1-planner.weight)*next.key/mean + planner.weight*next.cost
-		}
+// weighCosts replaces the key of each entry by the weighted mean of key and cost. The
+// keys are divided by their mean, so that both have the same scale.
+func (planner *Planner) weighCosts(jobs []Job) {
+	updateFactors(planner.kinds, func(kind *kind) *share { return &kind.served })
+	updateFactors(planner.domains, func(share *share) *share { return share })
+	var sums, counts [classWorthless + 1]float64
+	for i := range planner.entries {
+		next := &planner.entries[i]
+		next.cost = planner.cost(&jobs[next.index])
+		sums[next.class] += math.Abs(next.key)
+		counts[next.class]++
+	}
+	for i := range planner.entries {
+		next := &planner.entries[i]
+		mean := max(sums[next.class]/counts[next.class], 1e-6)
+		next.key = (1-planner.costWeight)*next.key/mean + planner.costWeight*next.cost
 	}
-	slices.SortFunc(entries, func(a, b entry) int {
+}
+
+func (planner *Planner) sort() {
+	slices.SortFunc(planner.entries, func(a, b entry) int {
 		if a.class != b.class {
 			return a.class - b.class
 		}
@@ -106,56 +170,58 @@
 	})
 }
 
-// schedule predicts when each job would start if the jobs got capacity in their order,
-// and defers, holds or refuses those for which that is too late.
-func (planner *Planner) schedule(now time.Time, jobs []Job, capacity Capacity) {
+// schedule fills the plan from the sorted entries.
+//
+// Under overload it predicts when each job would start whole if the jobs got capacity in
+// their order. A job for which that is too late gets none: its capacity goes to the jobs
+// behind it, and it is considered once more after all others. While work of lower cost
+// arrives at a rate r relative to the capacity, a wait grows by the factor 1/(1-r).
+func (planner *Planner) schedule(now time.Time, jobs []Job, capacity Capacity, speed float64) {
 	plan := &planner.plan
-	speed, _ := speeds(capacity)
-	total := float64(capacity.MilliCores) / 1000 * speed
-	planner.timeline.reset(now, capacity)
-	planner.arrivals.accumulate(now, total)
-	free := capacity.FreeMilliCores
+	overload := planner.costWeight > 0
+	free := max(capacity.FreeMilliCores, 0)
 	largestFree := capacity.LargestFreeMilliCores
 	if largestFree == 0 {
 		largestFree = free
 	}
-	planner.deferred = planner.deferred[:0]
-	planner.full = false
+	if overload {
+		planner.timeline.reset(now, capacity)
+		planner.arrivals.accumulate(now, max(float64(capacity.MilliCores)/1000*speed, 1e-9))
+	}
+	deferred := planner.deferred[:0]
 	for i := range planner.entries {
 		next := &planner.entries[i]
 		job := &jobs[next.index]
 		if next.class != classOnTime {
-			planner.deferred = append(planner.deferred, *next)
+			deferred = append(deferred, *next)
 			continue
 		}
-		need := job.Tasks * job.MilliCores
-		start := planner.timeline.peek(need)
-		delay := start / max(1-planner.arrivals.cheaper(next.cost), 1e-3)
-		if delay+next.fastestRun > next.target && !job.Started {
-			planner.deferred = append(planner.deferred, *next)
-			continue
+		if overload {
+			latest := next.target - next.fastestRun
+			arriving := planner.arrivals.cheaper(next.cost)
+			if !job.Started && stretch(planner.timeline.earliest(), arriving) > latest {
+				deferred = append(deferred, *next)
+				continue
+			}
+			start := planner.timeline.take(job.need())
+			if !job.Started && stretch(start, arriving) > latest {
+				planner.timeline.restore()
+				deferred = append(deferred, *next)
+				continue
+			}
+			planner.timeline.occupy(next.run)
 		}
-		planner.timeline.take(need, next.run)
-		free -= min(need, free)
+		free -= min(job.need(), free)
 		plan.Order = append(plan.Order, next.index)
 	}
-	for i := range planner.deferred {
-		next := &planner.deferred[i]
+	planner.deferred = deferred
+	for i := range deferred {
+		next := &deferred[i]
 		job := &jobs[next.index]
-		need := job.Tasks * job.MilliCores
-		start := planner.timeline.peek(need)
-		fits := job.MilliCores <= free && job.MilliCores <= largestFree
-		if !fits && !job.Started {
-			arriving := overloadCertainty * planner.arrivals.cheaper(math.Inf(1))
-			optimistic := next.fastestRun * math.Exp(-job.LogStdDev)
-			reason := ""
-			if optimistic > next.worthlessAt {
-				reason = ReasonHopeless
-			} else if arriving >= 1 || start/(1-arriving)+optimistic > next.worthlessAt {
-				reason = ReasonOverload
-			}
-			if reason != "" {
-				planner.full = true
+		fits := job.need() <= free && job.MilliCores <= largestFree
+		if !job.Started && !fits {
+			if reason := planner.refusalReason(next, job); reason != "" {
+				planner.kind(now, job.Kind).refusedAt = now
 				plan.Refused = append(plan.Refused, Refusal{
 					ID:         job.ID,
 					Reason:     reason,
@@ -163,13 +229,53 @@
 				})
 				continue
 			}
+			plan.Hold[next.index] = overload && job.need() > free && job.need() <= capacity.MilliCores/2
+		} else if overload {
+			planner.timeline.take(job.need())
+			planner.timeline.occupy(next.run)
 		}
 		plan.Deferred[next.index] = next.class == classOnTime
-		plan.Hold[next.index] = !job.Started && need > free && next.class == classOnTime
-		planner.timeline.take(need, next.run)
-		if need <= free || job.Started {
-			free -= min(need, free)
+		if !plan.Hold[next.index] {
+			free -= min(job.need(), free)
 		}
 		plan.Order = append(plan.Order, next.index)
 	}
+	planner.full = free == 0 || largestFree < 0
+	if overload && planner.full {
+		planner.threshold = planner.arrivals.threshold()
+	}
+}
+
+// refusalReason returns why the job, which comes after all that can meet their
+// objectives, is refused now, or "" if it is not. Unless it is refused, it occupies its
+// capacity on the timeline. This answers many hopeless jobs, and sustained overload: no
+// job is held for a start that will not come.
+func (planner *Planner) refusalReason(next *entry, job *Job) string {
+	fastest := next.fastestRun * math.Exp(-job.LogStdDev)
+	latest := next.worthlessAt - fastest
+	if latest < 0 {
+		return ReasonHopeless
+	}
+	if planner.costWeight == 0 {
+		return ""
+	}
+	arriving := planner.arrivals.cheaper(math.Inf(1))
+	if stretch(planner.timeline.earliest(), arriving) > latest {
+		return ReasonOverload
+	}
+	if stretch(planner.timeline.take(job.need()), arriving) > latest {
+		planner.timeline.restore()
+		return ReasonOverload
+	}
+	planner.timeline.occupy(next.run)
+	return ""
+}
+
+// stretch returns the wait for capacity while work that goes first arrives at a rate
+// relative to the capacity.
+func stretch(wait, arriving float64) float64 {
+	if wait == 0 {
+		return 0
+	}
+	return wait / max(1-arrivalCertainty*arriving, 1e-6)
 }
--- a/shared/request/admission/statistics.go
+++ b/shared/request/admission/statistics.go
@@ -10,172 +10,187 @@
 
 const (
 	// recentSizes is the number of jobs of a kind from which its largest tenth is found,
-	// and resortAfter after how many new ones it is found anew.
+	// and sortAfter after how many new ones it is found again.
 	recentSizes = 128
-	resortAfter = 16
-	// meanGain is the weight of one job in the mean size of its kind.
-	meanGain = 1.0 / 256
-	// largeShare is the share of the largest tenth of a kind that counts as average in
-	// size, so that this tenth is served at least half as often as its kind.
+	sortAfter   = 16
+	// minMeanGain is the weight of one more job in the mean size of its kind.
+	minMeanGain = 1.0 / 256
+	// largeShare is how often jobs of the largest tenth of a kind are served relative to
+	// all of the kind, and largeCost their cost if a draw chooses them.
 	largeShare = 0.6
-	// shareTime is the time over which the served shares are smoothed, and arrivalTime
-	// that of the arriving work.
-	shareTime   = 2 * time.Second
-	arrivalTime = 500 * time.Millisecond
-	// shareWeight is how strongly the cost follows the served share.
-	shareWeight = 1.0
+	largeCost  = 0.7
+	// shareTime is the time over which the served shares are smoothed.
+	shareTime = 2 * time.Second
+	// sharePrior is the number of jobs on time that a share starts with.
+	sharePrior = 5
+	// minFactor and maxFactor bound the factor by which a badly served kind or failure
+	// domain is preferred, and a well served one is not.
+	minFactor = 0.4
+	maxFactor = 2.5
+	// keyShare is the share of its kind's served jobs up to which a key costs nothing
+	// extra, and keyGain the extra cost of a share of 1 more.
+	keyShare = 0.5
+	keyGain  = 4
+	// keyInterval spaces the updates of all keys of a kind. Keys with a lower count than
+	// minKeyCount are forgotten, and no more than maxKeys are counted.
+	keyInterval = 500 * time.Millisecond
+	minKeyCount = 0.1
+	maxKeys     = 1024
 )
 
-// sizes holds the sizes of the jobs of one kind.
-type sizes struct {
-	mean   float64
-	count  int
-	recent [recentSizes]float64
-	sorted []float64
-	large  float64
-}
-
-func (sizes *sizes) add(work float64) {
-	sizes.recent[sizes.count%recentSizes] = work
-	sizes.count++
-	sizes.mean += (work - sizes.mean) * max(meanGain, 1/float64(sizes.count))
-	if sizes.count%resortAfter == 0 {
-		sizes.sorted = append(sizes.sorted[:0], sizes.recent[:min(sizes.count, recentSizes)]...)
-		slices.Sort(sizes.sorted)
-		sizes.large = sizes.sorted[len(sizes.sorted)*9/10]
-	}
-}
-
-// relative returns the size relative to the mean of the kind. By a draw from the ID, a
-// part of the largest jobs counts as average.
-func (sizes *sizes) relative(id string, work float64) float64 {
-	if sizes.mean <= 0 {
-		return 1
-	}
-	if sizes.large > 0 && work >= sizes.large && draw(id) < largeShare {
-		return 1
-	}
-	return work / sizes.mean
-}
-
-// draw returns a number in [0, 1) that depends on the ID only.
-func draw(id string) float64 {
-	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
-}
-
 // share is the smoothed share of jobs that were completed on time.
 type share struct {
 	onTime    float64
 	all       float64
 	updatedAt time.Time
+	// factor is the factor of the cost.
+	factor float64
 }
 
-// shares holds the served shares of kinds or failure domains.
-type shares map[string]*share
-
-func (shares shares) touch(now time.Time, name string) {
-	if shares[name] == nil {
-		shares[name] = &share{
-			updatedAt: now,
-		}
+func newShare(now time.Time) share {
+	return share{
+		updatedAt: now,
+		factor:    1,
 	}
 }
 
-func (shares shares) add(now time.Time, name string, onTime bool) {
-	shares.touch(now, name)
-	share := shares[name]
-	decay := math.Exp(-max(now.Sub(share.updatedAt).Seconds(), 0) / shareTime.Seconds())
+// decay returns by which factor sums shrink between two times.
+func decay(from, to time.Time, over time.Duration) float64 {
+	return math.Exp(-max(to.Sub(from).Seconds(), 0) / over.Seconds())
+}
+
+func (share *share) decay(now time.Time) {
+	factor := decay(share.updatedAt, now, shareTime)
 	share.updatedAt = now
-	share.onTime *= decay
-	share.all = share.all*decay + 1
+	share.onTime *= factor
+	share.all *= factor
+}
+
+func (share *share) add(now time.Time, onTime bool) {
+	share.decay(now)
+	share.all++
 	if onTime {
 		share.onTime++
 	}
 }
 
-// value returns the share. With few jobs it is close to 1.
-func (share *share) value() float64 { return (share.onTime + 5) / (share.all + 5) }
+func (share *share) value() float64 { return (share.onTime + sharePrior) / (share.all + sharePrior) }
 
-// factor returns the factor of the cost for a kind or failure domain: below 1 if it is
-// served worse than the mean.
-func (shares shares) factor(name string) float64 {
-	own := shares[name]
-	if own == nil || len(shares) < 2 {
-		return 1
-	}
+// updateFactors sets the factors of all shares by their ratios to the mean, so that the
+// kind or failure domain that is served worst gets a larger part of the capacity.
+func updateFactors[T any](all map[string]*T, shareOf func(*T) *share) {
 	mean := 0.0
-	for _, share := range shares {
-		mean += share.value()
+	for _, one := range all {
+		mean += shareOf(one).value() / float64(len(all))
+	}
+	for _, one := range all {
+		// The constant keeps ratios of shares near 0 apart from noise.
+		ratio := (shareOf(one).value() + 0.1) / (mean + 0.1)
+		shareOf(one).factor = min(max(ratio, minFactor), maxFactor)
 	}
-	mean /= float64(len(shares))
-	return math.Pow(min(max((own.value()+0.1)/(mean+0.1), 0.4), 2.5), shareWeight)
 }
 
-// costSteps is the number of costs for which arriving work is counted. The steps are
-// logarithmic, costStepsPerDoubling of them to a factor of 2, and step costSteps/2
-// holds cost 1.
-const (
-	costSteps            = 64
-	costStepsPerDoubling = 6
-)
+// domain returns the share of a failure domain as of now.
+func (planner *Planner) domain(now time.Time, name string) *share {
+	domain := planner.domains[name]
+	if domain == nil {
+		added := newShare(now)
+		domain = &added
+		planner.domains[name] = domain
+	}
+	domain.decay(now)
+	return domain
+}
 
-// arrivals holds the smoothed rate of arriving work by cost.
-type arrivals struct {
-	work      [costSteps]float64
-	below     [costSteps + 1]float64
-	updatedAt time.Time
+// kind holds the statistics of the jobs of one kind.
+type kind struct {
+	served share
+	// sizes holds the work of the last jobs, in core seconds, and large the size from
+	// which a job is among the largest tenth.
+	sizes  [recentSizes]float64
+	sorted []float64
+	count  int
+	mean   float64
+	large  float64
+	// keys holds the smoothed number of served jobs by key, and keySum their sum with
+	// those without a key.
+	keys      map[string]float64
+	keySum    float64
+	keysAt    time.Time
+	refusedAt time.Time
 }
 
-func costStep(cost float64) int {
-	if cost <= 0 {
-		return 0
+// kind returns the statistics of a kind as of now.
+func (planner *Planner) kind(now time.Time, name string) *kind {
+	found := planner.kinds[name]
+	if found == nil {
+		found = &kind{
+			served: newShare(now),
+			keys:   make(map[string]float64),
+			keysAt: now,
+		}
+		planner.kinds[name] = found
 	}
-	step := costSteps/2 + int(math.Floor(math.Log2(cost)*costStepsPerDoubling))
-	return min(max(step, 0), costSteps-1)
+	found.served.decay(now)
+	return found
 }
 
-func (arrivals *arrivals) decay(now time.Time) {
-	elapsed := now.Sub(arrivals.updatedAt).Seconds()
-	if elapsed <= 0 {
-		return
-	}
-	arrivals.updatedAt = now
-	decay := math.Exp(-elapsed / arrivalTime.Seconds())
-	for i := range arrivals.work {
-		arrivals.work[i] *= decay
+func (kind *kind) addSize(work float64) {
+	kind.sizes[kind.count%recentSizes] = work
+	kind.count++
+	kind.mean += (work - kind.mean) * max(minMeanGain, 1/float64(kind.count))
+	if kind.count%sortAfter == 0 {
+		kind.sorted = append(kind.sorted[:0], kind.sizes[:min(kind.count, recentSizes)]...)
+		slices.Sort(kind.sorted)
+		kind.large = kind.sorted[len(kind.sorted)*9/10]
 	}
 }
 
-func (arrivals *arrivals) add(now time.Time, cost, work float64) {
-	arrivals.decay(now)
-	arrivals.work[costStep(cost)] += work
+// relativeSize returns the work relative to the mean of the kind. The largest tenth would
+// never be served under overload. A part of it, in proportion to how often the kind is
+// served, is chosen by a draw from the ID and counts as smaller than the mean.
+func (kind *kind) relativeSize(id string, work float64) float64 {
+	return relativeSize(id, work, kind.mean, kind.large, kind.served.value())
 }
 
-// rate returns the arriving work, in core seconds at speed 1 per second.
-func (arrivals *arrivals) rate(now time.Time) float64 {
-	arrivals.decay(now)
-	sum := 0.0
-	for _, work := range arrivals.work {
-		sum += work
+func relativeSize(id string, work, mean, large, served float64) float64 {
+	if mean <= 0 {
+		return 1
 	}
-	return sum / arrivalTime.Seconds()
+	if large > 0 && work >= large && draw(id) < largeShare*served {
+		return largeCost
+	}
+	return work / mean
+}
+
+// draw returns a number in [0, 1) that depends on the ID only.
+func draw(id string) float64 {
+	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
 }
 
-// accumulate prepares cheaper for a capacity in cores at speed 1.
-func (arrivals *arrivals) accumulate(now time.Time, cores float64) {
-	arrivals.decay(now)
-	sum := 0.0
-	for i, work := range arrivals.work {
-		arrivals.below[i] = sum
-		sum += work / arrivalTime.Seconds() / max(cores, 1e-9)
+// addKey counts a served job.
+func (kind *kind) addKey(now time.Time, key string) {
+	if now.Sub(kind.keysAt) >= keyInterval {
+		factor := decay(kind.keysAt, now, shareTime)
+		kind.keysAt = now
+		kind.keySum *= factor
+		for name, count := range kind.keys {
+			if kind.keys[name] = count * factor; count < minKeyCount {
+				delete(kind.keys, name)
+			}
+		}
+	}
+	kind.keySum++
+	if key != "" && len(kind.keys) < maxKeys {
+		kind.keys[key]++
 	}
-	arrivals.below[costSteps] = sum
 }
 
-// cheaper returns the arriving work of lower cost, relative to the capacity.
-func (arrivals *arrivals) cheaper(cost float64) float64 {
-	if math.IsInf(cost, 1) {
-		return arrivals.below[costSteps]
+// keyFactor returns the factor of the cost for a key. It answers one key that most of a
+// kind's jobs are about.
+func (kind *kind) keyFactor(key string) float64 {
+	if key == "" || kind.keySum < sharePrior {
+		return 1
 	}
-	return arrivals.below[costStep(cost)]
+	return 1 + keyGain*max(kind.keys[key]/kind.keySum-keyShare, 0)
 }
--- a/shared/request/admission/timeline.go
+++ b/shared/request/admission/timeline.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // freed is capacity that becomes free, in seconds from now.
 type freed struct {
@@ -8,20 +11,21 @@
 	milliCores int
 }
 
-// timeline predicts when capacity becomes free, as a heap of the ends of tasks. It is
-// list scheduling without the limits of single upstreams.
+// timeline predicts when capacity becomes free, as a heap by time. It is list scheduling
+// without the limits of single upstreams.
 type timeline struct {
 	heap []freed
-	// horizon is when the capacity that was taken last became free.
-	taken []freed
+	// taken holds what the last take removed, and takenAt when it becomes free.
+	taken   []freed
+	takenAt float64
 }
 
 // reset fills the timeline with the capacity.
 func (timeline *timeline) reset(now time.Time, capacity Capacity) {
+	// Releases in order of time form a heap.
 	heap := append(timeline.heap[:0], freed{
 		milliCores: max(capacity.FreeMilliCores, 0),
 	})
-	// Releases in order of time form a heap.
 	for _, release := range capacity.Releases {
 		heap = append(heap, freed{
 			at:         max(release.At.Sub(now).Seconds(), 0),
@@ -31,44 +35,51 @@
 	timeline.heap = heap
 }
 
-// peek returns when so much capacity will be free, in seconds from now.
-func (timeline *timeline) peek(milliCores int) float64 {
+// earliest returns when the next capacity becomes free, in seconds from now.
+func (timeline *timeline) earliest() float64 {
+	if len(timeline.heap) == 0 {
+		return math.Inf(1)
+	}
+	return timeline.heap[0].at
+}
+
+// take removes the earliest capacity and returns when the last part of it becomes free.
+// occupy or restore has to follow.
+func (timeline *timeline) take(milliCores int) float64 {
 	timeline.taken = timeline.taken[:0]
-	at := timeline.pop(milliCores)
-	for _, part := range timeline.taken {
-		timeline.push(part)
+	timeline.takenAt = 0
+	for milliCores > 0 && len(timeline.heap) > 0 {
+		first := timeline.heap[0]
+		timeline.takenAt = first.at
+		if first.milliCores > milliCores {
+			timeline.heap[0].milliCores -= milliCores
+			first.milliCores = milliCores
+		} else {
+			timeline.removeFirst()
+		}
+		milliCores -= first.milliCores
+		timeline.taken = append(timeline.taken, first)
 	}
-	return at
+	return timeline.takenAt
 }
 
-// take takes the earliest capacity for a run of the given length in seconds.
-func (timeline *timeline) take(milliCores int, run float64) {
-	at := timeline.pop(milliCores)
+// occupy lets a run of the given length in seconds occupy the capacity that was taken.
+func (timeline *timeline) occupy(run float64) {
+	milliCores := 0
+	for _, part := range timeline.taken {
+		milliCores += part.milliCores
+	}
 	timeline.push(freed{
-		at:         at + run,
+		at:         timeline.takenAt + run,
 		milliCores: milliCores,
 	})
 }
 
-// pop removes the earliest capacity and returns when the last part of it becomes free.
-func (timeline *timeline) pop(milliCores int) float64 {
-	at := 0.0
-	for milliCores > 0 && len(timeline.heap) > 0 {
-		first := &timeline.heap[0]
-		at = first.at
-		if first.milliCores > milliCores {
-			first.milliCores -= milliCores
-			timeline.taken = append(timeline.taken, freed{
-				at:         at,
-				milliCores: milliCores,
-			})
-			return at
-		}
-		milliCores -= first.milliCores
-		timeline.taken = append(timeline.taken, *first)
-		timeline.removeFirst()
+// restore returns the capacity that was taken.
+func (timeline *timeline) restore() {
+	for _, part := range timeline.taken {
+		timeline.push(part)
 	}
-	return at
 }
 
 func (timeline *timeline) push(part freed) {
