--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -99,6 +99,7 @@
 		}
 		return
 	}
+	job.job.Domain = loop.view.Self().Domain
 	loop.heldJobs[event.job.ID] = job
 	loop.log(logevent.JobAccepted, "job", event.job.ID, "kind", event.job.Kind, "left", event.job.TimeLeft)
 	loop.submit(job)
--- a/shared/process/dispatcher/neighbours.go
+++ b/shared/process/dispatcher/neighbours.go
@@ -225,6 +225,21 @@
 	}
 }
 
+// redirectRefused hands a refused job to another cell, if one has room, and reports
+// whether it did.
+func (loop *loop) redirectRefused(decision cell.AnswerJob) bool {
+	if decision.Surplus == nil || loop.view.Division() != region.DividedByDomain {
+		return false
+	}
+	target, found := loop.neighbours.planner.Choose(loop.now, decision.Surplus.Service, decision.Surplus.MilliCores)
+	if !found {
+		return false
+	}
+	loop.log(logevent.JobHandedOver, "job", decision.Answer.ID, "scheduler", target, "cores", decision.Surplus.MilliCores)
+	loop.redirect(decision.EntryVM, decision.Answer.ID, target)
+	return true
+}
+
 // redirect tells an entry VM to submit a job to the scheduler of another cell.
 func (loop *loop) redirect(entryVM, id, target string) {
 	if entryVM == loop.selfName() {
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -186,7 +186,9 @@
 				Poll: &decision,
 			})
 		case cell.AnswerJob:
-			loop.sendAnswer(decision)
+			if !loop.redirectRefused(decision) {
+				loop.sendAnswer(decision)
+			}
 		case cell.UpstreamChanged:
 			loop.log(logevent.UpstreamState, "upstream", decision.Upstream, "state", decision.State, "reason", decision.Reason)
 		case cell.RunLost:
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -34,14 +34,22 @@
 	quarantinedUntil time.Time
 	// topSpeeds holds the highest speed of an upstream by service.
 	topSpeeds map[string]float64
-	// sortedAt is when waitingJobs was last sorted.
-	sortedAt time.Time
+	// plans holds the decisions about waiting jobs by service, and planOrder the same in
+	// the order of their first job. plannedAt is the time of the last round.
+	plans     map[string]*servicePlan
+	planOrder []*servicePlan
+	plannedAt time.Time
 	// bySpeed holds the upstreams by speed, the fastest first.
 	bySpeed []*upstreamState
-	// usableBuffer and rankedBuffer are reused to avoid allocations during
-	// placement.
-	usableBuffer []*upstreamState
-	rankedBuffer []rankedJob
+	// reservations holds the capacity that is kept for tasks during a placement.
+	reservations []reservation
+	// reservingJobs is the number of jobs with reservations.
+	reservingJobs int
+	// The buffers are reused to avoid allocations during placement.
+	usableBuffer  []*upstreamState
+	orderedBuffer []*jobState
+	blockedBuffer []*jobState
+	chosenBuffer  []reservation
 	// placementPending is set when a change may allow a task to be placed.
 	placementPending bool
 	completed        completedJobs
@@ -72,6 +80,10 @@
 	Fenced      int64 `json:"fenced"`
 	// HandedOver counts the jobs that went to another cell.
 	HandedOver int64 `json:"handed-over"`
+	// Refused counts the jobs that were refused because others needed the capacity, and
+	// DiscardedStarts the starts of tasks of jobs that were given up later.
+	Refused         int64 `json:"refused"`
+	DiscardedStarts int64 `json:"discarded-starts"`
 }
 
 // New returns a Cell that claims upstreams from now on as config.Claims allows.
@@ -85,6 +97,7 @@
 		upstreams: make(map[string]*upstreamState),
 		liveRuns:  make(map[TaskName]int),
 		topSpeeds: make(map[string]float64),
+		plans:     make(map[string]*servicePlan),
 		slacks:    make(map[string]kindSlack),
 		completed: completedJobs{
 			ids: make(map[string]bool),
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -1,8 +1,11 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"time"
+
+	"tanagerfall/shared/request/admission"
 )
 
 // taskStatus is the status of a task.
@@ -45,8 +48,8 @@
 	deadline  time.Time
 	// submittedAt is when this Cell received the job.
 	submittedAt time.Time
-	// chainEstimate is the estimated run time of the longest chain of steps at
-	// speed 1.
+	// chainEstimate is the estimated run time of the longest chain of steps that are not
+	// done at speed 1.
 	chainEstimate time.Duration
 	// ratio is the kind's ratio of actual to estimated run times.
 	ratio float64
@@ -67,6 +70,11 @@
 	unfinished   int
 	activeTasks  int
 	waitingTasks int
+	// held is set if no task of the job is to start before the next round of its
+	// Planner.
+	held bool
+	// surplus is what the job needs if it is refused and could be handed to another cell.
+	surplus *Surplus
 	// inWaitingJobs is set while the job is in Cell.waitingJobs.
 	inWaitingJobs bool
 }
@@ -103,6 +111,7 @@
 	}
 	cell.unblockTasks(job)
 	cell.enqueue(job)
+	cell.servicePlan(job.submitted.Service).planner.Arrived(cell.now, cell.admissionJob(job))
 	if event.Job.Quarantine > 0 {
 		cell.quarantinedUntil = laterOf(cell.quarantinedUntil, job.quarantineEnd)
 		cell.verifyService(event.Job.Service)
@@ -306,14 +315,18 @@
 	cell.decisions = nil
 	job, ok := cell.jobs[id]
 	if ok {
-		cell.abandon(job, "cancelled", 0)
+		cell.abandon(job, reasonCancelled, 0)
 	}
 	return ok, cell.decisions
 }
 
+// reasonCancelled is the reason of the answer to a job that its caller cancelled.
+const reasonCancelled = "cancelled"
+
 // finish answers a job and removes it.
 func (cell *Cell) finish(job *jobState, answer Answer) {
 	answer.ID = job.submitted.ID
+	cell.recordEnd(job, answer)
 	if answer.Result != Completed {
 		answer.Progress = &Progress{
 			Done:    len(job.tasks) - job.unfinished,
@@ -336,6 +349,7 @@
 		cell.decide(AnswerJob{
 			EntryVM: entryVM,
 			Answer:  answer,
+			Surplus: job.surplus,
 		})
 	}
 	cell.removeJob(job, answer.Reason)
@@ -362,7 +376,7 @@
 // if no run of the job can have started.
 func (cell *Cell) abandon(job *jobState, reason string, retryAfter time.Duration) {
 	limits := cell.config.Limits
-	if job.started || job.activeTasks > 0 || !job.submitted.neverStarted() {
+	if job.mayHaveRun() {
 		cell.finish(job, Answer{
 			Result: Interrupted,
 			Reason: reason,
@@ -376,21 +390,26 @@
 	})
 }
 
-// tickJob abandons a job that is out of time.
+// tickJob abandons a job that is out of time: at the caller's deadline, or as soon as its
+// waiting tasks could not end in time on the fastest upstream.
 func (cell *Cell) tickJob(job *jobState) {
 	if !cell.now.Before(job.deadline.Add(-cell.config.Limits.AnswerMargin)) {
 		cell.abandon(job, "deadline", 0)
 		return
 	}
-	if job.started || job.activeTasks > 0 {
-		if job.waitingTasks > 0 && cell.now.After(job.worthlessAt) {
-			cell.abandon(job, "overload", 0)
-		}
+	if job.waitingTasks == 0 {
 		return
 	}
-	predicted := job.predictRunTime(job.chainEstimate, cell.fastestSpeed(job.submitted.Service))
-	if cell.now.Add(predicted).After(job.worthlessAt) {
-		cell.abandon(job, "overload", cell.backlogTime(job.submitted.Service))
+	speed := cell.fastestSpeed(job.submitted.Service)
+	if job.mayHaveRun() {
+		// The caller can't send the job again, so a passing slowdown of the upstreams
+		// does not count.
+		speed = max(speed, 1)
+	}
+	fastest := job.predictRunTime(job.chainEstimate, speed)
+	surely := time.Duration(float64(fastest) * math.Exp(-cell.config.Estimator.LogStdDev(job.submitted.Kind)))
+	if cell.now.Add(surely).After(cell.uselessAt(job)) {
+		cell.abandon(job, admission.ReasonOverload, cell.backlogTime(job.submitted.Service))
 	}
 }
 
@@ -414,10 +433,28 @@
 		})
 		return
 	}
+	if len(job.submitted.Steps) > 1 {
+		job.chainEstimate = job.remainingChain()
+	}
 	cell.unblockTasks(job)
 	cell.enqueue(job)
 }
 
+// remainingChain returns the estimated run time of the longest chain of steps that are not
+// done.
+func (job *jobState) remainingChain() time.Duration {
+	remaining := slices.Clone(job.submitted.Steps)
+	for step := range remaining {
+		remaining[step].Estimate = 0
+	}
+	for _, task := range job.tasks {
+		if task.status != taskDone {
+			remaining[task.name.Step].Estimate = job.submitted.Steps[task.name.Step].Estimate
+		}
+	}
+	return longestChain(remaining)
+}
+
 // failTask charges a failed run, and retries the task elsewhere or fails the
 // job.
 func (cell *Cell) failTask(job *jobState, task *taskState, upstream *upstreamState) {
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -57,6 +57,8 @@
 	// so that an earlier Cell may have had it although Generation is 0. It is the shortest
 	// time that has passed since the connection of that request broke.
 	ResentAfter time.Duration `cbor:"20,keyasint,omitempty"`
+	// Domain is the failure domain of the entry VM that received the job.
+	Domain string `cbor:"21,keyasint,omitempty"`
 }
 
 // ErrInvalidJob is wrapped by the errors of Validate.
@@ -160,6 +162,14 @@
 	}
 }
 
+func (free Resources) plus(need Resources) Resources {
+	return Resources{
+		MilliCores:   free.MilliCores + need.MilliCores,
+		MemoryMb:     free.MemoryMb + need.MemoryMb,
+		Accelerators: free.Accelerators + need.Accelerators,
+	}
+}
+
 // Upstream is a worker as the platform lists it.
 type Upstream struct {
 	ID string `cbor:"1,keyasint"`
@@ -388,6 +398,8 @@
 	AnswerJob struct {
 		EntryVM string
 		Answer  Answer
+		// Surplus is set for a refused job that may be handed to another cell instead.
+		Surplus *Surplus
 	}
 	// UpstreamChanged reports a new status or an ejection of an upstream.
 	UpstreamChanged struct {
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -91,17 +91,20 @@
 	if len(cell.waitingJobs) == 0 {
 		return
 	}
+	if cell.now.Sub(cell.plannedAt) >= planInterval {
+		cell.plannedAt = cell.now
+		cell.planWaiting()
+	}
 	smallestNeed := cell.smallestNeed()
 	usable, muchIdle := cell.usableUpstreams(smallestNeed)
-	if len(usable) == 0 {
-		return
-	}
-	if cell.now.Sub(cell.sortedAt) >= sortInterval {
-		cell.sortedAt = cell.now
-		cell.sortWaiting()
-	}
 	unplaced := 0
 	for _, job := range cell.waitingJobs {
+		if len(usable) == 0 || unplaced >= maxUnplacedJobs {
+			break
+		}
+		if job.held {
+			continue
+		}
 		if cell.placeJob(job, usable, muchIdle) {
 			usable = slices.DeleteFunc(usable, func(upstream *upstreamState) bool {
 				return upstream.free.MilliCores < smallestNeed || !cell.acceptsTasks(upstream)
@@ -109,18 +112,17 @@
 		} else {
 			unplaced++
 		}
-		if len(usable) == 0 || unplaced >= maxUnplacedJobs {
-			break
-		}
 	}
+	cell.refuseJobs(usable, muchIdle)
+	cell.releaseReservations(0)
 	cell.dropPlacedJobs()
 }
 
 const (
-	// sortInterval spaces the sorting of the waiting jobs. Slack changes little
-	// within it, and sorting hundreds of jobs at each event took the whole
-	// processor.
-	sortInterval = 5 * time.Millisecond
+	// planInterval spaces the rounds in which the waiting jobs are ordered. Slack
+	// changes little within it, and sorting hundreds of jobs at each event took the
+	// whole processor.
+	planInterval = 5 * time.Millisecond
 	// maxUnplacedJobs bounds the jobs that are tried without success, because
 	// they need upstreams that are not free, before the rest waits for the next
 	// change.
@@ -164,73 +166,16 @@
 	})
 }
 
-// Classes of waiting jobs, in the order in which they get upstreams.
-const (
-	// classOnTime is for jobs that can meet their objective.
-	classOnTime = iota
-	// classLate is for jobs that can't meet their objective.
-	classLate
-	// classWorthless is for jobs whose answer will have no value to the caller.
-	classWorthless
-)
-
-// rankedJob is a waiting job with its sort keys.
-type rankedJob struct {
-	job   *jobState
-	class int
-	// orderTime orders the jobs of a class: the latest time for a start that
-	// meets the objective, or the arrival.
-	orderTime time.Time
-}
-
-// sortWaiting sorts the waiting jobs by class. Within classOnTime the job with
-// the least slack to its objective goes first, within the others the earliest
-// arrival.
-func (cell *Cell) sortWaiting() {
-	rankedJobs := cell.rankedBuffer[:0]
-	for _, job := range cell.waitingJobs {
-		rankedJobs = append(rankedJobs, cell.rankJob(job))
-	}
-	cell.rankedBuffer = rankedJobs
-	slices.SortStableFunc(rankedJobs, compareRankedJobs)
-	for i := range rankedJobs {
-		cell.waitingJobs[i] = rankedJobs[i].job
-	}
-}
-
-func compareRankedJobs(a, b rankedJob) int {
-	if a.class != b.class {
-		return a.class - b.class
-	}
-	return a.orderTime.Compare(b.orderTime)
-}
-
-func (cell *Cell) rankJob(job *jobState) rankedJob {
-	ranking := rankedJob{
-		job:       job,
-		orderTime: job.arrival,
-	}
-	predicted := job.predictRunTime(job.chainEstimate, cell.fastestSpeed(job.submitted.Service))
-	finishAt := cell.now.Add(predicted)
-	switch {
-	case !finishAt.After(job.target):
-		ranking.class = classOnTime
-		ranking.orderTime = job.target.Add(-predicted)
-	case !finishAt.After(job.worthlessAt):
-		ranking.class = classLate
-	default:
-		ranking.class = classWorthless
-	}
-	return ranking
-}
-
 // placeJob starts the waiting tasks of one job as far as capacity allows, and
 // reports whether it started any. muchIdle is set if more than IdleShare of the
-// cores is free.
+// cores is free. While its service is overloaded, a job starts whole or not at all.
 func (cell *Cell) placeJob(job *jobState, usable []*upstreamState, muchIdle bool) bool {
 	if !cell.mayStartTasks(job) {
 		return false
 	}
+	if cell.startsWhole(job) {
+		return cell.placeWhole(job, usable, muchIdle)
+	}
 	started := false
 	for _, task := range job.tasks {
 		if task.status != taskWaiting || cell.liveRuns[task.name] > 0 {
@@ -276,6 +221,9 @@
 	}
 	for _, upstream := range usable[fastEnough:] {
 		if cell.suitable(upstream, job, task, step) {
+			if cell.endsUseless(job, step, upstream) {
+				return nil
+			}
 			return upstream
 		}
 	}
@@ -307,7 +255,7 @@
 	if !cell.entryAllows(upstream, step) {
 		return false
 	}
-	return step.MaxPerUpstream <= 0 || upstream.countStepTasks(task.name) < step.MaxPerUpstream
+	return step.MaxPerUpstream <= 0 || upstream.countStepTasks(task.name)+cell.countReserved(upstream, task.name) < step.MaxPerUpstream
 }
 
 // countStepTasks returns how many tasks of the named task's step run on the
