--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -36,8 +36,8 @@
 	overloaded bool
 	// overloadedSince is when overloaded was last set.
 	overloadedSince time.Time
-	load       float64
-	deferred   int
+	load            float64
+	deferred        int
 	// packing is the share of the cores that runs occupied while tasks waited. Parts of
 	// upstreams that are too small for a task stay free.
 	packing float64
