--- a/shared/request/admission/planner.go
+++ b/shared/request/admission/planner.go
@@ -78,9 +78,9 @@
 	// if some fit: under overload a job starts when all its tasks can end in time, or
 	// not at all. Jobs behind it in Order may start. A started job is never held.
 	Hold []bool
-	// Refused holds the jobs to refuse now. The planner knows no single upstreams: after
-	// the jobs in Order are placed, the caller refuses only those of which an upstream
-	// with free capacity can't take a task, and tries to place the others.
+	// Refused holds the jobs to refuse now. The planner knows no single upstreams: the
+	// caller places the jobs in Order first, and keeps a job of Refused if all its
+	// waiting tasks then still fit on upstreams with free capacity.
 	Refused []Refusal
 	// Load is the predicted work that has to be done before the deadlines, relative
 	// to the capacity until then. Above 1 not all jobs can meet their objectives.
@@ -130,7 +130,7 @@
 	// ReasonOverload means that cheaper or more urgent jobs need the capacity.
 	ReasonOverload = "overload"
 	// ReasonHopeless means that the job could not be served in time even if it started
-	// now.
+	// now. Under overload it is refused also while capacity is free, which others need.
 	ReasonHopeless = "hopeless"
 )
 
@@ -143,6 +143,9 @@
 	// costWeight is the share of the cost in the order, up to maxCostWeight.
 	costWeight float64
 	plannedAt  time.Time
+	// excess is how long, in seconds, more work has arrived than the capacity. It falls
+	// as fast as it rose.
+	excess float64
 	// load, drain, topSpeed and threshold are those of the last Plan; see Digest.
 	load      float64
 	drain     float64
@@ -159,9 +162,10 @@
 // New returns a Planner that has seen no jobs.
 func New(config Config) *Planner {
 	return &Planner{
-		config:  config,
-		kinds:   make(map[string]*kind),
-		domains: make(map[string]*share),
+		config:   config,
+		kinds:    make(map[string]*kind),
+		domains:  make(map[string]*share),
+		topSpeed: 1,
 	}
 }
 
@@ -171,7 +175,10 @@
 	kind := planner.kind(now, job.Kind)
 	kind.addSize(work)
 	planner.domain(now, job.Domain)
-	planner.arrivals.add(now, planner.cost(&job), work)
+	// Jobs that can't meet their objectives come last and take nothing from others.
+	if !now.Add(time.Duration(float64(job.Remaining) / planner.topSpeed)).After(job.Target) {
+		planner.arrivals.add(now, planner.cost(&job), work)
+	}
 }
 
 // Ended records how a job ended. Jobs that their callers withdrew are not recorded.
--- a/shared/request/admission/schedule.go
+++ b/shared/request/admission/schedule.go
@@ -25,6 +25,7 @@
 	key         float64
 	cost        float64
 	work        float64
+	priority    int
 	target      float64
 	worthlessAt float64
 	run         float64
@@ -41,6 +42,7 @@
 		next := entry{
 			index:       i,
 			work:        job.work(),
+			priority:    job.Priority,
 			target:      job.Target.Sub(now).Seconds(),
 			worthlessAt: job.WorthlessAt.Sub(now).Seconds(),
 			run:         remaining / speed,
@@ -68,6 +70,13 @@
 	// minHorizon is the shortest time over which the load is measured, in seconds. The
 	// load until an earlier deadline is that of few tasks.
 	minHorizon = 0.05
+	// maxExcess bounds the time that an excess of work is expected to last, and
+	// maxPlanInterval what one round adds, both in seconds.
+	maxExcess       = 5.0
+	maxPlanInterval = 0.1
+	// optimisticDeviations is the number of standard deviations by which a run is
+	// shorter than predicted in an optimistic prediction.
+	optimisticDeviations = 2
 )
 
 // measureLoad sets load to the highest ratio, over a number of deadlines, of the work
@@ -77,6 +86,14 @@
 func (planner *Planner) measureLoad(now time.Time, capacity Capacity, speed float64) {
 	planner.load = 0
 	planner.drain = 0
+	total := max(float64(capacity.MilliCores)*speed/1000, 1e-9)
+	arriving := planner.arrivals.rate(now)
+	elapsed := min(max(now.Sub(planner.plannedAt).Seconds(), 0), maxExcess)
+	if arriving > total {
+		planner.excess = min(planner.excess+min(elapsed, maxPlanInterval), maxExcess)
+	} else {
+		planner.excess = max(planner.excess-elapsed, 0)
+	}
 	if len(planner.entries) == 0 {
 		return
 	}
@@ -117,8 +134,6 @@
 			planner.load = max(planner.load, work/max(available, 1e-9))
 		}
 	}
-	total := max(float64(capacity.MilliCores)*cores, 1e-9)
-	arriving := planner.arrivals.rate(now)
 	if waiting > float64(capacity.FreeMilliCores)*cores*minHorizon {
 		planner.load = max(planner.load, arriving/total)
 	}
@@ -166,7 +181,7 @@
 		if a.key != b.key {
 			return cmp.Compare(a.key, b.key)
 		}
-		return a.index - b.index
+		return cmp.Or(a.priority-b.priority, a.index-b.index)
 	})
 }
 
@@ -197,14 +212,16 @@
 			continue
 		}
 		if overload {
-			latest := next.target - next.fastestRun
+			// A start at once may meet the objective on a fast upstream. Later ones find
+			// upstreams of mean speed.
+			latest := max(next.target-next.run, 0)
 			arriving := planner.arrivals.cheaper(next.cost)
-			if !job.Started && stretch(planner.timeline.earliest(), arriving) > latest {
+			if !job.Started && planner.stretch(planner.timeline.earliest(), arriving) > latest {
 				deferred = append(deferred, *next)
 				continue
 			}
 			start := planner.timeline.take(job.need())
-			if !job.Started && stretch(start, arriving) > latest {
+			if !job.Started && planner.stretch(start, arriving) > latest {
 				planner.timeline.restore()
 				deferred = append(deferred, *next)
 				continue
@@ -218,7 +235,9 @@
 	for i := range deferred {
 		next := &deferred[i]
 		job := &jobs[next.index]
-		fits := job.need() <= free && job.MilliCores <= largestFree
+		// A job that can't end in time doesn't fit any capacity while others need it.
+		hopeless := next.optimisticRun(job) > next.worthlessAt
+		fits := job.need() <= free && job.MilliCores <= largestFree && (!hopeless || !overload)
 		if !job.Started && !fits {
 			if reason := planner.refusalReason(next, job); reason != "" {
 				planner.kind(now, job.Kind).refusedAt = now
@@ -246,13 +265,17 @@
 	}
 }
 
+// optimisticRun returns the shortest run time that is to be expected.
+func (entry *entry) optimisticRun(job *Job) float64 {
+	return entry.fastestRun * math.Exp(-optimisticDeviations*job.LogStdDev)
+}
+
 // refusalReason returns why the job, which comes after all that can meet their
 // objectives, is refused now, or "" if it is not. Unless it is refused, it occupies its
 // capacity on the timeline. This answers many hopeless jobs, and sustained overload: no
 // job is held for a start that will not come.
 func (planner *Planner) refusalReason(next *entry, job *Job) string {
-	fastest := next.fastestRun * math.Exp(-job.LogStdDev)
-	latest := next.worthlessAt - fastest
+	latest := next.worthlessAt - next.optimisticRun(job)
 	if latest < 0 {
 		return ReasonHopeless
 	}
@@ -260,10 +283,10 @@
 		return ""
 	}
 	arriving := planner.arrivals.cheaper(math.Inf(1))
-	if stretch(planner.timeline.earliest(), arriving) > latest {
+	if planner.stretch(planner.timeline.earliest(), arriving) > latest {
 		return ReasonOverload
 	}
-	if stretch(planner.timeline.take(job.need()), arriving) > latest {
+	if planner.stretch(planner.timeline.take(job.need()), arriving) > latest {
 		planner.timeline.restore()
 		return ReasonOverload
 	}
@@ -272,10 +295,12 @@
 }
 
 // stretch returns the wait for capacity while work that goes first arrives at a rate
-// relative to the capacity.
-func stretch(wait, arriving float64) float64 {
+// relative to the capacity. An excess of work is expected to last as long as it has
+// lasted: the objectives absorb a short burst.
+func (planner *Planner) stretch(wait, arriving float64) float64 {
 	if wait == 0 {
 		return 0
 	}
-	return wait / max(1-arrivalCertainty*arriving, 1e-6)
+	arriving *= arrivalCertainty
+	return min(wait/max(1-arriving, 1e-6), wait+arriving*planner.excess)
 }
--- a/shared/request/admission/statistics.go
+++ b/shared/request/admission/statistics.go
@@ -17,7 +17,7 @@
 	minMeanGain = 1.0 / 256
 	// largeShare is how often jobs of the largest tenth of a kind are served relative to
 	// all of the kind, and largeCost their cost if a draw chooses them.
-	largeShare = 0.6
+	largeShare = 0.7
 	largeCost  = 0.7
 	// shareTime is the time over which the served shares are smoothed.
 	shareTime = 2 * time.Second
@@ -157,7 +157,7 @@
 	if mean <= 0 {
 		return 1
 	}
-	if large > 0 && work >= large && draw(id) < largeShare*served {
+	if large > 0 && work > large && draw(id) < largeShare*served {
 		return largeCost
 	}
 	return work / mean
