Admission: sort small records; a pause between rounds ends an excess

Sorting 120-byte entries took half of a round. The time since a plan long ago no longer counts as excess of work, and a Digest of an old plan is empty.

--- a/shared/request/admission/digest.go
+++ b/shared/request/admission/digest.go
@@ -50,10 +50,13 @@
 
 // Digest returns the summary of the state after the last Plan.
 func (planner *Planner) Digest(now time.Time) Digest {
+	if now.Sub(planner.plannedAt) > maxDigestAge {
+		return Digest{}
+	}
 	digest := Digest{
 		Load: planner.load,
 	}
-	if !planner.full || now.Sub(planner.plannedAt) > maxDigestAge {
+	if !planner.full {
 		return digest
 	}
 	digest.Threshold = planner.threshold
--- a/shared/request/admission/planner.go
+++ b/shared/request/admission/planner.go
@@ -154,7 +154,8 @@
 	full      bool
 	// The buffers are used again by each Plan.
 	entries  []entry
-	deferred []entry
+	order    []rank
+	deferred []int32
 	timeline timeline
 	plan     Plan
 }
@@ -237,7 +238,7 @@
 	if planner.costWeight > 0 {
 		planner.weighCosts(jobs)
 	}
-	planner.sort()
+	planner.sort(jobs)
 	planner.schedule(now, jobs, capacity, speed)
 	return *plan
 }
--- a/shared/request/admission/schedule.go
+++ b/shared/request/admission/schedule.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -17,21 +16,27 @@
 	classWorthless
 )
 
-// entry is a waiting job with its predictions, in seconds from now.
+// entry holds the predictions for a waiting job, in seconds from now.
 type entry struct {
-	index int
 	class int
-	// key orders the entries of a class.
+	// key orders the jobs of a class.
 	key         float64
 	cost        float64
 	work        float64
-	priority    int
 	target      float64
 	worthlessAt float64
 	run         float64
 	fastestRun  float64
 }
 
+// rank is the position of a job in the order. Small values sort faster than entries.
+type rank struct {
+	key      float64
+	index    int32
+	class    int16
+	priority int16
+}
+
 // predict fills entries with all jobs. Their keys are the slack to the objective, or the
 // arrival for those that can't meet it.
 func (planner *Planner) predict(now time.Time, jobs []Job, speed float64) {
@@ -40,9 +45,7 @@
 		job := &jobs[i]
 		remaining := job.Remaining.Seconds()
 		next := entry{
-			index:       i,
 			work:        job.work(),
-			priority:    job.Priority,
 			target:      job.Target.Sub(now).Seconds(),
 			worthlessAt: job.WorthlessAt.Sub(now).Seconds(),
 			run:         remaining / speed,
@@ -71,7 +74,7 @@
 	// load until an earlier deadline is that of few tasks.
 	minHorizon = 0.05
 	// maxExcess bounds the time that an excess of work is expected to last, and
-	// maxPlanInterval what one round adds, both in seconds.
+	// maxPlanInterval the time between rounds that counts as part of it, in seconds.
 	maxExcess       = 5.0
 	maxPlanInterval = 0.1
 	// optimisticDeviations is the number of standard deviations by which a run is
@@ -88,9 +91,9 @@
 	planner.drain = 0
 	total := max(float64(capacity.MilliCores)*speed/1000, 1e-9)
 	arriving := planner.arrivals.rate(now)
-	elapsed := min(max(now.Sub(planner.plannedAt).Seconds(), 0), maxExcess)
-	if arriving > total {
-		planner.excess = min(planner.excess+min(elapsed, maxPlanInterval), maxExcess)
+	elapsed := max(now.Sub(planner.plannedAt).Seconds(), 0)
+	if arriving > total && elapsed < maxPlanInterval {
+		planner.excess = min(planner.excess+elapsed, maxExcess)
 	} else {
 		planner.excess = max(planner.excess-elapsed, 0)
 	}
@@ -162,7 +165,7 @@
 	var sums, counts [classWorthless + 1]float64
 	for i := range planner.entries {
 		next := &planner.entries[i]
-		next.cost = planner.cost(&jobs[next.index])
+		next.cost = planner.cost(&jobs[i])
 		sums[next.class] += math.Abs(next.key)
 		counts[next.class]++
 	}
@@ -173,16 +176,31 @@
 	}
 }
 
-func (planner *Planner) sort() {
-	slices.SortFunc(planner.entries, func(a, b entry) int {
-		if a.class != b.class {
-			return a.class - b.class
-		}
-		if a.key != b.key {
-			return cmp.Compare(a.key, b.key)
+// sort fills order by class, key, priority and index.
+func (planner *Planner) sort(jobs []Job) {
+	order := planner.order[:0]
+	for i := range planner.entries {
+		order = append(order, rank{
+			key:      planner.entries[i].key,
+			index:    int32(i),
+			class:    int16(planner.entries[i].class),
+			priority: int16(min(max(jobs[i].Priority, math.MinInt16), math.MaxInt16)),
+		})
+	}
+	slices.SortFunc(order, func(a, b rank) int {
+		switch {
+		case a.class != b.class:
+			return int(a.class - b.class)
+		case a.key < b.key:
+			return -1
+		case a.key > b.key:
+			return 1
+		case a.priority != b.priority:
+			return int(a.priority) - int(b.priority)
 		}
-		return cmp.Or(a.priority-b.priority, a.index-b.index)
+		return int(a.index - b.index)
 	})
+	planner.order = order
 }
 
 // schedule fills the plan from the sorted entries.
@@ -204,11 +222,12 @@
 		planner.arrivals.accumulate(now, max(float64(capacity.MilliCores)/1000*speed, 1e-9))
 	}
 	deferred := planner.deferred[:0]
-	for i := range planner.entries {
-		next := &planner.entries[i]
-		job := &jobs[next.index]
+	for _, rank := range planner.order {
+		index := int(rank.index)
+		next := &planner.entries[index]
+		job := &jobs[index]
 		if next.class != classOnTime {
-			deferred = append(deferred, *next)
+			deferred = append(deferred, rank.index)
 			continue
 		}
 		if overload {
@@ -217,24 +236,25 @@
 			latest := max(next.target-next.run, 0)
 			arriving := planner.arrivals.cheaper(next.cost)
 			if !job.Started && planner.stretch(planner.timeline.earliest(), arriving) > latest {
-				deferred = append(deferred, *next)
+				deferred = append(deferred, rank.index)
 				continue
 			}
 			start := planner.timeline.take(job.need())
 			if !job.Started && planner.stretch(start, arriving) > latest {
 				planner.timeline.restore()
-				deferred = append(deferred, *next)
+				deferred = append(deferred, rank.index)
 				continue
 			}
 			planner.timeline.occupy(next.run)
 		}
 		free -= min(job.need(), free)
-		plan.Order = append(plan.Order, next.index)
+		plan.Order = append(plan.Order, index)
 	}
 	planner.deferred = deferred
-	for i := range deferred {
-		next := &deferred[i]
-		job := &jobs[next.index]
+	for _, position := range deferred {
+		index := int(position)
+		next := &planner.entries[index]
+		job := &jobs[index]
 		// A job that can't end in time doesn't fit any capacity while others need it.
 		hopeless := next.optimisticRun(job) > next.worthlessAt
 		fits := job.need() <= free && job.MilliCores <= largestFree && (!hopeless || !overload)
@@ -248,16 +268,16 @@
 				})
 				continue
 			}
-			plan.Hold[next.index] = overload && job.need() > free && job.need() <= capacity.MilliCores/2
+			plan.Hold[index] = overload && job.need() > free && job.need() <= capacity.MilliCores/2
 		} else if overload {
 			planner.timeline.take(job.need())
 			planner.timeline.occupy(next.run)
 		}
-		plan.Deferred[next.index] = next.class == classOnTime
-		if !plan.Hold[next.index] {
+		plan.Deferred[index] = next.class == classOnTime
+		if !plan.Hold[index] {
 			free -= min(job.need(), free)
 		}
-		plan.Order = append(plan.Order, next.index)
+		plan.Order = append(plan.Order, index)
 	}
 	planner.full = free == 0 || largestFree < 0
 	if overload && planner.full {
