--- a/shared/request/admission/planner.go
+++ b/shared/request/admission/planner.go
@@ -225,7 +225,7 @@
 	}
 	planner.topSpeed = max(capacity.TopSpeed, speed)
 	planner.predict(now, jobs, speed)
-	planner.measureLoad(now, capacity, speed)
+	planner.measureLoad(now, jobs, capacity, speed)
 	planner.updateWeight(now)
 	plan := &planner.plan
 	plan.Load = planner.load
--- a/shared/request/admission/schedule.go
+++ b/shared/request/admission/schedule.go
@@ -86,7 +86,7 @@
 // that has to be done until then to the capacity until then. Under sustained overload
 // the queue alone is short-sighted: while jobs wait for capacity, load is at least the
 // ratio of arriving work to capacity.
-func (planner *Planner) measureLoad(now time.Time, capacity Capacity, speed float64) {
+func (planner *Planner) measureLoad(now time.Time, jobs []Job, capacity Capacity, speed float64) {
 	planner.load = 0
 	planner.drain = 0
 	total := max(float64(capacity.MilliCores)*speed/1000, 1e-9)
@@ -100,15 +100,26 @@
 	if len(planner.entries) == 0 {
 		return
 	}
+	planner.drain = math.Inf(1)
 	horizon := minHorizon
-	waiting := 0.0
+	waiting, need, largest := 0.0, 0, 0
 	for i := range planner.entries {
 		next := &planner.entries[i]
 		waiting += next.work
+		need += jobs[i].need()
+		largest = max(largest, jobs[i].MilliCores)
 		if next.class == classOnTime {
 			horizon = max(horizon, next.target)
 		}
 	}
+	if total > arriving {
+		planner.drain = waiting / (total - arriving)
+	}
+	if need <= capacity.FreeMilliCores && largest <= capacity.LargestFreeMilliCores {
+		// All can start now, so that their order doesn't matter.
+		planner.load = min(arriving/total, slackLoad)
+		return
+	}
 	var due [loadSteps]float64
 	for i := range planner.entries {
 		if next := &planner.entries[i]; next.class == classOnTime {
@@ -140,10 +151,6 @@
 	if waiting > float64(capacity.FreeMilliCores)*cores*minHorizon {
 		planner.load = max(planner.load, arriving/total)
 	}
-	planner.drain = math.Inf(1)
-	if total > arriving {
-		planner.drain = waiting / (total - arriving)
-	}
 }
 
 // updateWeight moves the weight of the cost towards that of the load.
--- a/shared/request/admission/statistics.go
+++ b/shared/request/admission/statistics.go
@@ -15,9 +15,10 @@
 	sortAfter   = 16
 	// minMeanGain is the weight of one more job in the mean size of its kind.
 	minMeanGain = 1.0 / 256
-	// largeShare is how often jobs of the largest tenth of a kind are served relative to
-	// all of the kind, and largeCost their cost if a draw chooses them.
-	largeShare = 0.7
+	// largeShare is how often jobs of the largest tenth of a kind are chosen relative to
+	// the served share of the kind, and largeCost their cost then. Not all that are
+	// chosen are served, and the tenth should be served half as often as its kind.
+	largeShare = 0.8
 	largeCost  = 0.7
 	// shareTime is the time over which the served shares are smoothed.
 	shareTime = 2 * time.Second
