--- a/shared/request/admission/schedule.go
+++ b/shared/request/admission/schedule.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -17,11 +16,10 @@
 	classWorthless
 )
 
-// entry is a waiting job with its predictions, in seconds from now.
+// entry holds the predictions for a waiting job, in seconds from now.
 type entry struct {
-	index int
 	class int
-	// key orders the entries of a class.
+	// key orders the jobs of a class.
 	key         float64
 	cost        float64
 	work        float64
@@ -31,6 +29,14 @@
 	fastestRun  float64
 }
 
+// rank is the position of a job in the order. Small values sort faster than entries.
+type rank struct {
+	key      float64
+	index    int32
+	class    int16
+	priority int16
+}
+
 // predict fills entries with all jobs. Their keys are the slack to the objective, or the
 // arrival for those that can't meet it.
 func (planner *Planner) predict(now time.Time, jobs []Job, speed float64) {
@@ -39,7 +45,6 @@
 		job := &jobs[i]
 		remaining := job.Remaining.Seconds()
 		next := entry{
-			index:       i,
 			work:        job.work(),
 			target:      job.Target.Sub(now).Seconds(),
 			worthlessAt: job.WorthlessAt.Sub(now).Seconds(),
@@ -68,27 +73,53 @@
 	// minHorizon is the shortest time over which the load is measured, in seconds. The
 	// load until an earlier deadline is that of few tasks.
 	minHorizon = 0.05
+	// maxExcess bounds the time that an excess of work is expected to last, and
+	// maxPlanInterval the time between rounds that counts as part of it, in seconds.
+	maxExcess       = 5.0
+	maxPlanInterval = 0.1
+	// optimisticDeviations is the number of standard deviations by which a run is
+	// shorter than predicted in an optimistic prediction.
+	optimisticDeviations = 2
 )
 
 // measureLoad sets load to the highest ratio, over a number of deadlines, of the work
 // that has to be done until then to the capacity until then. Under sustained overload
 // the queue alone is short-sighted: while jobs wait for capacity, load is at least the
 // ratio of arriving work to capacity.
-func (planner *Planner) measureLoad(now time.Time, capacity Capacity, speed float64) {
+func (planner *Planner) measureLoad(now time.Time, jobs []Job, capacity Capacity, speed float64) {
 	planner.load = 0
 	planner.drain = 0
+	total := max(float64(capacity.MilliCores)*speed/1000, 1e-9)
+	arriving := planner.arrivals.rate(now)
+	elapsed := max(now.Sub(planner.plannedAt).Seconds(), 0)
+	if arriving > total && elapsed < maxPlanInterval {
+		planner.excess = min(planner.excess+elapsed, maxExcess)
+	} else {
+		planner.excess = max(planner.excess-elapsed, 0)
+	}
 	if len(planner.entries) == 0 {
 		return
 	}
+	planner.drain = math.Inf(1)
 	horizon := minHorizon
-	waiting := 0.0
+	waiting, need, largest := 0.0, 0, 0
 	for i := range planner.entries {
 		next := &planner.entries[i]
 		waiting += next.work
+		need += jobs[i].need()
+		largest = max(largest, jobs[i].MilliCores)
 		if next.class == classOnTime {
 			horizon = max(horizon, next.target)
 		}
 	}
+	if total > arriving {
+		planner.drain = waiting / (total - arriving)
+	}
+	if need <= capacity.FreeMilliCores && largest <= capacity.LargestFreeMilliCores {
+		// All can start now, so that their order doesn't matter.
+		planner.load = min(arriving/total, slackLoad)
+		return
+	}
 	var due [loadSteps]float64
 	for i := range planner.entries {
 		if next := &planner.entries[i]; next.class == classOnTime {
@@ -117,15 +148,9 @@
 			planner.load = max(planner.load, work/max(available, 1e-9))
 		}
 	}
-	total := max(float64(capacity.MilliCores)*cores, 1e-9)
-	arriving := planner.arrivals.rate(now)
 	if waiting > float64(capacity.FreeMilliCores)*cores*minHorizon {
 		planner.load = max(planner.load, arriving/total)
 	}
-	planner.drain = math.Inf(1)
-	if total > arriving {
-		planner.drain = waiting / (total - arriving)
-	}
 }
 
 // updateWeight moves the weight of the cost towards that of the load.
@@ -147,7 +172,7 @@
 	var sums, counts [classWorthless + 1]float64
 	for i := range planner.entries {
 		next := &planner.entries[i]
-		next.cost = planner.cost(&jobs[next.index])
+		next.cost = planner.cost(&jobs[i])
 		sums[next.class] += math.Abs(next.key)
 		counts[next.class]++
 	}
@@ -158,16 +183,31 @@
 	}
 }
 
-func (planner *Planner) sort() {
-	slices.SortFunc(planner.entries, func(a, b entry) int {
-		if a.class != b.class {
-			return a.class - b.class
-		}
-		if a.key != b.key {
-			return cmp.Compare(a.key, b.key)
+// sort fills order by class, key, priority and index.
+func (planner *Planner) sort(jobs []Job) {
+	order := planner.order[:0]
+	for i := range planner.entries {
+		order = append(order, rank{
+			key:      planner.entries[i].key,
+			index:    int32(i),
+			class:    int16(planner.entries[i].class),
+			priority: int16(min(max(jobs[i].Priority, math.MinInt16), math.MaxInt16)),
+		})
+	}
+	slices.SortFunc(order, func(a, b rank) int {
+		switch {
+		case a.class != b.class:
+			return int(a.class - b.class)
+		case a.key < b.key:
+			return -1
+		case a.key > b.key:
+			return 1
+		case a.priority != b.priority:
+			return int(a.priority) - int(b.priority)
 		}
-		return a.index - b.index
+		return int(a.index - b.index)
 	})
+	planner.order = order
 }
 
 // schedule fills the plan from the sorted entries.
@@ -189,36 +229,42 @@
 		planner.arrivals.accumulate(now, max(float64(capacity.MilliCores)/1000*speed, 1e-9))
 	}
 	deferred := planner.deferred[:0]
-	for i := range planner.entries {
-		next := &planner.entries[i]
-		job := &jobs[next.index]
+	for _, rank := range planner.order {
+		index := int(rank.index)
+		next := &planner.entries[index]
+		job := &jobs[index]
 		if next.class != classOnTime {
-			deferred = append(deferred, *next)
+			deferred = append(deferred, rank.index)
 			continue
 		}
 		if overload {
-			latest := next.target - next.fastestRun
+			// A start at once may meet the objective on a fast upstream. Later ones find
+			// upstreams of mean speed.
+			latest := max(next.target-next.run, 0)
 			arriving := planner.arrivals.cheaper(next.cost)
-			if !job.Started && stretch(planner.timeline.earliest(), arriving) > latest {
-				deferred = append(deferred, *next)
+			if !job.Started && planner.stretch(planner.timeline.earliest(), arriving) > latest {
+				deferred = append(deferred, rank.index)
 				continue
 			}
 			start := planner.timeline.take(job.need())
-			if !job.Started && stretch(start, arriving) > latest {
+			if !job.Started && planner.stretch(start, arriving) > latest {
 				planner.timeline.restore()
-				deferred = append(deferred, *next)
+				deferred = append(deferred, rank.index)
 				continue
 			}
 			planner.timeline.occupy(next.run)
 		}
 		free -= min(job.need(), free)
-		plan.Order = append(plan.Order, next.index)
+		plan.Order = append(plan.Order, index)
 	}
 	planner.deferred = deferred
-	for i := range deferred {
-		next := &deferred[i]
-		job := &jobs[next.index]
-		fits := job.need() <= free && job.MilliCores <= largestFree
+	for _, position := range deferred {
+		index := int(position)
+		next := &planner.entries[index]
+		job := &jobs[index]
+		// A job that can't end in time doesn't fit any capacity while others need it.
+		hopeless := next.optimisticRun(job) > next.worthlessAt
+		fits := job.need() <= free && job.MilliCores <= largestFree && (!hopeless || !overload)
 		if !job.Started && !fits {
 			if reason := planner.refusalReason(next, job); reason != "" {
 				planner.kind(now, job.Kind).refusedAt = now
@@ -229,16 +275,16 @@
 				})
 				continue
 			}
-			plan.Hold[next.index] = overload && job.need() > free && job.need() <= capacity.MilliCores/2
+			plan.Hold[index] = overload && job.need() > free && job.need() <= capacity.MilliCores/2
 		} else if overload {
 			planner.timeline.take(job.need())
 			planner.timeline.occupy(next.run)
 		}
-		plan.Deferred[next.index] = next.class == classOnTime
-		if !plan.Hold[next.index] {
+		plan.Deferred[index] = next.class == classOnTime
+		if !plan.Hold[index] {
 			free -= min(job.need(), free)
 		}
-		plan.Order = append(plan.Order, next.index)
+		plan.Order = append(plan.Order, index)
 	}
 	planner.full = free == 0 || largestFree < 0
 	if overload && planner.full {
@@ -246,13 +292,17 @@
 	}
 }
 
+// optimisticRun returns the shortest run time that is to be expected.
+func (entry *entry) optimisticRun(job *Job) float64 {
+	return entry.fastestRun * math.Exp(-optimisticDeviations*job.LogStdDev)
+}
+
 // refusalReason returns why the job, which comes after all that can meet their
 // objectives, is refused now, or "" if it is not. Unless it is refused, it occupies its
 // capacity on the timeline. This answers many hopeless jobs, and sustained overload: no
 // job is held for a start that will not come.
 func (planner *Planner) refusalReason(next *entry, job *Job) string {
-	fastest := next.fastestRun * math.Exp(-job.LogStdDev)
-	latest := next.worthlessAt - fastest
+	latest := next.worthlessAt - next.optimisticRun(job)
 	if latest < 0 {
 		return ReasonHopeless
 	}
@@ -260,10 +310,10 @@
 		return ""
 	}
 	arriving := planner.arrivals.cheaper(math.Inf(1))
-	if stretch(planner.timeline.earliest(), arriving) > latest {
+	if planner.stretch(planner.timeline.earliest(), arriving) > latest {
 		return ReasonOverload
 	}
-	if stretch(planner.timeline.take(job.need()), arriving) > latest {
+	if planner.stretch(planner.timeline.take(job.need()), arriving) > latest {
 		planner.timeline.restore()
 		return ReasonOverload
 	}
@@ -272,10 +322,12 @@
 }
 
 // stretch returns the wait for capacity while work that goes first arrives at a rate
-// relative to the capacity.
-func stretch(wait, arriving float64) float64 {
+// relative to the capacity. An excess of work is expected to last as long as it has
+// lasted: the objectives absorb a short burst.
+func (planner *Planner) stretch(wait, arriving float64) float64 {
 	if wait == 0 {
 		return 0
 	}
-	return wait / max(1-arrivalCertainty*arriving, 1e-6)
+	arriving *= arrivalCertainty
+	return min(wait/max(1-arriving, 1e-6), wait+arriving*planner.excess)
 }
