--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -88,6 +88,10 @@
 	if event.job.ResentAfter > 0 {
 		job.quarantineEnd = loop.now.Add(loop.quarantine() - event.job.ResentAfter)
 	}
+	job.job.Domain = loop.view.Self().Domain
+	if loop.refuseAtDoor(job, event.answer) {
+		return
+	}
 	if event.job.ResentAfter == 0 && shouldShed(event.job.ID, loop.shedShare()) && !loop.chooseForeignScheduler(job) {
 		loop.log(logevent.JobGivenUp, "job", event.job.ID, "kind", event.job.Kind, "result", string(cell.NotRun),
 			"reason", "scheduler full")
@@ -99,7 +103,6 @@
 		}
 		return
 	}
-	job.job.Domain = loop.view.Self().Domain
 	loop.heldJobs[event.job.ID] = job
 	loop.log(logevent.JobAccepted, "job", event.job.ID, "kind", event.job.Kind, "left", event.job.TimeLeft)
 	loop.submit(job)
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -83,6 +83,8 @@
 	knownUpstreams upstreamSets
 	// listReadAt is when the list of upstreams was read; zero before the first.
 	listReadAt time.Time
+	// overloaded holds the services whose overload was logged last.
+	overloaded map[string]bool
 	// removedAt holds when upstreams left the list, by ID.
 	removedAt  map[string]time.Time
 	neighbours *neighbours
@@ -205,6 +207,7 @@
 		loop.removeLostEntryVMs()
 		loop.updateRelays()
 		loop.executeDecisions(loop.cell.Handle(loop.now, cell.Tick{}))
+		loop.logOverload()
 		loop.spillJobs()
 		loop.publishPendingJobs(loop.regionPending())
 	}
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -32,6 +32,10 @@
 	metricLostRelayedOrders = "tanagerfall_region_relayed_orders_lost_total"
 	metricStaleMessages     = "tanagerfall_region_stale_messages_total"
 	metricInvalidMessages   = "tanagerfall_region_invalid_messages_total"
+	metricDoorRefusals      = "tanagerfall_region_door_refusals_total"
+	metricLoad              = "tanagerfall_region_load"
+	metricDeferredJobs      = "tanagerfall_region_deferred_jobs"
+	metricDiscardedStarts   = "tanagerfall_region_discarded_starts"
 )
 
 // MetricNames returns the names of all metrics of a Dispatcher.
@@ -40,6 +44,7 @@
 		metricAnswers, metricAnswerSeconds, metricWithdrawn, metricOrders, metricOrderSeconds, metricRunsLost, metricStartsAllowed, metricLeasesExpired, metricSchedules,
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
 		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages,
+		metricDoorRefusals, metricLoad, metricDeferredJobs, metricDiscardedStarts,
 	}
 }
 
@@ -121,6 +126,11 @@
 	if loop.cell == nil {
 		return
 	}
+	instruments.setGauge(metricDiscardedStarts, float64(loop.cell.Counters().DiscardedStarts))
+	for service, load := range loop.cell.Loads() {
+		instruments.setGauge(fmt.Sprintf("%s{service=%q}", metricLoad, service), load.Load)
+		instruments.setGauge(fmt.Sprintf("%s{service=%q}", metricDeferredJobs, service), float64(load.Deferred))
+	}
 	for state, count := range loop.cell.UpstreamStates() {
 		instruments.setGauge(fmt.Sprintf("%s{state=%q}", metricUpstreams, state), float64(count))
 	}
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -54,6 +54,7 @@
 		KnowsUpstreams: func(sets []uint64) bool { return loop.knownUpstreams.covers(loop.now, sets) },
 		Limits:         loop.options.Limits,
 	})
+	loop.overloaded = make(map[string]bool)
 	loop.loadMonitor = loadMonitor{
 		schedulingSince: loop.now,
 		shedUpdatedAt:   loop.now,
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -342,6 +342,24 @@
 		Level:  log.InfoLevel,
 		Text:   "peer does not hear this process; the stream to it is replaced",
 	}
+	JobRefusedAtDoor = Event{
+		Number: 761,
+		Name:   "job-refused-at-door",
+		Level:  log.InfoLevel,
+		Text:   "job refused by the admission state in the scheduler's last heartbeat",
+	}
+	OverloadBegan = Event{
+		Number: 762,
+		Name:   "overload-began",
+		Level:  log.WarnLevel,
+		Text:   "not all jobs of a service can meet their objectives",
+	}
+	OverloadEnded = Event{
+		Number: 763,
+		Name:   "overload-ended",
+		Level:  log.InfoLevel,
+		Text:   "all jobs of a service can meet their objectives again",
+	}
 	StoreUnreachable = Event{
 		Number: 731,
 		Name:   "store-unreachable",
@@ -391,7 +409,7 @@
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate,
-		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
+		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset, JobRefusedAtDoor, OverloadBegan, OverloadEnded,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
 	}
 }
--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -76,6 +76,69 @@
 	return plan
 }
 
+// AdmissionState is what entry VMs have to know to refuse the jobs of a service that the
+// Cell would refuse.
+type AdmissionState struct {
+	Digest admission.Digest `cbor:"1,keyasint"`
+	// Ratios holds, by kind of the Digest, the ratio of actual to declared run times.
+	Ratios map[string]float64 `cbor:"2,keyasint,omitempty"`
+}
+
+// AdmissionStates returns the states of the services that refuse jobs, by service.
+func (cell *Cell) AdmissionStates() map[string]AdmissionState {
+	var states map[string]AdmissionState
+	for _, plan := range cell.planOrder {
+		if !plan.sustained(cell.now) {
+			continue
+		}
+		state := AdmissionState{
+			Digest: plan.planner.Digest(cell.now),
+			Ratios: make(map[string]float64),
+		}
+		if !state.Digest.Full {
+			continue
+		}
+		for _, kind := range state.Digest.Kinds {
+			state.Ratios[kind.Kind] = cell.config.Estimator.Ratio(kind.Kind)
+		}
+		if states == nil {
+			states = make(map[string]AdmissionState)
+		}
+		states[plan.service] = state
+	}
+	return states
+}
+
+// Refuse returns a refusal, and true, if the Cell would refuse a new job by this state. age
+// is the time since the state was that of the Cell.
+func (state AdmissionState) Refuse(now time.Time, age time.Duration, submitted *Job) (admission.Refusal, bool) {
+	ratio, known := state.Ratios[submitted.Kind]
+	if !known || submitted.ResentAfter > 0 {
+		return admission.Refusal{}, false
+	}
+	tasks, milliCores := 0, 0
+	var runTime time.Duration
+	for i := range submitted.Steps {
+		step := &submitted.Steps[i]
+		if len(step.DependsOn) > 0 {
+			continue
+		}
+		tasks += step.Count
+		milliCores += step.Count * step.Need.MilliCores
+		runTime = max(runTime, time.Duration(ratio*float64(step.Estimate)))
+	}
+	return state.Digest.Refuse(now, age, admission.Job{
+		ID:         submitted.ID,
+		Kind:       submitted.Kind,
+		Domain:     submitted.Domain,
+		Key:        submitted.Steps[0].NearRack,
+		Priority:   submitted.Priority,
+		Tasks:      tasks,
+		MilliCores: milliCores / max(tasks, 1),
+		RunTime:    runTime,
+	})
+}
+
 // mayHaveRun reports whether a task of the job may have run, here or elsewhere.
 func (job *jobState) mayHaveRun() bool {
 	return job.started || job.activeTasks > 0 || !job.submitted.neverStarted()
@@ -283,8 +346,9 @@
 				continue
 			}
 			job.held = false
+			job.lastChance = plan.sustained(cell.now)
 			if refused.refusal.Reason != admission.ReasonHopeless &&
-				(cell.placeJob(job, usable, muchIdle) || !plan.sustained(cell.now)) {
+				(cell.placeJob(job, usable, muchIdle) || !job.lastChance) {
 				continue
 			}
 			cell.refuse(job, refused.refusal)
--- a/shared/request/cell/dump.go
+++ b/shared/request/cell/dump.go
@@ -3,11 +3,13 @@
 // Dump is the state of a Cell for operators. Token is the fencing token of the next
 // order, Jobs the number of jobs, and WaitingJobs that of the jobs with waiting tasks.
 type Dump struct {
-	Token       int64          `json:"token"`
-	Jobs        int            `json:"jobs"`
-	WaitingJobs int            `json:"waiting-jobs"`
-	Counters    Counters       `json:"counters"`
-	Upstreams   []UpstreamDump `json:"upstreams"`
+	Token       int64    `json:"token"`
+	Jobs        int      `json:"jobs"`
+	WaitingJobs int      `json:"waiting-jobs"`
+	Counters    Counters `json:"counters"`
+	// Loads holds the load by service.
+	Loads     map[string]ServiceLoad `json:"loads"`
+	Upstreams []UpstreamDump         `json:"upstreams"`
 }
 
 // UpstreamDump is the state of one upstream for operators. State is foreign, looking,
@@ -29,6 +31,33 @@
 	Ejected        bool    `json:"set-aside"`
 }
 
+// ServiceLoad describes the last decision about the waiting jobs of a service. Load is the
+// work that has to be done before the deadlines relative to the capacity until then,
+// Waiting the number of jobs, and Deferred that of the jobs that are predicted to miss
+// their objective. Packing is the share of the cores that tasks can use.
+type ServiceLoad struct {
+	Load       float64 `json:"load"`
+	Overloaded bool    `json:"overloaded"`
+	Waiting    int     `json:"waiting"`
+	Deferred   int     `json:"deferred"`
+	Packing    float64 `json:"packing"`
+}
+
+// Loads returns the loads of the services with jobs.
+func (cell *Cell) Loads() map[string]ServiceLoad {
+	loads := make(map[string]ServiceLoad)
+	for _, plan := range cell.planOrder {
+		loads[plan.service] = ServiceLoad{
+			Load:       plan.load,
+			Overloaded: plan.overloaded,
+			Waiting:    len(plan.jobs),
+			Deferred:   plan.deferred,
+			Packing:    plan.packing,
+		}
+	}
+	return loads
+}
+
 // Dump returns the state for operators.
 func (cell *Cell) Dump() Dump {
 	dump := Dump{
@@ -36,6 +65,7 @@
 		Jobs:        len(cell.jobs),
 		WaitingJobs: len(cell.waitingJobs),
 		Counters:    cell.counters,
+		Loads:       cell.Loads(),
 	}
 	for _, upstream := range cell.upstreamOrder {
 		dump.Upstreams = append(dump.Upstreams, UpstreamDump{
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -73,6 +73,9 @@
 	// held is set if no task of the job is to start before the next round of its
 	// Planner.
 	held bool
+	// lastChance is set while the job is refused unless it starts now. It then takes an
+	// upstream on which it is late rather than wait for a faster one.
+	lastChance bool
 	// surplus is what the job needs if it is refused and could be handed to another cell.
 	surplus *Surplus
 	// inWaitingJobs is set while the job is in Cell.waitingJobs.
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -198,7 +198,7 @@
 // chooseUpstream returns the upstream for a task: the slowest one that meets
 // the objective, or the fastest one if much capacity is idle or none meets it.
 // It returns nil if no upstream has capacity, or if the task should wait for a
-// faster one. The usable upstreams are sorted by speed, the fastest first.
+// faster one and can. The usable upstreams are sorted by speed, the fastest first.
 func (cell *Cell) chooseUpstream(job *jobState, task *taskState, usable []*upstreamState, muchIdle bool) *upstreamState {
 	step := &job.submitted.Steps[task.name.Step]
 	fastEnough := cell.countFastEnough(job, step, usable)
@@ -216,7 +216,7 @@
 		}
 	}
 	earliestFinish := cell.now.Add(job.predictRunTime(step.Estimate, cell.fastestSpeed(job.submitted.Service)))
-	if earliestFinish.Before(job.target) {
+	if earliestFinish.Before(job.target) && !job.lastChance {
 		return nil
 	}
 	for _, upstream := range usable[fastEnough:] {
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -1,8 +1,11 @@
 package region
 
 import (
+	"math"
 	"sort"
 	"time"
+
+	"tanagerfall/shared/request/cell"
 )
 
 const (
@@ -101,6 +104,9 @@
 	// Unheard is set if the sender does not hear the receiver. The stream from the receiver
 	// may have become silent for good without breaking.
 	Unheard bool `cbor:"15,keyasint,omitempty"`
+	// Admission holds, by service, by which state the sender refuses jobs. Only a
+	// scheduler sets it.
+	Admission map[string]cell.AdmissionState `cbor:"16,keyasint,omitempty"`
 }
 
 // peerState is what this process knows of another one.
@@ -411,6 +417,15 @@
 	return peer.heartbeat, true
 }
 
+// HeartbeatAge returns the time since the last heartbeat from an address was sent.
+func (view *View) HeartbeatAge(address string) time.Duration {
+	peer, ok := view.peers[address]
+	if !ok || !peer.heartbeatReceived {
+		return math.MaxInt64
+	}
+	return view.now.Sub(peer.lastHeartbeatAt)
+}
+
 // MaxToken returns the highest fencing token that any other process has
 // reported; 0 if none has.
 func (view *View) MaxToken() int64 {
