--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -21,6 +21,8 @@
 	decisions []cell.Decision
 	// guardsCapacity is set if the upstreams refuse what exceeds their capacity.
 	guardsCapacity bool
+	// speeds holds the declared speeds of upstreams other than 1.
+	speeds map[string]float64
 	// unknownUpstreams is set if an earlier scheduler knew upstreams that are not listed.
 	unknownUpstreams bool
 	// lastDecisions holds the decisions on the last immediate poll of
@@ -46,8 +48,12 @@
 }
 
 func (harness *harness) newCell() *cell.Cell {
+	estimator := estimate.New()
+	for id, speed := range harness.speeds {
+		estimator.Declare(id, speed)
+	}
 	return cell.New(harness.now, cell.Config{
-		Estimator: estimate.New(),
+		Estimator: estimator,
 		Claims:    func(cell.Upstream) cell.Claim { return harness.claim },
 		NextToken: func() int64 {
 			harness.token += 1024
--- a/shared/request/cell/whole_jobs.go
+++ b/shared/request/cell/whole_jobs.go
@@ -38,7 +38,7 @@
 		cell.reserve(upstream, task, job.submitted.Steps[task.name.Step].Need)
 	}
 	if !complete {
-		if cell.reservingJobs >= maxReservingJobs {
+		if cell.reservingJobs >= maxReservingJobs || job.lastChance {
 			cell.releaseReservations(first)
 		} else if len(cell.reservations) > first {
 			cell.reservingJobs++
