Entry VMs: a slow scheduler's jobs are shed by cost, not by a hash of the ID

The share that the load monitor wants shed was chosen by a hash of the ID alone. The jobs that admission would defer go first now, by the cost of admission.Planner.

--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"tanagerfall/shared/connection/link"
 	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/request/admission"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/version/region"
@@ -139,6 +140,7 @@
 		view:                region.New(now, options.Self),
 		estimator:           estimate.New(),
 		heldJobs:            make(map[string]*heldJob),
+		shedding:            make(map[string]*admission.Planner),
 		entryVMs:            make(map[string]string),
 		droppedEntryVMs:     make(map[string]string),
 		leavingIncarnations: make(map[string]int64),
--- a/shared/process/dispatcher/door_admission.go
+++ b/shared/process/dispatcher/door_admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/request/admission"
 	"tanagerfall/shared/request/cell"
 )
 
@@ -21,6 +22,35 @@
 	}
 }
 
+// shed refuses a job of a caller if the scheduler's processor can't start all that arrives
+// and the job is among those that cost callers least to lose. It reports whether it did.
+func (loop *loop) shed(heldJob *heldJob, answer chan<- cell.Answer) bool {
+	job := &heldJob.job
+	if len(job.Steps) == 0 {
+		return false
+	}
+	planner, known := loop.shedding[job.Service]
+	if !known {
+		planner = admission.New(admission.Config{})
+		loop.shedding[job.Service] = planner
+	}
+	described := job.AdmissionJob(loop.now, loop.estimator.Ratio(job.Kind))
+	planner.Arrived(loop.now, described)
+	share := loop.shedShare()
+	if share == 0 || job.ResentAfter > 0 || planner.Rank(loop.now, described) <= 1-share || loop.chooseForeignScheduler(heldJob) {
+		return false
+	}
+	loop.log(logevent.JobGivenUp, "job", job.ID, "kind", job.Kind, "result", string(cell.NotRun),
+		"reason", "scheduler full", "share", share)
+	answer <- cell.Answer{
+		ID:         job.ID,
+		Result:     cell.NotRun,
+		Reason:     "scheduler full",
+		RetryAfter: callerRetryAfter,
+	}
+	return true
+}
+
 // refuseAtDoor answers a job of a caller that the scheduler would refuse by its last
 // heartbeat, and reports whether it did. A job that another cell has room for goes there.
 func (loop *loop) refuseAtDoor(heldJob *heldJob, answer chan<- cell.Answer) bool {
--- /dev/null
+++ b/shared/process/dispatcher/door_admission_test.go
@@ -0,0 +1,93 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/request/admission"
+	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/version/region"
+)
+
+// Load: an overload that the scheduler has reported. Guards against refusals by a report
+// that is old, of a job that the scheduler would take, or of one that may have run before;
+// and against a hop to a scheduler that is sure to refuse.
+func TestRefusalAtTheDoorFollowsTheScheduler(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		age     time.Duration
+		change  func(job *cell.Job)
+		refused bool
+	}{
+		{"fresh", 100 * time.Millisecond, func(*cell.Job) {}, true},
+		{"old", 1100 * time.Millisecond, func(*cell.Job) {}, false},
+		{"cheap job", 100 * time.Millisecond, func(job *cell.Job) { job.Steps[0].Count = 1 }, false},
+		{"other kind", 100 * time.Millisecond, func(job *cell.Job) { job.Kind = "other" }, false},
+		{"other service", 100 * time.Millisecond, func(job *cell.Job) { job.Service = "other" }, false},
+		{"sent again", 100 * time.Millisecond, func(job *cell.Job) { job.ResentAfter = time.Second }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newEntryVMLoop(t)
+			loop.view.Advance(loop.now, 0)
+			loop.view.HandleHeartbeat(region.Heartbeat{
+				Member: region.Member{
+					Address:     schedulerAddress,
+					Incarnation: 1,
+				},
+				Admission: map[string]cell.AdmissionState{
+					"orders": {
+						Digest: admission.Digest{
+							Load:          2,
+							Threshold:     1.2,
+							MinRetryAfter: time.Second,
+							MaxRetryAfter: 5 * time.Second,
+							DomainFactor:  1,
+							Full:          true,
+							Kinds: []admission.KindDigest{{
+								Kind:   "quote",
+								Mean:   1,
+								Large:  10,
+								Served: 0.6,
+								Factor: 1,
+							}},
+						},
+						Ratios: map[string]float64{
+							"quote": 1,
+						},
+					},
+				},
+			}, 0)
+			loop.now = loop.now.Add(test.age)
+			loop.view.Advance(loop.now, 0)
+			job := cell.Job{
+				ID:      "j",
+				Kind:    "quote",
+				Service: "orders",
+				Steps: []cell.Step{{
+					Count: 4,
+					Need: cell.Resources{
+						MilliCores: 5_000,
+					},
+					Estimate: 100 * time.Millisecond,
+				}},
+				Stretch:  1.6,
+				TimeLeft: 2 * time.Second,
+			}
+			test.change(&job)
+			answer := make(chan cell.Answer, 1)
+			loop.acceptCallerJob(jobAccepted{
+				job:    job,
+				answer: answer,
+			})
+			assert.Equal(t, len(loop.heldJobs), map[bool]int{true: 0, false: 1}[test.refused])
+			if !test.refused {
+				return
+			}
+			refusal := <-answer
+			assert.Equal(t, refusal.Result, cell.NotRun)
+			assert.Assert(t, refusal.RetryAfter >= time.Second)
+		})
+	}
+}
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -72,7 +72,8 @@
 }
 
 // acceptCallerJob holds a job of a caller and submits it to the scheduler. A job
-// with the ID of a held one joins it. Jobs in the shed share are refused.
+// with the ID of a held one joins it. A job that the scheduler would refuse, or can't start in
+// time, is refused.
 func (loop *loop) acceptCallerJob(event jobAccepted) {
 	job, known := loop.heldJobs[event.job.ID]
 	if known {
@@ -89,18 +90,7 @@
 		job.quarantineEnd = loop.now.Add(loop.quarantine() - event.job.ResentAfter)
 	}
 	job.job.Domain = loop.view.Self().Domain
-	if loop.refuseAtDoor(job, event.answer) {
-		return
-	}
-	if event.job.ResentAfter == 0 && shouldShed(event.job.ID, loop.shedShare()) && !loop.chooseForeignScheduler(job) {
-		loop.log(logevent.JobGivenUp, "job", event.job.ID, "kind", event.job.Kind, "result", string(cell.NotRun),
-			"reason", "scheduler full")
-		event.answer <- cell.Answer{
-			ID:         event.job.ID,
-			Result:     cell.NotRun,
-			Reason:     "scheduler full",
-			RetryAfter: callerRetryAfter,
-		}
+	if loop.refuseAtDoor(job, event.answer) || loop.shed(job, event.answer) {
 		return
 	}
 	loop.heldJobs[event.job.ID] = job
--- a/shared/process/dispatcher/load_monitor.go
+++ b/shared/process/dispatcher/load_monitor.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
 )
@@ -188,10 +186,3 @@
 	}
 	loadMonitor.baseStartTime = grown
 }
-
-// shouldShed reports whether a job is among the share of jobs to shed. The result
-// depends only on the ID and the share, so that retries of a job at the same share
-// get the same result.
-func shouldShed(id string, share float64) bool {
-	return share > 0 && float64(xxhash.Sum64String(id)>>11)/(1<<53) < share
-}
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -8,6 +8,7 @@
 	"tanagerfall/shared/connection/link"
 	"tanagerfall/shared/connection/relay"
 	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/request/admission"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/estimate"
 	"tanagerfall/shared/version/region"
@@ -83,6 +84,8 @@
 	knownUpstreams upstreamSets
 	// listReadAt is when the list of upstreams was read; zero before the first.
 	listReadAt time.Time
+	// shedding holds, by service, the planner that ranks the jobs of this VM's callers.
+	shedding map[string]*admission.Planner
 	// overloaded holds the services whose overload was logged last.
 	overloaded map[string]bool
 	// removedAt holds when upstreams left the list, by ID.
--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -116,10 +116,16 @@
 	if !known || submitted.ResentAfter > 0 {
 		return admission.Refusal{}, false
 	}
+	return state.Digest.Refuse(now, age, submitted.AdmissionJob(now, ratio))
+}
+
+// AdmissionJob describes a new job to a Planner if the run time of a task is ratio times
+// its estimate.
+func (job *Job) AdmissionJob(now time.Time, ratio float64) admission.Job {
 	tasks, milliCores := 0, 0
 	var runTime time.Duration
-	for i := range submitted.Steps {
-		step := &submitted.Steps[i]
+	for i := range job.Steps {
+		step := &job.Steps[i]
 		if len(step.DependsOn) > 0 {
 			continue
 		}
@@ -127,16 +133,22 @@
 		milliCores += step.Count * step.Need.MilliCores
 		runTime = max(runTime, time.Duration(ratio*float64(step.Estimate)))
 	}
-	return state.Digest.Refuse(now, age, admission.Job{
-		ID:         submitted.ID,
-		Kind:       submitted.Kind,
-		Domain:     submitted.Domain,
-		Key:        submitted.Steps[0].NearRack,
-		Priority:   submitted.Priority,
-		Tasks:      tasks,
-		MilliCores: milliCores / max(tasks, 1),
-		RunTime:    runTime,
-	})
+	arrival := now.Add(-job.Age)
+	budget := job.LatencyBudget(ratio)
+	return admission.Job{
+		ID:          job.ID,
+		Kind:        job.Kind,
+		Domain:      job.Domain,
+		Key:         job.Steps[0].NearRack,
+		Priority:    job.Priority,
+		Arrival:     arrival,
+		Target:      arrival.Add(budget),
+		WorthlessAt: arrival.Add(LateFactor * budget),
+		Tasks:       tasks,
+		MilliCores:  milliCores / max(tasks, 1),
+		RunTime:     runTime,
+		Remaining:   time.Duration(ratio * float64(longestChain(job.Steps))),
+	}
 }
 
 // mayHaveRun reports whether a task of the job may have run, here or elsewhere.
