--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -25,7 +25,10 @@
 	// sustainedTime is how long a service must be overloaded before jobs are refused
 	// because others need the capacity. The rate of a short burst says little about the
 	// work that follows, and the queue can often be served.
-	sustainedTime = 500 * time.Millisecond
+	sustainedTime = 100 * time.Millisecond
+	// maxDeferral is how long a job waits in a sustained overload although it is
+	// predicted to miss its objective.
+	maxDeferral = 200 * time.Millisecond
 )
 
 // servicePlan decides about the waiting jobs of one service.
@@ -246,6 +249,16 @@
 		job.held = result.Hold[index]
 		if result.Deferred[index] {
 			plan.deferred++
+			if plan.sustained(cell.now) && !job.mayHaveRun() && cell.now.Sub(job.submittedAt) >= maxDeferral {
+				plan.refused = append(plan.refused, refusedJob{
+					job: job,
+					refusal: admission.Refusal{
+						ID:         job.submitted.ID,
+						Reason:     admission.ReasonOverload,
+						RetryAfter: plan.planner.RetryAfter(job.submitted.ID),
+					},
+				})
+			}
 		}
 		ordered = append(ordered, job)
 	}
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -44,32 +44,6 @@
 	slices.SortStableFunc(cell.bySpeed, func(a, b *upstreamState) int { return cmp.Compare(b.speed, a.speed) })
 }
 
-// backlogTime returns how long the upstreams of a service need for the waiting
-// tasks.
-func (cell *Cell) backlogTime(service string) time.Duration {
-	cores, work := 0.0, 0.0
-	for _, upstream := range cell.upstreamOrder {
-		if upstream.listing.Service == service && upstream.status == upstreamOpen {
-			cores += float64(upstream.listing.Capacity.MilliCores) * upstream.speed
-		}
-	}
-	if cores == 0 {
-		return cell.config.Limits.MaxRetryAfter
-	}
-	for _, job := range cell.waitingJobs {
-		if job.submitted.Service != service {
-			continue
-		}
-		for _, task := range job.tasks {
-			if task.status == taskWaiting {
-				step := job.submitted.Steps[task.name.Step]
-				work += float64(job.predictRunTime(step.Estimate, 1)) * float64(step.Need.MilliCores)
-			}
-		}
-	}
-	return time.Duration(work / cores)
-}
-
 // acceptsTasks reports whether an upstream may get new tasks.
 func (cell *Cell) acceptsTasks(upstream *upstreamState) bool {
 	return upstream.status == upstreamOpen && upstream.present && !upstream.listing.Leaving &&
