Cell: upstreams with free cores are found by an index

Each event passed over all upstreams and over the steps of all waiting jobs. A tree over the upstreams in the order of speed finds the next one with enough free cores; it is updated with each start, end and status. The choice is that of a pass, which TestIndexChoosesAsAScanDoes checks over random states.

--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -363,7 +363,7 @@
 
 // refuseJobs refuses the jobs that the last round wants refused, after all others got
 // capacity. A job that fits into what is left starts instead.
-func (cell *Cell) refuseJobs(usable []*upstreamState, muchIdle bool) {
+func (cell *Cell) refuseJobs(muchIdle bool) {
 	for _, plan := range cell.planOrder {
 		for _, refused := range plan.refused {
 			job := refused.job
@@ -373,7 +373,7 @@
 			job.held = false
 			job.lastChance = plan.sustained(cell.now)
 			if refused.refusal.Reason != admission.ReasonHopeless &&
-				(cell.placeJob(job, usable, muchIdle) || !job.lastChance) {
+				(cell.placeJob(job, muchIdle) || !job.lastChance) {
 				continue
 			}
 			cell.refuse(job, refused.refusal)
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -39,14 +39,14 @@
 	plans     map[string]*servicePlan
 	planOrder []*servicePlan
 	plannedAt time.Time
-	// bySpeed holds the upstreams by speed, the fastest first.
-	bySpeed []*upstreamState
+	// indexes holds the upstreams by service and speed, and openCores their cores.
+	indexes   map[string]*speedIndex
+	openCores openCores
 	// reservations holds the capacity that is kept for tasks during a placement.
 	reservations []reservation
 	// reservingJobs is the number of jobs with reservations.
 	reservingJobs int
 	// The buffers are reused to avoid allocations during placement.
-	usableBuffer  []*upstreamState
 	orderedBuffer []*jobState
 	blockedBuffer []*jobState
 	chosenBuffer  []reservation
@@ -98,6 +98,7 @@
 		liveRuns:  make(map[TaskName]int),
 		topSpeeds: make(map[string]float64),
 		plans:     make(map[string]*servicePlan),
+		indexes:   make(map[string]*speedIndex),
 		slacks:    make(map[string]kindSlack),
 		completed: completedJobs{
 			ids: make(map[string]bool),
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -1,10 +1,7 @@
 package cell
 
 import (
-	"cmp"
-	"math"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -40,8 +37,7 @@
 			cell.topSpeeds[upstream.listing.Service] = max(cell.topSpeeds[upstream.listing.Service], upstream.speed)
 		}
 	}
-	cell.bySpeed = append(cell.bySpeed[:0], cell.upstreamOrder...)
-	slices.SortStableFunc(cell.bySpeed, func(a, b *upstreamState) int { return cmp.Compare(b.speed, a.speed) })
+	cell.indexUpstreams()
 }
 
 // acceptsTasks reports whether an upstream may get new tasks.
@@ -65,33 +61,34 @@
 	if len(cell.waitingJobs) == 0 {
 		return
 	}
-	if cell.now.Sub(cell.plannedAt) >= planInterval {
+	if cell.planDue() {
 		cell.plannedAt = cell.now
 		cell.planWaiting()
 	}
-	smallestNeed := cell.smallestNeed()
-	usable, muchIdle := cell.usableUpstreams(smallestNeed)
+	muchIdle := cell.muchIdle()
 	unplaced := 0
 	for _, job := range cell.waitingJobs {
-		if len(usable) == 0 || unplaced >= maxUnplacedJobs {
+		if unplaced >= maxUnplacedJobs {
 			break
 		}
-		if job.held {
-			continue
-		}
-		if cell.placeJob(job, usable, muchIdle) {
-			usable = slices.DeleteFunc(usable, func(upstream *upstreamState) bool {
-				return upstream.free.MilliCores < smallestNeed || !cell.acceptsTasks(upstream)
-			})
-		} else {
+		if !job.held && !cell.placeJob(job, muchIdle) {
 			unplaced++
 		}
 	}
-	cell.refuseJobs(usable, muchIdle)
+	cell.refuseJobs(muchIdle)
 	cell.releaseReservations(0)
 	cell.dropPlacedJobs()
 }
 
+// planDue reports whether a round of planning is due. A single job needs none while much
+// capacity is idle.
+func (cell *Cell) planDue() bool {
+	if len(cell.waitingJobs) == 1 && cell.muchIdle() && !cell.servicePlan(cell.waitingJobs[0].submitted.Service).overloaded {
+		return false
+	}
+	return cell.now.Sub(cell.plannedAt) >= planInterval
+}
+
 const (
 	// planInterval spaces the rounds in which the waiting jobs are ordered. Slack
 	// changes little within it, and sorting hundreds of jobs at each event took the
@@ -103,36 +100,6 @@
 	maxUnplacedJobs = 32
 )
 
-// smallestNeed returns the cores of the smallest waiting task, in thousandths.
-func (cell *Cell) smallestNeed() int {
-	smallest := math.MaxInt
-	for _, job := range cell.waitingJobs {
-		for i := range job.submitted.Steps {
-			smallest = min(smallest, job.submitted.Steps[i].Need.MilliCores)
-		}
-	}
-	return smallest
-}
-
-// usableUpstreams returns the upstreams that may get new tasks and have enough
-// free cores for the smallest, and whether more than IdleShare of the cores of
-// open upstreams is free.
-func (cell *Cell) usableUpstreams(smallestNeed int) ([]*upstreamState, bool) {
-	usable := cell.usableBuffer[:0]
-	free, total := 0, 0
-	for _, upstream := range cell.bySpeed {
-		if upstream.status == upstreamOpen {
-			total += upstream.listing.Capacity.MilliCores
-			free += max(upstream.free.MilliCores, 0)
-		}
-		if upstream.free.MilliCores >= smallestNeed && cell.acceptsTasks(upstream) {
-			usable = append(usable, upstream)
-		}
-	}
-	cell.usableBuffer = usable
-	return usable, float64(free) > cell.config.Limits.IdleShare*float64(total)
-}
-
 func (cell *Cell) dropPlacedJobs() {
 	cell.waitingJobs = slices.DeleteFunc(cell.waitingJobs, func(job *jobState) bool {
 		job.inWaitingJobs = job.waitingTasks > 0
@@ -143,19 +110,19 @@
 // placeJob starts the waiting tasks of one job as far as capacity allows, and
 // reports whether it started any. muchIdle is set if more than IdleShare of the
 // cores is free. While its service is overloaded, a job starts whole or not at all.
-func (cell *Cell) placeJob(job *jobState, usable []*upstreamState, muchIdle bool) bool {
+func (cell *Cell) placeJob(job *jobState, muchIdle bool) bool {
 	if !cell.mayStartTasks(job) {
 		return false
 	}
 	if cell.startsWhole(job) {
-		return cell.placeWhole(job, usable, muchIdle)
+		return cell.placeWhole(job, muchIdle)
 	}
 	started := false
 	for _, task := range job.tasks {
 		if task.status != taskWaiting || cell.liveRuns[task.name] > 0 {
 			continue
 		}
-		upstream := cell.chooseUpstream(job, task, usable, muchIdle)
+		upstream := cell.chooseUpstream(job, task, muchIdle)
 		if upstream == nil {
 			// The other tasks of the step have the same needs.
 			if len(job.submitted.Steps) == 1 {
@@ -172,20 +139,25 @@
 // chooseUpstream returns the upstream for a task: the slowest one that meets
 // the objective, or the fastest one if much capacity is idle or none meets it.
 // It returns nil if no upstream has capacity, or if the task should wait for a
-// faster one and can. The usable upstreams are sorted by speed, the fastest first.
-func (cell *Cell) chooseUpstream(job *jobState, task *taskState, usable []*upstreamState, muchIdle bool) *upstreamState {
+// faster one and can.
+func (cell *Cell) chooseUpstream(job *jobState, task *taskState, muchIdle bool) *upstreamState {
+	index, known := cell.indexes[job.submitted.Service]
+	if !known {
+		return nil
+	}
 	step := &job.submitted.Steps[task.name.Step]
-	fastEnough := cell.countFastEnough(job, step, usable)
+	need := step.Need.MilliCores
+	fastEnough := index.countFastEnough(job, step, cell.now)
 	if muchIdle {
-		for _, upstream := range usable[:fastEnough] {
-			if cell.suitable(upstream, job, task, step) {
-				return upstream
+		for i := index.next(0, need); i >= 0 && i < fastEnough; i = index.next(i+1, need) {
+			if cell.suitable(index.bySpeed[i], job, task, step) {
+				return index.bySpeed[i]
 			}
 		}
 	} else {
-		for i := fastEnough - 1; i >= 0; i-- {
-			if cell.suitable(usable[i], job, task, step) {
-				return usable[i]
+		for i := index.previous(fastEnough-1, need); i >= 0; i = index.previous(i-1, need) {
+			if cell.suitable(index.bySpeed[i], job, task, step) {
+				return index.bySpeed[i]
 			}
 		}
 	}
@@ -193,12 +165,12 @@
 	if earliestFinish.Before(job.target) && !job.lastChance {
 		return nil
 	}
-	for _, upstream := range usable[fastEnough:] {
-		if cell.suitable(upstream, job, task, step) {
-			if cell.endsUseless(job, step, upstream) {
+	for i := index.next(fastEnough, need); i >= 0; i = index.next(i+1, need) {
+		if cell.suitable(index.bySpeed[i], job, task, step) {
+			if cell.endsUseless(job, step, index.bySpeed[i]) {
 				return nil
 			}
-			return upstream
+			return index.bySpeed[i]
 		}
 	}
 	return nil
@@ -206,21 +178,17 @@
 
 // countFastEnough returns the number of upstreams, from the fastest on, on
 // which a task meets its job's objective.
-func (cell *Cell) countFastEnough(job *jobState, step *Step, usable []*upstreamState) int {
-	timeLeft := float64(job.target.Sub(cell.now))
+func (index *speedIndex) countFastEnough(job *jobState, step *Step, now time.Time) int {
+	timeLeft := float64(job.target.Sub(now))
 	if timeLeft <= 0 {
 		return 0
 	}
-	minSpeed := job.ratio * float64(step.Estimate) / timeLeft
-	return sort.Search(len(usable), func(i int) bool { return usable[i].speed < minSpeed })
+	return index.fastEnough(job.ratio * float64(step.Estimate) / timeLeft)
 }
 
 // suitable reports whether a task may run on an upstream.
 func (cell *Cell) suitable(upstream *upstreamState, job *jobState, task *taskState, step *Step) bool {
-	if upstream.listing.Service != job.submitted.Service || upstream.usedSlots >= upstream.listing.Slots || !upstream.free.fits(step.Need) {
-		return false
-	}
-	if upstream.probing && upstream.usedSlots > 0 {
+	if !cell.acceptsTasks(upstream) || !upstream.free.fits(step.Need) {
 		return false
 	}
 	if task.failures > 0 && (upstream.consecutiveFailures > 0 || upstream.probing || upstream.listing.ID == task.avoidedUpstream) {
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -105,6 +105,7 @@
 	run.upstream.free = run.upstream.free.minus(run.need)
 	run.upstream.usedSlots++
 	run.upstream.lastRunAt = cell.now
+	cell.reindex(run.upstream)
 	cell.liveRuns[run.name.Task]++
 }
 
@@ -141,6 +142,7 @@
 		upstream.orphanCount--
 	}
 	upstream.recomputeUsage()
+	cell.reindex(upstream)
 	upstream.lastRunAt = cell.now
 	cell.placementPending = true
 	cell.removeOrphan(run)
@@ -519,4 +521,5 @@
 	run.need = step.Need
 	run.expectedTime = job.predictRunTime(step.Estimate, run.upstream.speed)
 	run.upstream.recomputeUsage()
+	cell.reindex(run.upstream)
 }
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -94,6 +94,11 @@
 	// speed is the current speed as of the last tick.
 	speed        float64
 	ejectedUntil time.Time
+	// index is that of the service, indexPosition the position in it, and counted what
+	// Cell.openCores holds of the upstream.
+	index         *speedIndex
+	indexPosition int
+	counted       openCores
 	// probing is set from an ejection with backoff until a run is done. The
 	// upstream gets one task at a time meanwhile.
 	probing bool
@@ -199,6 +204,7 @@
 		return
 	}
 	upstream.status = status
+	cell.reindex(upstream)
 	cell.decide(UpstreamChanged{
 		Upstream: upstream.listing.ID,
 		State:    status.String(),
--- a/shared/request/cell/whole_jobs.go
+++ b/shared/request/cell/whole_jobs.go
@@ -20,7 +20,7 @@
 // placeWhole starts all waiting tasks of a job, or none, and reports which. The capacity
 // that a job found without starting is kept for it until the end of the placement, if few
 // jobs before it in the order wait in the same way.
-func (cell *Cell) placeWhole(job *jobState, usable []*upstreamState, muchIdle bool) bool {
+func (cell *Cell) placeWhole(job *jobState, muchIdle bool) bool {
 	first := len(cell.reservations)
 	complete := true
 	for _, task := range job.tasks {
@@ -29,7 +29,7 @@
 		}
 		var upstream *upstreamState
 		if cell.liveRuns[task.name] == 0 {
-			upstream = cell.chooseUpstream(job, task, usable, muchIdle)
+			upstream = cell.chooseUpstream(job, task, muchIdle)
 		}
 		if upstream == nil {
 			complete = false
@@ -57,6 +57,7 @@
 func (cell *Cell) reserve(upstream *upstreamState, task *taskState, need Resources) {
 	upstream.free = upstream.free.minus(need)
 	upstream.usedSlots++
+	cell.reindex(upstream)
 	cell.reservations = append(cell.reservations, reservation{
 		upstream: upstream,
 		task:     task,
@@ -69,6 +70,7 @@
 	for _, reservation := range cell.reservations[first:] {
 		reservation.upstream.free = reservation.upstream.free.plus(reservation.need)
 		reservation.upstream.usedSlots--
+		cell.reindex(reservation.upstream)
 	}
 	cell.reservations = cell.reservations[:first]
 	if first == 0 {
