--- a/shared/request/admission/replay_test.go
+++ b/shared/request/admission/replay_test.go
@@ -302,7 +302,9 @@
 
 // giveUp ends a job without an answer. Its caller comes back after the delay.
 func (replayer *replayer) giveUp(job *waitingJob, retryAfter time.Duration) {
-	replayer.result.delays = append(replayer.result.delays, replayer.now-job.at)
+	if !job.Started {
+		replayer.result.delays = append(replayer.result.delays, replayer.now-job.at)
+	}
 	if job.attempt >= replayer.load.attempts || job.Started {
 		replayer.end(job, false, false)
 		return
