Admission: digests refuse only while capacity is hardly ever free

A digest took the fullness of the last round alone, which changes with each job, and kept it for up to a second after the last job had stopped waiting. Fullness is smoothed over 100 ms, a digest without rounds in that time is empty, and the margin grows with the age.

--- a/shared/request/admission/digest.go
+++ b/shared/request/admission/digest.go
@@ -9,9 +9,14 @@
 const (
 	// maxDigestAge is the age from which a digest refuses nothing.
 	maxDigestAge = time.Second
-	// digestMargin is how much a job has to exceed the threshold: a digest knows the
-	// state as it was, and a refusal by it has to agree with the scheduler.
+	// digestMargin is how much a job has to exceed the threshold, and ageMargin how much
+	// more for each second of age: a digest knows the state as it was, and a refusal by
+	// it has to agree with the scheduler.
 	digestMargin = 1.25
+	ageMargin    = 0.5
+	// minFullShare is the share of time in which jobs have to wait before a digest
+	// refuses any.
+	minFullShare = 0.9
 	// maxDigestKinds bounds the kinds of a digest to those refused last.
 	maxDigestKinds = 24
 )
@@ -42,21 +47,23 @@
 	MaxRetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
 	// DomainFactor is the lowest factor of the cost for a failure domain.
 	DomainFactor float64 `cbor:"6,keyasint,omitempty"`
-	// Full says that no capacity was free, so that new jobs wait.
+	// Full says that capacity was hardly ever free, so that new jobs wait.
 	Full bool `cbor:"7,keyasint,omitempty"`
 	// Kinds holds the kinds of which jobs were refused lately, by name.
 	Kinds []KindDigest `cbor:"8,keyasint,omitempty"`
 }
 
-// Digest returns the summary of the state after the last Plan.
+// Digest returns the summary of the state after the last Plan, or an empty one if no jobs
+// have waited since.
 func (planner *Planner) Digest(now time.Time) Digest {
-	if now.Sub(planner.plannedAt) > maxDigestAge {
+	// While jobs wait, rounds follow each other more closely.
+	if now.Sub(planner.plannedAt) > weightTime {
 		return Digest{}
 	}
 	digest := Digest{
 		Load: planner.load,
 	}
-	if !planner.full {
+	if planner.fullShare < minFullShare {
 		return digest
 	}
 	digest.Threshold = planner.threshold
@@ -112,7 +119,7 @@
 	kind := digest.Kinds[i]
 	cost := (1 + priorityStep*float64(job.Priority)) * digest.DomainFactor * kind.Factor *
 		relativeSize(job.ID, job.work(), kind.Mean, kind.Large, kind.Served)
-	if digest.Threshold == 0 || cost < digestMargin*digest.Threshold {
+	if digest.Threshold == 0 || cost < (digestMargin+ageMargin*age.Seconds())*digest.Threshold {
 		return Refusal{}, false
 	}
 	return Refusal{
--- a/shared/request/admission/planner.go
+++ b/shared/request/admission/planner.go
@@ -143,6 +143,8 @@
 	// costWeight is the share of the cost in the order, up to maxCostWeight.
 	costWeight float64
 	plannedAt  time.Time
+	// gain is the weight of this round in what is smoothed over weightTime.
+	gain float64
 	// excess is how long, in seconds, more work has arrived than the capacity. It falls
 	// as fast as it rose.
 	excess float64
@@ -151,7 +153,8 @@
 	drain     float64
 	topSpeed  float64
 	threshold float64
-	full      bool
+	// fullShare is the smoothed share of time in which new jobs had to wait.
+	fullShare float64
 	// The buffers are used again by each Plan.
 	entries  []entry
 	order    []rank
@@ -226,7 +229,9 @@
 	planner.topSpeed = max(capacity.TopSpeed, speed)
 	planner.predict(now, jobs, speed)
 	planner.measureLoad(now, jobs, capacity, speed)
-	planner.updateWeight(now)
+	planner.gain = 1 - decay(planner.plannedAt, now, weightTime)
+	planner.plannedAt = now
+	planner.updateWeight()
 	plan := &planner.plan
 	plan.Load = planner.load
 	plan.Order = plan.Order[:0]
@@ -234,7 +239,6 @@
 	plan.Deferred = resize(plan.Deferred, len(jobs))
 	plan.Hold = resize(plan.Hold, len(jobs))
 	planner.threshold = 0
-	planner.full = false
 	if planner.costWeight > 0 {
 		planner.weighCosts(jobs)
 	}
--- a/shared/request/admission/schedule.go
+++ b/shared/request/admission/schedule.go
@@ -154,14 +154,12 @@
 }
 
 // updateWeight moves the weight of the cost towards that of the load.
-func (planner *Planner) updateWeight(now time.Time) {
+func (planner *Planner) updateWeight() {
 	wanted := maxCostWeight * min(max((planner.load-slackLoad)/(costLoad-slackLoad), 0), 1)
-	elapsed := max(now.Sub(planner.plannedAt).Seconds(), 0)
-	planner.costWeight += (wanted - planner.costWeight) * (1 - math.Exp(-elapsed/weightTime.Seconds()))
+	planner.costWeight += (wanted - planner.costWeight) * planner.gain
 	if wanted == 0 && planner.costWeight < 0.01 {
 		planner.costWeight = 0
 	}
-	planner.plannedAt = now
 }
 
 // weighCosts replaces the key of each entry by the weighted mean of key and cost. The
@@ -286,8 +284,12 @@
 		}
 		plan.Order = append(plan.Order, index)
 	}
-	planner.full = free == 0 || largestFree < 0
-	if overload && planner.full {
+	full := 0.0
+	if free == 0 || largestFree < 0 {
+		full = 1
+	}
+	planner.fullShare += (full - planner.fullShare) * planner.gain
+	if overload {
 		planner.threshold = planner.arrivals.threshold()
 	}
 }
