--- a/shared/request/admission/planner.go
+++ b/shared/request/admission/planner.go
@@ -76,7 +76,9 @@
 	Deferred []bool
 	// Hold holds, by index of the job, whether none of its tasks should start now even
 	// if some fit: under overload a job starts when all its tasks can end in time, or
-	// not at all. Jobs behind it in Order may start. A started job is never held.
+	// not at all. Jobs behind it in Order may start. A started job is never held. A job
+	// that is not held may start in parts, as capacity becomes free: its other tasks
+	// are predicted to start in time.
 	Hold []bool
 	// Refused holds the jobs to refuse now. The planner knows no single upstreams: the
 	// caller places the jobs in Order first, and keeps a job of Refused if all its
