--- a/shared/request/admission/loads_test.go
+++ b/shared/request/admission/loads_test.go
@@ -19,117 +19,78 @@
 	MaxRetryAfter: 5 * time.Second,
 }
 
-var unequalSpeeds = []float64{0.55, 1.2, 1.2, 1.2}
-
-func during(now, inOverload float64) float64 {
-	if now >= overloadStart && now < overloadEnd {
-		return inOverload
-	}
-	return 1
-}
-
-func burstOf(kind int, factor float64) func(now float64, kind, domain int) float64 {
-	return func(now float64, arriving, _ int) float64 {
-		if arriving == kind {
-			return during(now, factor)
-		}
-		return 1
-	}
-}
-
 func worstKind(result *result) float64 {
 	return min(result.kinds[0].mean(), result.kinds[1].mean(), result.kinds[2].mean())
 }
 
-func allKinds(factor float64) func(now float64, kind, domain int) float64 {
-	return func(now float64, _, _ int) float64 { return during(now, factor) }
+func worstDomain(result *result) float64 {
+	return min(result.domains[0].mean(), result.domains[1].mean(), result.domains[2].mean())
 }
 
 // loads holds the loads that the planner answers. Each bound is the share of jobs to
 // serve in the overload, and more than the order by least slack serves.
 var loads = []load{
 	{
-		name:     "burst-of-all-kinds",
-		speeds:   unequalSpeeds,
-		generate: allKinds(3),
-		measure:  (*result).mean,
-		bound:    0.6,
+		name:    "burst-of-all-kinds",
+		kinds:   [3]float64{3, 3, 3},
+		measure: (*result).mean,
+		bound:   0.6,
 	},
 	{
-		name:     "burst-of-the-longest-kind",
-		speeds:   unequalSpeeds,
-		generate: burstOf(1, 8),
-		measure:  worstKind,
-		bound:    0.6,
+		name:    "burst-of-the-longest-kind",
+		kinds:   [3]float64{1, 8, 1},
+		measure: worstKind,
+		bound:   0.6,
 	},
 	{
-		name:     "burst-of-the-shortest-kind",
-		speeds:   unequalSpeeds,
-		generate: burstOf(0, 12),
-		measure:  worstKind,
-		bound:    0.45,
+		name:    "burst-of-the-shortest-kind",
+		kinds:   [3]float64{12, 1, 1},
+		measure: worstKind,
+		bound:   0.45,
 	},
 	{
-		name:     "hot-key",
-		speeds:   unequalSpeeds,
-		generate: burstOf(0, 12),
-		adjust: func(arrival *arrival, random *rand.Rand) {
-			if arrival.kind == 0 && random.Float64() < 0.6 {
-				arrival.key = "hot"
-			}
-		},
+		name:    "hot-key",
+		kinds:   [3]float64{12, 1, 1},
+		hotKey:  0.6,
 		measure: func(result *result) float64 { return result.keys[0].mean() },
 		bound:   0.55,
 	},
 	{
-		name:     "quarter-of-upstreams-leaves",
-		speeds:   unequalSpeeds,
-		leave:    0.25,
-		generate: allKinds(2.2),
-		measure:  (*result).mean,
-		bound:    0.65,
+		name:    "quarter-of-upstreams-leaves",
+		kinds:   [3]float64{2.2, 2.2, 2.2},
+		leave:   0.25,
+		measure: (*result).mean,
+		bound:   0.65,
 	},
 	{
-		name:   "wave-in-one-domain",
-		speeds: []float64{0.8, 1, 1.25},
-		spread: 0.4,
-		tail:   0.03,
-		generate: func(now float64, _, domain int) float64 {
-			if domain == 0 {
-				return during(now, 4)
-			}
-			return 1
-		},
-		measure: func(result *result) float64 {
-			return min(result.domains[0].mean(), result.domains[1].mean(), result.domains[2].mean())
-		},
-		bound: 0.6,
+		name:    "wave-in-one-domain",
+		kinds:   [3]float64{1, 1, 1},
+		wave:    4,
+		speeds:  []float64{0.8, 1, 1.25},
+		spread:  0.4,
+		tail:    0.03,
+		measure: worstDomain,
+		bound:   0.6,
 	},
 	{
 		name:     "hopeless-jobs",
-		speeds:   unequalSpeeds,
-		generate: allKinds(3),
-		adjust: func(arrival *arrival, random *rand.Rand) {
-			if random.Float64() < 0.3 {
-				arrival.objective = 0.2 * arrival.run
-			}
-		},
-		measure: (*result).mean,
-		bound:   0.7,
+		kinds:    [3]float64{3, 3, 3},
+		hopeless: 0.3,
+		measure:  (*result).mean,
+		bound:    0.7,
 	},
 	{
 		name:     "callers-come-back",
-		speeds:   unequalSpeeds,
+		kinds:    [3]float64{2.2, 2.2, 2.2},
 		attempts: 2,
-		generate: allKinds(2.2),
 		measure:  (*result).mean,
 		bound:    0.9,
 	},
 }
 
 // generateTable returns the arrivals of a load, one second a line.
-func generateTable(load load, seed uint64) string {
-	random := rand.New(rand.NewPCG(seed, 1))
+func generateTable(load load) string {
+	random := rand.New(rand.NewPCG(1, 1))
 	spread := func(mean float64) float64 {
 		return min(mean*math.Exp(0.4*random.NormFloat64()-0.08), 4*mean)
 	}
@@ -137,7 +98,14 @@
 	for i, kind := range usualKinds {
 		for domain := range 3 {
 			for now := 0.0; now < overloadEnd+1; now += 0.001 {
-				if random.Float64() >= 0.001*kind.perSecond/3*load.generate(now, i, domain) {
+				rate := kind.perSecond / 3
+				if now >= overloadStart && now < overloadEnd {
+					rate *= load.kinds[i]
+					if domain == 0 {
+						rate *= max(load.wave, 1)
+					}
+				}
+				if random.Float64() >= 0.001*rate {
 					continue
 				}
 				next := arrival{
@@ -148,8 +116,11 @@
 					run:    spread(kind.run),
 				}
 				next.objective = 1.6*next.run + 0.06
-				if load.adjust != nil {
-					load.adjust(&next, random)
+				if load.hotKey > 0 && i == 0 && random.Float64() < load.hotKey {
+					next.key = "hot"
+				}
+				if load.hopeless > 0 && random.Float64() < load.hopeless {
+					next.objective = 0.2 * next.run
 				}
 				arrivals = append(arrivals, next)
 			}
@@ -169,12 +140,8 @@
 }
 
 func readTable(t testing.TB, name string) []arrival {
-	return parseTable(t, golden.Get(t, name))
-}
-
-func parseTable(t testing.TB, table []byte) []arrival {
 	var arrivals []arrival
-	for _, row := range bytes.Split(bytes.ReplaceAll(table, []byte("\n"), nil), []byte(";")) {
+	for _, row := range bytes.Split(bytes.ReplaceAll(golden.Get(t, name), []byte("\n"), nil), []byte(";")) {
 		if len(row) == 0 {
 			continue
 		}
@@ -192,7 +159,7 @@
 	for _, load := range loads {
 		t.Run(load.name, func(t *testing.T) {
 			name := load.name + ".txt"
-			golden.Assert(t, generateTable(load, 1), name)
+			golden.Assert(t, generateTable(load), name)
 			arrivals := readTable(t, name)
 			result := replay(load, arrivals, New(testConfig))
 			slack := replay(load, arrivals, nil)
--- a/shared/request/admission/replay_test.go
+++ b/shared/request/admission/replay_test.go
@@ -23,19 +23,20 @@
 
 // load describes a recorded load and the upstreams that serve it.
 type load struct {
-	name   string
+	name string
+	// kinds holds the factors of the rates of the kinds during the overload, and wave
+	// that of one failure domain. hotKey is the share of the first kind that one key has,
+	// and hopeless the share of jobs that no upstream can do in time.
+	kinds                  [3]float64
+	wave, hotKey, hopeless float64
+	// leave is the share of the upstreams that is away during the overload.
+	leave  float64
 	speeds []float64
-	// leave is the share of the upstreams that is away in the window of the overload.
-	leave float64
 	// spread is the standard deviation of the logarithm of predicted over actual run
 	// times, and tail the share of tasks that take seven times as long.
 	spread, tail float64
 	// attempts is how often a caller comes back after a refusal.
 	attempts int
-	// generate returns the factor of the usual rate of arrivals.
-	generate func(now float64, kind, domain int) float64
-	// adjust changes generated arrivals.
-	adjust func(arrival *arrival, random *rand.Rand)
 	// measure returns what the bound limits.
 	measure func(result *result) float64
 	bound   float64
@@ -103,7 +104,6 @@
 	speeds   []float64
 	free     []int
 	away     int
-	fastest  []int
 	waiting  []*waitingJob
 	runs     []run
 	arrivals []arrival
@@ -120,12 +120,16 @@
 			returns: make(map[int]int),
 		},
 	}
+	speeds := load.speeds
+	if speeds == nil {
+		speeds = []float64{0.55, 1.2, 1.2, 1.2}
+	}
 	for i := range upstreamCount {
-		replayer.speeds = append(replayer.speeds, load.speeds[i%len(load.speeds)])
+		replayer.speeds = append(replayer.speeds, speeds[i*len(speeds)/upstreamCount])
 		replayer.free = append(replayer.free, upstreamSize)
-		replayer.fastest = append(replayer.fastest, i)
 	}
-	slices.SortStableFunc(replayer.fastest, func(a, b int) int { return cmp.Compare(replayer.speeds[b], replayer.speeds[a]) })
+	// The fastest come first, and those that leave are spread over all speeds.
+	slices.Reverse(replayer.speeds)
 	weight, rising := 0.0, true
 	for ; replayer.now < overloadEnd+4; replayer.now += step {
 		replayer.away = 0
@@ -146,7 +150,7 @@
 }
 
 func (replayer *replayer) usable(upstream int) bool {
-	return upstream < upstreamCount-replayer.away
+	return replayer.away == 0 || upstream*replayer.away%upstreamCount >= replayer.away
 }
 
 // round ends runs, receives arrivals, plans and places tasks.
@@ -265,11 +269,11 @@
 	certain := predicted * math.Exp(job.LogStdDev)
 	for job.Tasks > 0 {
 		chosen := -1
-		for _, i := range replayer.fastest {
+		for i, speed := range replayer.speeds {
 			if !replayer.usable(i) || replayer.free[i] < taskMilliCores {
 				continue
 			}
-			meets := certain/replayer.speeds[i] <= left
+			meets := certain/speed <= left
 			if meets || chosen < 0 && certain/topSpeed > left {
 				chosen = i
 			}
