--- a/shared/request/admission/planner.go
+++ b/shared/request/admission/planner.go
@@ -76,7 +76,9 @@
 	Deferred []bool
 	// Hold holds, by index of the job, whether none of its tasks should start now even
 	// if some fit: under overload a job starts when all its tasks can end in time, or
-	// not at all. Jobs behind it in Order may start. A started job is never held.
+	// not at all. Jobs behind it in Order may start. A started job is never held. A job
+	// that is not held may start in parts, as capacity becomes free: its other tasks
+	// are predicted to start in time.
 	Hold []bool
 	// Refused holds the jobs to refuse now. The planner knows no single upstreams: the
 	// caller places the jobs in Order first, and keeps a job of Refused if all its
@@ -143,6 +145,8 @@
 	// costWeight is the share of the cost in the order, up to maxCostWeight.
 	costWeight float64
 	plannedAt  time.Time
+	// gain is the weight of this round in what is smoothed over weightTime.
+	gain float64
 	// excess is how long, in seconds, more work has arrived than the capacity. It falls
 	// as fast as it rose.
 	excess float64
@@ -151,7 +155,8 @@
 	drain     float64
 	topSpeed  float64
 	threshold float64
-	full      bool
+	// fullShare is the smoothed share of time in which new jobs had to wait.
+	fullShare float64
 	// The buffers are used again by each Plan.
 	entries  []entry
 	order    []rank
@@ -226,7 +231,9 @@
 	planner.topSpeed = max(capacity.TopSpeed, speed)
 	planner.predict(now, jobs, speed)
 	planner.measureLoad(now, jobs, capacity, speed)
-	planner.updateWeight(now)
+	planner.gain = 1 - decay(planner.plannedAt, now, weightTime)
+	planner.plannedAt = now
+	planner.updateWeight()
 	plan := &planner.plan
 	plan.Load = planner.load
 	plan.Order = plan.Order[:0]
@@ -234,7 +241,6 @@
 	plan.Deferred = resize(plan.Deferred, len(jobs))
 	plan.Hold = resize(plan.Hold, len(jobs))
 	planner.threshold = 0
-	planner.full = false
 	if planner.costWeight > 0 {
 		planner.weighCosts(jobs)
 	}
