--- a/shared/process/dispatcher/door_admission.go
+++ b/shared/process/dispatcher/door_admission.go
@@ -6,8 +6,10 @@
 	"tanagerfall/shared/request/cell"
 )
 
-// logOverload logs the services whose overload began or ended.
-func (loop *loop) logOverload() {
+// reportOverload logs the services whose overload began or ended, and tells the entry VMs at
+// once: until their next heartbeat they would refuse jobs that can be served again.
+func (loop *loop) reportOverload() {
+	changed := false
 	for service, load := range loop.cell.Loads() {
 		if load.Overloaded == loop.overloaded[service] {
 			continue
@@ -16,10 +18,14 @@
 		if load.Overloaded {
 			event = logevent.OverloadBegan
 		}
+		changed = true
 		loop.overloaded[service] = load.Overloaded
 		loop.log(event, "service", service, "load", load.Load, "waiting", load.Waiting, "deferred", load.Deferred,
 			"packing", load.Packing)
 	}
+	if changed {
+		loop.sendHeartbeats(false)
+	}
 }
 
 // shed refuses a job of a caller if the scheduler's processor can't start all that arrives
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -210,7 +210,7 @@
 		loop.removeLostEntryVMs()
 		loop.updateRelays()
 		loop.executeDecisions(loop.cell.Handle(loop.now, cell.Tick{}))
-		loop.logOverload()
+		loop.reportOverload()
 		loop.spillJobs()
 		loop.publishPendingJobs(loop.regionPending())
 	}
