Cell: no refusals while no upstream is known or a takeover goes on; large jobs may start in parts

A job that needs more than half of a service could never start whole, and would be refused on a small service at each overload. Capacity kept for waiting jobs is bounded by a quarter of the service.

--- a/shared/process/dispatcher/door_admission.go
+++ b/shared/process/dispatcher/door_admission.go
@@ -43,7 +43,7 @@
 	described := job.AdmissionJob(loop.now, loop.estimator.Ratio(job.Kind))
 	planner.Arrived(loop.now, described)
 	share := loop.shedShare()
-	if share == 0 || job.ResentAfter > 0 || planner.Rank(loop.now, described) <= 1-share || loop.chooseForeignScheduler(heldJob) {
+	if share == 0 || job.ResentAfter > 0 || heldJob.foreignScheduler != "" || planner.Rank(loop.now, described) <= 1-share || loop.chooseForeignScheduler(heldJob) {
 		return false
 	}
 	loop.log(logevent.JobGivenUp, "job", job.ID, "kind", job.Kind, "result", string(cell.NotRun),
--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -44,6 +44,8 @@
 	// packing is the share of the cores that runs occupied while tasks waited. Parts of
 	// upstreams that are too small for a task stay free.
 	packing float64
+	// capacity is that of all upstreams, in thousandths of a core.
+	capacity int
 	// waiting and jobs are the jobs of the last round, and refused the jobs that it wants
 	// refused.
 	waiting  []*jobState
@@ -167,6 +169,10 @@
 	}
 	result := plan.planner.Plan(cell.now, plan.jobs, cell.capacity(plan))
 	plan.load = result.Load
+	if plan.capacity == 0 {
+		// Nothing is known of upstreams that do not answer yet, or not for now.
+		result.Load = 0
+	}
 	plan.setOverloaded(cell.now, result.Load)
 	ordered := cell.orderedBuffer[:0]
 	for _, index := range result.Order {
@@ -175,7 +181,7 @@
 		if result.Deferred[index] {
 			plan.deferred++
 		}
-		if plan.sustained(cell.now) && !job.mayHaveRun() && cell.missesTarget(job, result.Deferred[index]) {
+		if cell.refuses(plan) && !job.mayHaveRun() && cell.missesTarget(job, result.Deferred[index]) {
 			plan.refused = append(plan.refused, refusedJob{
 				job: job,
 				refusal: admission.Refusal{
@@ -218,9 +224,10 @@
 	}
 }
 
-// sustained reports whether the service has been overloaded for a while.
-func (plan *servicePlan) sustained(now time.Time) bool {
-	return plan.overloaded && now.Sub(plan.overloadedSince) >= sustainedTime
+// refuses reports whether jobs of the service are refused because others need the capacity:
+// it has been overloaded for a while, and this Cell is not just taking over.
+func (cell *Cell) refuses(plan *servicePlan) bool {
+	return plan.overloaded && cell.now.Sub(plan.overloadedSince) >= sustainedTime && !cell.withinAdoptionWindow()
 }
 
 // capacity returns what the upstreams of a service can do. Upstreams that have not answered
@@ -273,6 +280,7 @@
 			plan.packing += packingGain * (float64(used)/float64(total) - plan.packing)
 		}
 	}
+	plan.capacity = total
 	capacity.MilliCores = int(float64(total) * max(plan.packing, minPacking))
 	plan.releases = plan.releases[:0]
 	for step, cores := range plan.releaseCores {
@@ -303,7 +311,7 @@
 				continue
 			}
 			job.held = false
-			job.lastChance = plan.sustained(cell.now)
+			job.lastChance = cell.refuses(plan)
 			if refused.refusal.Reason != admission.ReasonHopeless &&
 				(cell.placeJob(job, muchIdle) || !job.lastChance) {
 				continue
--- a/shared/request/cell/admission_state.go
+++ b/shared/request/cell/admission_state.go
@@ -18,7 +18,7 @@
 func (cell *Cell) AdmissionStates() map[string]AdmissionState {
 	var states map[string]AdmissionState
 	for _, plan := range cell.planOrder {
-		if !plan.sustained(cell.now) {
+		if !cell.refuses(plan) {
 			continue
 		}
 		state := AdmissionState{
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -44,8 +44,10 @@
 	openCores openCores
 	// reservations holds the capacity that is kept for tasks during a placement.
 	reservations []reservation
-	// reservingJobs is the number of jobs with reservations.
+	// reservingJobs is the number of jobs with reservations, and reservedCores what they
+	// need in all, in thousandths of a core.
 	reservingJobs int
+	reservedCores int
 	// The buffers are reused to avoid allocations during placement.
 	orderedBuffer []*jobState
 	blockedBuffer []*jobState
--- a/shared/request/cell/overload_test.go
+++ b/shared/request/cell/overload_test.go
@@ -271,3 +271,20 @@
 	}
 	assert.Equal(t, len(loaded.answers), 60)
 }
+
+// Load: many jobs at a scheduler that has no upstreams yet, as after a takeover. Guards
+// against refusals by a capacity that is not known: the upstreams may answer in time.
+func TestNothingIsRefusedWhileNoUpstreamIsKnown(t *testing.T) {
+	harness := newHarness(t)
+	harness.claim = cell.ClaimNone
+	harness.listUpstreams(nil, "u1", "u2")
+	for number := range 50 {
+		job := testJob(fmt.Sprint(number), 2)
+		job.Objective = 3 * time.Second
+		job.TimeLeft = 3 * time.Second
+		harness.submit(job)
+	}
+	for range 60 {
+		assert.Equal(t, len(decisionsOf[cell.AnswerJob](harness.advance(25*time.Millisecond))), 0)
+	}
+}
--- a/shared/request/cell/whole_jobs.go
+++ b/shared/request/cell/whole_jobs.go
@@ -4,6 +4,14 @@
 // of it. Without any, jobs of few tasks would take each upstream that a large job needs.
 const maxReservingJobs = 4
 
+const (
+	// wholeShare is the largest share of the capacity of a service that a job may need to
+	// be started whole. A larger one would never find all of it free.
+	wholeShare = 0.5
+	// reservedShare is the largest share that is kept for jobs that wait for the rest.
+	reservedShare = 0.25
+)
+
 // reservation is capacity of an upstream that is kept for a task during one placement.
 type reservation struct {
 	upstream *upstreamState
@@ -14,7 +22,9 @@
 // startsWhole reports whether a job has to start with all its waiting tasks: its service
 // is overloaded, and none of its tasks has been started.
 func (cell *Cell) startsWhole(job *jobState) bool {
-	return !job.startOrdered && !job.started && cell.plans[job.submitted.Service].overloaded
+	plan := cell.servicePlan(job.submitted.Service)
+	return plan.overloaded && !job.startOrdered && !job.started &&
+		float64(job.initialNeed()) <= wholeShare*float64(plan.capacity)
 }
 
 // placeWhole starts all waiting tasks of a job, or none, and reports which. The capacity
@@ -38,10 +48,11 @@
 		cell.reserve(upstream, task, job.submitted.Steps[task.name.Step].Need)
 	}
 	if !complete {
-		if cell.reservingJobs >= maxReservingJobs || job.lastChance {
-			cell.releaseReservations(first)
-		} else if len(cell.reservations) > first {
+		if cell.mayReserve(job) && len(cell.reservations) > first {
 			cell.reservingJobs++
+			cell.reservedCores += job.initialNeed()
+		} else {
+			cell.releaseReservations(first)
 		}
 		return false
 	}
@@ -54,6 +65,13 @@
 	return len(chosen) > 0
 }
 
+// mayReserve reports whether capacity may be kept for a job that waits for the rest.
+func (cell *Cell) mayReserve(job *jobState) bool {
+	plan := cell.servicePlan(job.submitted.Service)
+	return cell.reservingJobs < maxReservingJobs && !job.lastChance &&
+		float64(cell.reservedCores+job.initialNeed()) <= reservedShare*float64(plan.capacity)
+}
+
 func (cell *Cell) reserve(upstream *upstreamState, task *taskState, need Resources) {
 	upstream.free = upstream.free.minus(need)
 	upstream.usedSlots++
@@ -75,6 +93,7 @@
 	cell.reservations = cell.reservations[:first]
 	if first == 0 {
 		cell.reservingJobs = 0
+		cell.reservedCores = 0
 	}
 }
 
@@ -93,7 +112,7 @@
 // endsUseless reports whether a task would end on the upstream when the answer is of no
 // use any more. While there is room for all jobs, the task may still be early.
 func (cell *Cell) endsUseless(job *jobState, step *Step, upstream *upstreamState) bool {
-	if !cell.plans[job.submitted.Service].overloaded {
+	if !cell.servicePlan(job.submitted.Service).overloaded {
 		return false
 	}
 	endAt := cell.now.Add(job.predictRunTime(step.Estimate, upstream.speed))
