--- a/shared/request/admission/planner.go
+++ b/shared/request/admission/planner.go
@@ -138,10 +138,14 @@
 
 // Planner decides for the jobs of one service. It is not safe for concurrent use.
 type Planner struct {
-	config   Config
-	kinds    map[string]*kind
-	domains  map[string]*share
-	arrivals arrivals
+	config  Config
+	kinds   map[string]*kind
+	domains map[string]*share
+	// kindShares and domainShares hold the same shares in the order of their first jobs,
+	// since sums of floating-point numbers depend on the order.
+	kindShares   []*share
+	domainShares []*share
+	arrivals     arrivals
 	// costWeight is the share of the cost in the order, up to maxCostWeight.
 	costWeight float64
 	plannedAt  time.Time
--- a/shared/request/admission/schedule.go
+++ b/shared/request/admission/schedule.go
@@ -165,8 +165,8 @@
 // weighCosts replaces the key of each entry by the weighted mean of key and cost. The
 // keys are divided by their mean, so that both have the same scale.
 func (planner *Planner) weighCosts(jobs []Job) {
-	updateFactors(planner.kinds, func(kind *kind) *share { return &kind.served })
-	updateFactors(planner.domains, func(share *share) *share { return share })
+	updateFactors(planner.kindShares)
+	updateFactors(planner.domainShares)
 	var sums, counts [classWorthless + 1]float64
 	for i := range planner.entries {
 		next := &planner.entries[i]
--- a/shared/request/admission/statistics.go
+++ b/shared/request/admission/statistics.go
@@ -79,15 +79,15 @@
 
 // updateFactors sets the factors of all shares by their ratios to the mean, so that the
 // kind or failure domain that is served worst gets a larger part of the capacity.
-func updateFactors[T any](all map[string]*T, shareOf func(*T) *share) {
+func updateFactors(all []*share) {
 	mean := 0.0
-	for _, one := range all {
-		mean += shareOf(one).value() / float64(len(all))
+	for _, share := range all {
+		mean += share.value() / float64(len(all))
 	}
-	for _, one := range all {
+	for _, share := range all {
 		// The constant keeps ratios of shares near 0 apart from noise.
-		ratio := (shareOf(one).value() + 0.1) / (mean + 0.1)
-		shareOf(one).factor = min(max(ratio, minFactor), maxFactor)
+		ratio := (share.value() + 0.1) / (mean + 0.1)
+		share.factor = min(max(ratio, minFactor), maxFactor)
 	}
 }
 
@@ -98,6 +98,7 @@
 		added := newShare(now)
 		domain = &added
 		planner.domains[name] = domain
+		planner.domainShares = append(planner.domainShares, domain)
 	}
 	domain.decay(now)
 	return domain
@@ -131,6 +132,7 @@
 			keysAt: now,
 		}
 		planner.kinds[name] = found
+		planner.kindShares = append(planner.kindShares, &found.served)
 	}
 	found.served.decay(now)
 	return found
