--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -39,6 +39,10 @@
 	metricCancellations     = "tanagerfall_region_cancellations"
 
 	metricCancelledSubmissions = "tanagerfall_region_cancelled_submissions_total"
+	metricDoorRefusals         = "tanagerfall_region_door_refusals_total"
+	metricLoad                 = "tanagerfall_region_load"
+	metricDeferredJobs         = "tanagerfall_region_deferred_jobs"
+	metricDiscardedStarts      = "tanagerfall_region_discarded_starts"
 )
 
 // MetricNames returns the names of all metrics of a Dispatcher.
@@ -48,6 +52,7 @@
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
 		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages, metricEvacuatedDomains, metricEvacuatedOrders,
 		metricMoves, metricMovesInVain, metricCancellations, metricCancelledSubmissions,
+		metricDoorRefusals, metricLoad, metricDeferredJobs, metricDiscardedStarts,
 	}
 }
 
@@ -134,6 +139,11 @@
 	counters := loop.cell.Counters()
 	instruments.setGauge(metricMoves, float64(counters.MovedRuns))
 	instruments.setGauge(metricMovesInVain, float64(counters.MovedInVain))
+	instruments.setGauge(metricDiscardedStarts, float64(counters.DiscardedStarts))
+	for service, load := range loop.cell.Loads() {
+		instruments.setGauge(fmt.Sprintf("%s{service=%q}", metricLoad, service), load.Load)
+		instruments.setGauge(fmt.Sprintf("%s{service=%q}", metricDeferredJobs, service), float64(load.Deferred))
+	}
 	for state, count := range loop.cell.UpstreamStates() {
 		instruments.setGauge(fmt.Sprintf("%s{state=%q}", metricUpstreams, state), float64(count))
 	}
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -44,14 +44,24 @@
 	mayHandOver bool
 	// topSpeeds holds the highest speed of an upstream by service.
 	topSpeeds map[string]float64
-	// sortedAt is when waitingJobs was last sorted.
-	sortedAt time.Time
-	// bySpeed holds the upstreams by speed, the fastest first.
-	bySpeed []*upstreamState
-	// usableBuffer and rankedBuffer are reused to avoid allocations during
-	// placement.
-	usableBuffer []*upstreamState
-	rankedBuffer []rankedJob
+	// plans holds the decisions about waiting jobs by service, and planOrder the same in
+	// the order of their first job. plannedAt is the time of the last round.
+	plans     map[string]*servicePlan
+	planOrder []*servicePlan
+	plannedAt time.Time
+	// indexes holds the upstreams by service and speed, and openCores their cores.
+	indexes   map[string]*speedIndex
+	openCores openCores
+	// reservations holds the capacity that is kept for tasks during a placement.
+	reservations []reservation
+	// reservingJobs is the number of jobs with reservations, and reservedCores what they
+	// need in all, in thousandths of a core.
+	reservingJobs int
+	reservedCores int
+	// The buffers are reused to avoid allocations during placement.
+	orderedBuffer []*jobState
+	blockedBuffer []*jobState
+	chosenBuffer  []reservation
 	// placementPending is set when a change may allow a task to be placed.
 	placementPending bool
 	completed        completedJobs
@@ -85,6 +95,10 @@
 	// MovedInVain counts the slow runs that were moved and were as slow elsewhere,
 	// because their tasks are long.
 	MovedInVain int64 `json:"moved-in-vain"`
+	// Refused counts the jobs that were refused because others needed the capacity, and
+	// DiscardedStarts the starts of tasks of jobs that were given up later.
+	Refused         int64 `json:"refused"`
+	DiscardedStarts int64 `json:"discarded-starts"`
 }
 
 // New returns a Cell that claims upstreams from now on as config.Claims allows.
@@ -98,6 +112,8 @@
 		upstreams: make(map[string]*upstreamState),
 		liveRuns:  make(map[TaskName]int),
 		topSpeeds: make(map[string]float64),
+		plans:     make(map[string]*servicePlan),
+		indexes:   make(map[string]*speedIndex),
 		slacks:    make(map[string]kindSlack),
 		completed: completedJobs{
 			ids: make(map[string]bool),
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -1,8 +1,11 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"time"
+
+	"tanagerfall/shared/request/admission"
 )
 
 // taskStatus is the status of a task.
@@ -49,8 +52,8 @@
 	deadline  time.Time
 	// submittedAt is when this Cell received the job.
 	submittedAt time.Time
-	// chainEstimate is the estimated run time of the longest chain of steps at
-	// speed 1.
+	// chainEstimate is the estimated run time of the longest chain of steps that are not
+	// done at speed 1.
 	chainEstimate time.Duration
 	// ratio is the kind's ratio of actual to estimated run times.
 	ratio float64
@@ -71,6 +74,14 @@
 	unfinished   int
 	activeTasks  int
 	waitingTasks int
+	// held is set if no task of the job is to start before the next round of its
+	// Planner.
+	held bool
+	// lastChance is set while the job is refused unless it starts now. It then takes an
+	// upstream on which it is late rather than wait for a faster one.
+	lastChance bool
+	// surplus is what the job needs if it is refused and could be handed to another cell.
+	surplus *Surplus
 	// inWaitingJobs is set while the job is in Cell.waitingJobs.
 	inWaitingJobs bool
 }
@@ -112,6 +123,7 @@
 	}
 	cell.unblockTasks(job)
 	cell.enqueue(job)
+	cell.servicePlan(job.submitted.Service).planner.Arrived(cell.now, cell.admissionJob(job))
 	if event.Job.Quarantine > 0 {
 		cell.quarantinedUntil = laterOf(cell.quarantinedUntil, job.quarantineEnd)
 		cell.verifyService(event.Job.Service)
@@ -159,47 +171,6 @@
 	return job
 }
 
-// kindSlack is the average time that the latency objective leaves a kind of job
-// beside its run on the fastest upstream.
-type kindSlack struct {
-	slack      time.Duration
-	observedAt time.Time
-}
-
-// slackMemory is how long the slack of a kind counts after its last job.
-const slackMemory = 5 * time.Second
-
-// slackGain is the weight of one job in the average slack of its kind.
-const slackGain = 0.1
-
-// recordSlack updates the average slack of a kind.
-func (cell *Cell) recordSlack(kind string, slack time.Duration) {
-	observed, known := cell.slacks[kind]
-	if known {
-		slack = observed.slack + time.Duration(slackGain*float64(slack-observed.slack))
-	}
-	cell.slacks[kind] = kindSlack{
-		slack:      slack,
-		observedAt: cell.now,
-	}
-}
-
-// TightestSlack returns the smallest average slack of the kinds of which jobs arrived lately;
-// 0 if there were none.
-func (cell *Cell) TightestSlack() time.Duration {
-	tightest := time.Duration(0)
-	for kind, observed := range cell.slacks {
-		if cell.now.Sub(observed.observedAt) > slackMemory {
-			delete(cell.slacks, kind)
-			continue
-		}
-		if tightest == 0 || observed.slack < tightest {
-			tightest = max(observed.slack, time.Millisecond)
-		}
-	}
-	return tightest
-}
-
 // runsPerGeneration bounds the runs of a task that one Cell can number.
 const runsPerGeneration = 1000
 
@@ -331,6 +302,7 @@
 // finish answers a job and removes it.
 func (cell *Cell) finish(job *jobState, answer Answer) {
 	answer.ID = job.submitted.ID
+	cell.recordEnd(job, answer)
 	if answer.Result != Completed {
 		answer.Progress = &Progress{
 			Done:    len(job.tasks) - job.unfinished,
@@ -353,6 +325,7 @@
 		cell.decide(AnswerJob{
 			EntryVM: entryVM,
 			Answer:  answer,
+			Surplus: job.surplus,
 		})
 	}
 	cell.removeJob(job, answer.Reason)
@@ -380,7 +353,7 @@
 // if no run of the job can have started.
 func (cell *Cell) abandon(job *jobState, reason string, retryAfter time.Duration) {
 	limits := cell.config.Limits
-	if job.started || job.activeTasks > 0 || !job.submitted.neverStarted() {
+	if job.mayHaveRun() {
 		cell.finish(job, Answer{
 			Result: Interrupted,
 			Reason: reason,
@@ -394,7 +367,8 @@
 	})
 }
 
-// tickJob abandons a job that is out of time.
+// tickJob abandons a job that is out of time: at the caller's deadline, or as soon as its
+// waiting tasks could not end in time on the fastest upstream.
 func (cell *Cell) tickJob(job *jobState) {
 	if !cell.now.Before(job.deadline.Add(-cell.config.Limits.AnswerMargin)) {
 		cell.abandon(job, "deadline", 0)
@@ -403,15 +377,19 @@
 	if cell.refuseUnserved(job) {
 		return
 	}
-	if job.started || job.activeTasks > 0 {
-		if job.waitingTasks > 0 && cell.now.After(job.worthlessAt) {
-			cell.abandon(job, "overload", 0)
-		}
+	if job.waitingTasks == 0 {
 		return
 	}
-	predicted := job.predictRunTime(job.chainEstimate, cell.fastestSpeed(job.submitted.Service))
-	if cell.now.Add(predicted).After(job.worthlessAt) {
-		cell.abandon(job, "overload", cell.backlogTime(job.submitted.Service))
+	speed := cell.fastestSpeed(job.submitted.Service)
+	if job.mayHaveRun() {
+		// The caller can't send the job again, so a passing slowdown of the upstreams
+		// does not count.
+		speed = max(speed, 1)
+	}
+	fastest := job.predictRunTime(job.chainEstimate, speed)
+	surely := time.Duration(float64(fastest) * math.Exp(-cell.config.Estimator.LogStdDev(job.submitted.Kind)))
+	if cell.now.Add(surely).After(cell.uselessAt(job)) {
+		cell.abandon(job, admission.ReasonOverload, cell.servicePlan(job.submitted.Service).planner.RetryAfter(job.submitted.ID))
 	}
 }
 
@@ -435,10 +413,28 @@
 		})
 		return
 	}
+	if len(job.submitted.Steps) > 1 {
+		job.chainEstimate = job.remainingChain()
+	}
 	cell.unblockTasks(job)
 	cell.enqueue(job)
 }
 
+// remainingChain returns the estimated run time of the longest chain of steps that are not
+// done.
+func (job *jobState) remainingChain() time.Duration {
+	remaining := slices.Clone(job.submitted.Steps)
+	for step := range remaining {
+		remaining[step].Estimate = 0
+	}
+	for _, task := range job.tasks {
+		if task.status != taskDone {
+			remaining[task.name.Step].Estimate = job.submitted.Steps[task.name.Step].Estimate
+		}
+	}
+	return longestChain(remaining)
+}
+
 // failTask charges a failed run, and retries the task elsewhere or fails the
 // job.
 func (cell *Cell) failTask(job *jobState, task *taskState, upstream *upstreamState) {
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -57,6 +57,8 @@
 	// so that an earlier Cell may have had it although Generation is 0. It is the shortest
 	// time that has passed since the connection of that request broke.
 	ResentAfter time.Duration `cbor:"20,keyasint,omitempty"`
+	// Domain is the failure domain of the entry VM that received the job.
+	Domain string `cbor:"21,keyasint,omitempty"`
 }
 
 // ErrInvalidJob is wrapped by the errors of Validate.
@@ -96,9 +98,14 @@
 	return job.Objective + time.Duration(job.Stretch*ratio*float64(longestChain(job.Steps)))
 }
 
+// LongestChain returns the declared run time of the longest chain of dependent steps.
+func (job *Job) LongestChain() time.Duration { return longestChain(job.Steps) }
+
 // neverStarted reports whether no task can have run before this Cell received
-// the job.
-func (job *Job) neverStarted() bool { return job.Generation == 0 || job.NotStarted }
+// the job. The first request of a job that was sent again may have run it.
+func (job *Job) neverStarted() bool {
+	return job.ResentAfter == 0 && (job.Generation == 0 || job.NotStarted)
+}
 
 // Release reports to an entry VM where runs of a job may still exist when a Cell steps
 // down, so that the next Cell has to verify only these upstreams.
@@ -132,29 +139,6 @@
 	MaxPerUpstream int `cbor:"7,keyasint,omitempty"`
 }
 
-// Resources is what a task occupies or what an upstream has. Cores are counted
-// in thousandths, memory in MB.
-type Resources struct {
-	MilliCores   int `cbor:"1,keyasint,omitempty"`
-	MemoryMb     int `cbor:"2,keyasint,omitempty"`
-	Accelerators int `cbor:"3,keyasint,omitempty"`
-}
-
-// fits reports whether free covers need.
-func (free Resources) fits(need Resources) bool {
-	return need.MilliCores <= free.MilliCores &&
-		need.MemoryMb <= free.MemoryMb &&
-		need.Accelerators <= free.Accelerators
-}
-
-func (free Resources) minus(need Resources) Resources {
-	return Resources{
-		MilliCores:   free.MilliCores - need.MilliCores,
-		MemoryMb:     free.MemoryMb - need.MemoryMb,
-		Accelerators: free.Accelerators - need.Accelerators,
-	}
-}
-
 // Upstream is a worker as the platform lists it.
 type Upstream struct {
 	ID string `cbor:"1,keyasint"`
@@ -388,6 +372,8 @@
 	AnswerJob struct {
 		EntryVM string
 		Answer  Answer
+		// Surplus is set for a refused job that may be handed to another cell instead.
+		Surplus *Surplus
 	}
 	// UpstreamChanged reports a new status or an ejection of an upstream.
 	UpstreamChanged struct {
