Stop shedding while nothing waits; state of the process in a failed crowd test

Cause: the shed share follows the average time of starts, which only starts change. After a crowd (GOMAXPROCS=1, machine at load 17) the share stayed high while the scheduler had no job, and would rise in each interval in which nothing started. None of 24 ordinary requests that followed at three processes was served; the scheduler's log shows "scheduler full" for its 8, over 8 s. TestCrowdAtAllProcessesOfAFailureDomain/pieces, in 2 of 3 runs of the whole sequence (0 of 23 runs of the test by itself or with one other).

Change: while no job waits and nothing starts, the average approaches the best.

Result: TestIdleSchedulerStopsShedding fails without the change (0.8) and passes with it. go test -race of the dispatcher passes. The whole sequence with GOMAXPROCS=1: 5 of 5 runs pass.

--- a/shared/process/dispatcher/load_monitor.go
+++ b/shared/process/dispatcher/load_monitor.go
@@ -52,6 +52,9 @@
 	shedIncrease = 0.08
 	shedDecrease = 0.02
 	maxShedShare = 0.8
+	// idleDecay is the part by which the average start time approaches the best one with
+	// each update in which nothing waits and nothing starts.
+	idleDecay = 0.4
 	// fastShedDecrease is the step down while the average start time is at most
 	// half of the limit for shedding. With 0.02, a region took 10 s after a restart until it
 	// served all jobs again.
@@ -73,6 +76,8 @@
 	// shedShare is the share of new jobs to shed.
 	shedShare     float64
 	shedUpdatedAt time.Time
+	// isIdle is set while no job waits for a start.
+	isIdle bool
 	// starts counts the starts since shedUpdatedAt.
 	starts int
 	// startRate is the smoothed number of starts per second before shedUpdatedAt.
@@ -158,6 +163,10 @@
 	if elapsed < shedUpdateInterval {
 		return
 	}
+	if loadMonitor.isIdle && loadMonitor.starts == 0 {
+		excess := loadMonitor.averageStartTime - loadMonitor.baseStartTime
+		loadMonitor.averageStartTime -= time.Duration(idleDecay * float64(excess))
+	}
 	loadMonitor.startRate += startRateGain * (float64(loadMonitor.starts)/elapsed.Seconds() - loadMonitor.startRate)
 	loadMonitor.starts = 0
 	loadMonitor.shedUpdatedAt = now
--- a/shared/process/dispatcher/load_monitor_test.go
+++ b/shared/process/dispatcher/load_monitor_test.go
@@ -115,6 +115,40 @@
 	assert.Equal(t, loadMonitor.shedShare, 0.0)
 }
 
+// Guards against a scheduler that goes on shedding while it has nothing to do: with few
+// callers, most of whom are shed, hardly any start shows that starts are fast again. After
+// a crowd of clients, a process refused every ordinary caller for 20 s.
+func TestIdleSchedulerStopsShedding(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	loadMonitor := loadMonitor{
+		schedulingSince: now,
+	}
+	for number := range 400 {
+		startTime := 5 * time.Millisecond
+		if number >= 200 {
+			startTime = 130 * time.Millisecond
+		}
+		now = now.Add(20 * time.Millisecond)
+		loadMonitor.recordStart(now, startTime)
+		loadMonitor.updateShedShare(now)
+	}
+	assert.Equal(t, loadMonitor.shedShare, maxShedShare)
+	waitFor := func(duration time.Duration) {
+		for end := now.Add(duration); now.Before(end); now = now.Add(25 * time.Millisecond) {
+			loadMonitor.updateShedShare(now)
+		}
+	}
+	waitFor(4 * time.Second)
+	assert.Equal(t, loadMonitor.shedShare, maxShedShare, "jobs that wait without a start show no recovery")
+	loadMonitor.isIdle = true
+	waitFor(4 * time.Second)
+	assert.Equal(t, loadMonitor.shedShare, 0.0)
+	loadMonitor.isIdle = false
+	loadMonitor.recordStart(now, 5*time.Millisecond)
+	waitFor(shedUpdateInterval)
+	assert.Equal(t, loadMonitor.shedShare, 0.0)
+}
+
 // Guards against a share of shed jobs that differs from the requested share.
 func TestShouldShedSelectsTheShare(t *testing.T) {
 	shed := 0
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -201,6 +201,7 @@
 	loop.yield()
 	if loop.cell != nil {
 		loop.loadMonitor.slack = loop.cell.TightestSlack()
+		loop.loadMonitor.isIdle = !loop.cell.HasWaitingJobs()
 		loop.loadMonitor.updateShedShare(loop.now)
 		loop.removeLostEntryVMs()
 		loop.updateRelays()
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -162,6 +162,9 @@
 // jobIDs returns the IDs of the jobs, sorted so that equal events yield equal decisions.
 func (cell *Cell) jobIDs() []string { return slices.Sorted(maps.Keys(cell.jobs)) }
 
+// HasWaitingJobs reports whether tasks of any job wait for an upstream.
+func (cell *Cell) HasWaitingJobs() bool { return len(cell.waitingJobs) > 0 }
+
 // Pending returns, by kind, the number of jobs without a started task.
 func (cell *Cell) Pending() map[string]int {
 	pending := make(map[string]int)
