Intake: 64 KiB for each connection

Cause: in a trial with limits of 144 MB and 3,075 descriptors, 1,500 connections that read no answers held 92,548 KB and 34,878 KB unread, 80% of it: a full receive buffer holds more than its size, and answers leave garbage.

Change: a connection counts 64 KiB in place of 48, so 144 MB allow 576.

Result: make check and go test -race of platform, shared/connection, shared/process and cell pass.

--- a/shared/connection/intake/limits.go
+++ b/shared/connection/intake/limits.go
@@ -12,8 +12,8 @@
 	// bounds the bytes that a client can send to a process that does not read them.
 	ReceiveBuffer = 16 << 10
 	// connectionMemory is what a connection costs beside its body: two buffers and two
-	// goroutines of the HTTP server and a full receive buffer.
-	connectionMemory = 48 << 10
+	// goroutines of the HTTP server and a full receive buffer, which may hold twice its size.
+	connectionMemory = 64 << 10
 	// reservedFiles is the number of descriptors that the platform reserves for files.
 	reservedFiles = 200
 	// operatorConnections limits the connections to a listener that only the platform
