The majority for claims follows losses; absent members are known after 2 s

Members that were heard and lost counted for 60 s, so that after some losses one after the other a new scheduler could claim no upstream of a lost home. Members that fall silent for 2 s while most present ones are live don't count now; of two sides of a partition only one can have that majority. Lists that may hold unheard members say so (ListsUnheard), so that a process needs 2 s in place of 4 to take members for absent that nobody has heard.

--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -231,7 +231,7 @@
 		heartbeat.RoutesVersion = loop.routes.Version
 	}
 	if withMembers {
-		heartbeat.Members = loop.view.Introductions()
+		heartbeat.Members, heartbeat.ListsUnheard = loop.view.Introductions()
 		if !loop.view.InCell(address) {
 			heartbeat.Members = loop.view.Roster()
 		}
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -82,6 +82,8 @@
 	// Members lists the processes that the sender knows. Not every heartbeat
 	// carries it.
 	Members []Member `cbor:"8,keyasint,omitempty"`
+	// ListsUnheard is set if the sender may not have heard all Members itself.
+	ListsUnheard bool `cbor:"28,keyasint,omitempty"`
 	// PendingJobs counts, by kind, the jobs of which no task has started. Only a
 	// scheduler sets it.
 	PendingJobs map[string]int `cbor:"9,keyasint,omitempty"`
@@ -116,10 +118,10 @@
 	// heartbeat, lastRefusedAt when it last did; zero if it has not.
 	refusedAt     time.Time
 	lastRefusedAt time.Time
-	// firstHeardAt is when the first heartbeat of this incarnation was received, and
-	// reportedAt when another process last reported that it has heard the peer.
-	firstHeardAt time.Time
-	reportedAt   time.Time
+	// reportedAt is when another process last reported that it has heard the peer.
+	reportedAt time.Time
+	// lost is set by updateLost, until the next heartbeat.
+	lost bool
 }
 
 // View is one process's view of the membership of its region. It is not safe
@@ -180,12 +182,12 @@
 		view.longestInterval = interval
 		view.longestIntervalAt = now
 	}
-	if paused <= 0 {
-		return
-	}
-	for _, peer := range view.peers {
-		peer.lastHeartbeatAt = peer.lastHeartbeatAt.Add(paused)
+	if paused > 0 {
+		for _, peer := range view.peers {
+			peer.lastHeartbeatAt = peer.lastHeartbeatAt.Add(paused)
+		}
 	}
+	view.updateLost()
 }
 
 // MayActivate reports whether this process may begin to schedule if Leader
@@ -251,15 +253,13 @@
 		clear(view.homes)
 	}
 	restarted = sender.heartbeatReceived && sender.heartbeat.Member.Incarnation != heartbeat.Member.Incarnation
-	if restarted || !sender.heartbeatReceived {
-		sender.firstHeardAt = view.now
-	}
 	sender.heartbeat = heartbeat
 	sender.heartbeatReceived = true
-	view.recordReports(sender, heartbeat.Members)
+	view.recordReports(heartbeat)
 	if sentAt := view.now.Add(-delay); restarted || sentAt.After(sender.lastHeartbeatAt) {
 		sender.lastHeartbeatAt = sentAt
 	}
+	sender.lost = false
 	sender.refusedAt = time.Time{}
 	sender.lastRefusedAt = time.Time{}
 	return restarted
