Orders that a partition holds up are lost when their calls time out

A start that got no answer within 80 ms stayed in the kernel's queue and was sent for 2 s more.

The model of the simulation sent held orders for 2 s whatever the caller did; it now follows the call's time limit, as the product's connections do. Left: a worker that has the order, restarts, and carries it out; and platform/command's settings test waits 3 s in place of 2.

--- a/soak/simulation/process.go
+++ b/soak/simulation/process.go
@@ -295,7 +295,7 @@
 		timeout = pollTimeout + order.Poll.Wait
 	}
 	world.after(timeout, func() { exchange.finish(cell.OutcomeUnknown) })
-	exchange.send()
+	exchange.send(world.now + timeout)
 }
 
 func (world *world) findWorker(id string) *worker {
@@ -379,8 +379,9 @@
 	}
 }
 
-// send sends the order into the network.
-func (exchange *exchange) send() {
+// send sends the order into the network. The call times out at a time, when its
+// connection is reset, so that an order which a cut holds up is lost.
+func (exchange *exchange) send(timesOutAt time.Duration) {
 	world := exchange.process.world
 	worker := exchange.worker
 	faults := worker.faults
@@ -391,7 +392,7 @@
 			world.after(orderTimeout-time.Millisecond, func() { exchange.finish(cell.OutcomeNotSent) })
 			return
 		}
-		exchange.retransmit(world.now + 2*time.Second)
+		exchange.retransmit(min(world.now+2*time.Second, timesOutAt))
 	case world.chance(faults.late):
 		world.after(world.between(2*time.Second, 12*time.Second), exchange.carryOutLate)
 	case world.chance(faults.unhealthy):
