Jobs with ample time aren't shed because a start takes 25 ms

TestSeeds beside load: the jobs refused after the recovery time were refused with "scheduler full". On a busy machine a start took over 20 ms, so that the scheduler had a share of the jobs shed, which had 1.6 s beside their run and free upstreams. Starts may now take 5% of the tightest slack, whatever they take at best. Kinds with less than 0.4 s beside their run are treated as before.

The new row of the load monitor's test fails without the rule.

--- a/shared/process/dispatcher/load_monitor.go
+++ b/shared/process/dispatcher/load_monitor.go
@@ -37,6 +37,10 @@
 	// starts may take at most before the shed share rises, whatever they take at
 	// best.
 	maxSlackShare = 0.6
+	// minSlackShare is the share of the tightest slack that starts may take before the shed
+	// share rises, however long they take at best. On a busy machine, starts of 25 ms made
+	// a scheduler refuse jobs that had 1.6 s beside their run and free upstreams.
+	minSlackShare = 0.05
 	// baseSettleStarts is the number of starts after which the average counts as
 	// a start time of this process.
 	baseSettleStarts = 60
@@ -109,6 +113,7 @@
 	limit := baseFactor * loadMonitor.baseStartTime
 	if loadMonitor.slack > 0 {
 		limit = min(limit, time.Duration(maxSlackShare*float64(loadMonitor.slack)))
+		limit = max(limit, time.Duration(minSlackShare*float64(loadMonitor.slack)))
 	}
 	return max(minShedStartTime, limit)
 }
--- a/shared/process/dispatcher/load_monitor_test.go
+++ b/shared/process/dispatcher/load_monitor_test.go
@@ -44,7 +44,8 @@
 
 // Guards against a scheduler on a weak link that refuses most jobs although its
 // upstreams are idle: its starts take 35 ms at any rate, which refusals don't
-// shorten. A rise above that shows that it falls behind.
+// shorten. A rise above that shows that it falls behind. Also guards against one on a
+// busy VM that refuses jobs which have ample time (soak TestSeeds beside load).
 func TestSheddingFollowsTheBestStartTime(t *testing.T) {
 	for _, test := range []struct {
 		name      string
@@ -55,6 +56,8 @@
 		{"as at its best", 38 * time.Millisecond, 100 * time.Millisecond, false},
 		{"far above its best", 120 * time.Millisecond, 180 * time.Millisecond, true},
 		{"the jobs have little slack", 38 * time.Millisecond, 50 * time.Millisecond, true},
+		{"the jobs have ample slack", 105 * time.Millisecond, 2400 * time.Millisecond, false},
+		{"far above, for ample slack as well", 180 * time.Millisecond, 2400 * time.Millisecond, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Unix(1_000_000, 0)
