Admission: late jobs are refused sooner; the weight of cost falls slowly

An excess of work is expected to last four times as long as it has lasted for jobs that are late already. The weight of the cost falls five times slower than it rises, and shares start with less certainty, which a rare kind needs.

A digest knows how long the excess has lasted, and refuses only jobs that the scheduler wouldn't let wait for its end; the test's overload is a second longer for that.

--- a/shared/request/admission/digest.go
+++ b/shared/request/admission/digest.go
@@ -51,6 +51,8 @@
 	Full bool `cbor:"7,keyasint,omitempty"`
 	// Kinds holds the kinds of which jobs were refused lately, by name.
 	Kinds []KindDigest `cbor:"8,keyasint,omitempty"`
+	// Excess is how long more work has arrived than the capacity.
+	Excess time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Digest returns the summary of the state after the last Plan, or an empty one if no jobs
@@ -68,6 +70,7 @@
 	}
 	digest.Threshold = planner.threshold
 	digest.Drain = time.Duration(min(planner.drain, planner.config.MaxRetryAfter.Seconds()) * float64(time.Second))
+	digest.Excess = time.Duration(planner.excess * float64(time.Second))
 	digest.MinRetryAfter = planner.config.MinRetryAfter
 	digest.MaxRetryAfter = planner.config.MaxRetryAfter
 	digest.Full = true
@@ -112,6 +115,10 @@
 	if !found {
 		return Refusal{}, false
 	}
+	if onTimePersistence*digest.Excess < job.WorthlessAt.Sub(now) {
+		// The scheduler would let the job wait for the end of the excess.
+		return Refusal{}, false
+	}
 	config := Config{
 		MinRetryAfter: digest.MinRetryAfter,
 		MaxRetryAfter: digest.MaxRetryAfter,
--- a/shared/request/admission/loads_test.go
+++ b/shared/request/admission/loads_test.go
@@ -173,7 +173,7 @@
 			assert.Assert(t, worstKind(result) >= 0.45, "a kind is starved")
 			assert.Assert(t, result.large.mean() >= result.mean()/2, "large jobs are starved")
 			assert.Assert(t, delays[len(delays)/2] <= 0.1, "refusals are late")
-			assert.Assert(t, result.weightTurns <= 12, "the order oscillates")
+			assert.Assert(t, result.weightTurns <= 6, "the order oscillates")
 			assert.Assert(t, result.hopelessRuns <= slack.hopelessRuns)
 			most, sum := 0, 0
 			for _, count := range result.returns {
--- a/shared/request/admission/planner_test.go
+++ b/shared/request/admission/planner_test.go
@@ -98,13 +98,12 @@
 	})
 }
 
-// overloaded returns a planner to which jobs of mean size arrived for 2 s at twice the
-// capacity, and its last plan.
+// overloaded returns a planner to which jobs arrived for 3 s, and its last plan.
 func overloaded(now time.Time, jobs []Job, capacity Capacity) (*Planner, Plan) {
 	planner := New(testConfig)
 	var plan Plan
-	for round := range 200 {
-		at := now.Add(time.Duration(round-199) * 10 * time.Millisecond)
+	for round := range 300 {
+		at := now.Add(time.Duration(round-299) * 10 * time.Millisecond)
 		for i := range 20 {
 			job := jobs[i%len(jobs)]
 			job.ID = fmt.Sprint(round, i)
--- a/shared/request/admission/schedule.go
+++ b/shared/request/admission/schedule.go
@@ -77,6 +77,14 @@
 	// maxPlanInterval the time between rounds that counts as part of it, in seconds.
 	maxExcess       = 5.0
 	maxPlanInterval = 0.1
+	// onTimePersistence is how much longer, relative to the time that it has lasted, an
+	// excess is expected to last when a job could still meet its objective, and
+	// latePersistence when it can't. A late answer is worth less of a wait.
+	onTimePersistence = 1
+	latePersistence   = 4
+	// fallSlowdown is how much slower the weight of the cost falls than it rises, so that
+	// the order doesn't change with each pause of an overload.
+	fallSlowdown = 5
 	// optimisticDeviations is the number of standard deviations by which a run is
 	// shorter than predicted in an optimistic prediction.
 	optimisticDeviations = 2
@@ -156,7 +164,11 @@
 // updateWeight moves the weight of the cost towards that of the load.
 func (planner *Planner) updateWeight() {
 	wanted := maxCostWeight * min(max((planner.load-slackLoad)/(costLoad-slackLoad), 0), 1)
-	planner.costWeight += (wanted - planner.costWeight) * planner.gain
+	gain := planner.gain
+	if wanted < planner.costWeight {
+		gain = 1 - math.Pow(1-gain, 1.0/fallSlowdown)
+	}
+	planner.costWeight += (wanted - planner.costWeight) * gain
 	if wanted == 0 && planner.costWeight < 0.01 {
 		planner.costWeight = 0
 	}
@@ -240,12 +252,12 @@
 			// upstreams of mean speed.
 			latest := max(next.target-next.run, 0)
 			arriving := planner.arrivals.cheaper(next.cost)
-			if !job.Started && planner.stretch(planner.timeline.earliest(), arriving) > latest {
+			if !job.Started && planner.stretch(planner.timeline.earliest(), arriving, onTimePersistence) > latest {
 				deferred = append(deferred, rank.index)
 				continue
 			}
 			start := planner.timeline.take(job.need())
-			if !job.Started && planner.stretch(start, arriving) > latest {
+			if !job.Started && planner.stretch(start, arriving, onTimePersistence) > latest {
 				planner.timeline.restore()
 				deferred = append(deferred, rank.index)
 				continue
@@ -312,10 +324,14 @@
 		return ""
 	}
 	arriving := planner.arrivals.cheaper(math.Inf(1))
-	if planner.stretch(planner.timeline.earliest(), arriving) > latest {
+	persistence := float64(onTimePersistence)
+	if next.class != classOnTime {
+		persistence = latePersistence
+	}
+	if planner.stretch(planner.timeline.earliest(), arriving, persistence) > latest {
 		return ReasonOverload
 	}
-	if planner.stretch(planner.timeline.take(job.need()), arriving) > latest {
+	if planner.stretch(planner.timeline.take(job.need()), arriving, persistence) > latest {
 		planner.timeline.restore()
 		return ReasonOverload
 	}
@@ -324,12 +340,12 @@
 }
 
 // stretch returns the wait for capacity while work that goes first arrives at a rate
-// relative to the capacity. An excess of work is expected to last as long as it has
-// lasted: the objectives absorb a short burst.
-func (planner *Planner) stretch(wait, arriving float64) float64 {
+// relative to the capacity. An excess of work is expected to last persistence times as
+// long as it has lasted: the objectives absorb a short burst.
+func (planner *Planner) stretch(wait, arriving, persistence float64) float64 {
 	if wait == 0 {
 		return 0
 	}
 	arriving *= arrivalCertainty
-	return min(wait/max(1-arriving, 1e-6), wait+arriving*planner.excess)
+	return min(wait/max(1-arriving, 1e-6), wait+arriving*persistence*planner.excess)
 }
--- a/shared/request/admission/statistics.go
+++ b/shared/request/admission/statistics.go
@@ -23,7 +23,7 @@
 	// shareTime is the time over which the served shares are smoothed.
 	shareTime = 2 * time.Second
 	// sharePrior is the number of jobs on time that a share starts with.
-	sharePrior = 5
+	sharePrior = 2
 	// minFactor and maxFactor bound the factor by which a badly served kind or failure
 	// domain is preferred, and a well served one is not.
 	minFactor = 0.4
