Entry VMs: a digest knows how long an excess has lasted

The planner's digest refuses only jobs that can't wait for the end of the excess. The test of the door sets it, and has a case with a short one.

--- a/shared/process/dispatcher/door_admission_test.go
+++ b/shared/process/dispatcher/door_admission_test.go
@@ -18,15 +18,17 @@
 	for _, test := range []struct {
 		name    string
 		age     time.Duration
+		excess  time.Duration
 		change  func(job *cell.Job)
 		refused bool
 	}{
-		{"fresh", 100 * time.Millisecond, func(*cell.Job) {}, true},
-		{"old", 1100 * time.Millisecond, func(*cell.Job) {}, false},
-		{"cheap job", 100 * time.Millisecond, func(job *cell.Job) { job.Steps[0].Count = 1 }, false},
-		{"other kind", 100 * time.Millisecond, func(job *cell.Job) { job.Kind = "other" }, false},
-		{"other service", 100 * time.Millisecond, func(job *cell.Job) { job.Service = "other" }, false},
-		{"sent again", 100 * time.Millisecond, func(job *cell.Job) { job.ResentAfter = time.Second }, false},
+		{"fresh", 100 * time.Millisecond, 2 * time.Second, func(*cell.Job) {}, true},
+		{"short excess", 100 * time.Millisecond, 200 * time.Millisecond, func(*cell.Job) {}, false},
+		{"old", 1100 * time.Millisecond, 2 * time.Second, func(*cell.Job) {}, false},
+		{"cheap job", 100 * time.Millisecond, 2 * time.Second, func(job *cell.Job) { job.Steps[0].Count = 1 }, false},
+		{"other kind", 100 * time.Millisecond, 2 * time.Second, func(job *cell.Job) { job.Kind = "other" }, false},
+		{"other service", 100 * time.Millisecond, 2 * time.Second, func(job *cell.Job) { job.Service = "other" }, false},
+		{"sent again", 100 * time.Millisecond, 2 * time.Second, func(job *cell.Job) { job.ResentAfter = time.Second }, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			loop := newEntryVMLoop(t)
@@ -45,6 +47,7 @@
 							MaxRetryAfter: 5 * time.Second,
 							DomainFactor:  1,
 							Full:          true,
+							Excess:        test.excess,
 							Kinds: []admission.KindDigest{{
 								Kind:   "quote",
 								Mean:   1,
--- a/shared/request/cell/admission_state.go
+++ b/shared/request/cell/admission_state.go
@@ -65,6 +65,10 @@
 	}
 	arrival := now.Add(-job.Age)
 	budget := job.LatencyBudget(ratio)
+	worthlessAt := arrival.Add(LateFactor * budget)
+	if deadline := now.Add(job.TimeLeft); deadline.Before(worthlessAt) {
+		worthlessAt = deadline
+	}
 	return admission.Job{
 		ID:          job.ID,
 		Kind:        job.Kind,
@@ -73,7 +77,7 @@
 		Priority:    job.Priority,
 		Arrival:     arrival,
 		Target:      arrival.Add(budget),
-		WorthlessAt: arrival.Add(LateFactor * budget),
+		WorthlessAt: worthlessAt,
 		Tasks:       tasks,
 		MilliCores:  milliCores / max(tasks, 1),
 		RunTime:     runTime,
