Peers are told of evacuations that were reversed between two reads

Cause: a process that read a change of the evacuations and its opposite at once (after a refusal by the store, or 410) saw the same domains as before, and kept the earlier position of the last change. A peer that had read the first change only, and that the store refuses since, was never told: it went on starting tasks in a domain that is evacuated again, or kept one evacuated that was taken back.

Result: TestPeersThatHaveHalfOfAChangeAreTold and TestDomainsOfPeersAreSorted failed before and pass.

--- a/shared/version/evacuation/state.go
+++ b/shared/version/evacuation/state.go
@@ -9,6 +9,10 @@
 	Position int64 `cbor:"1,keyasint" json:"position"`
 	// Domains holds the evacuated failure domains, sorted.
 	Domains []string `cbor:"2,keyasint,omitempty" json:"domains"`
+	// ChangedAt is the position after the last record that may have changed the domains,
+	// 0 if it is not known. Between two snapshots with the same domains, others may have
+	// been evacuated.
+	ChangedAt int64 `cbor:"3,keyasint,omitempty" json:"changed-at"`
 }
 
 // State is the newest Snapshot that a process knows. The zero State knows none. It is
@@ -33,6 +37,7 @@
 	if changed || state.snapshot.Position == 0 {
 		state.changedAt = snapshot.Position
 	}
+	state.changedAt = max(state.changedAt, min(snapshot.ChangedAt, snapshot.Position))
 	state.inUse = state.inUse || len(snapshot.Domains) > 0
 	state.snapshot = snapshot
 	return changed
@@ -43,6 +48,7 @@
 	// A peer that sends one has seen an evacuation. From then on this process reports
 	// its position, so that the peer learns of a newer snapshot.
 	state.inUse = true
+	snapshot.Domains = slices.Sorted(slices.Values(snapshot.Domains))
 	return state.AdoptRead(snapshot)
 }
 
@@ -72,6 +78,7 @@
 		return nil
 	}
 	snapshot := state.snapshot
+	snapshot.ChangedAt = state.changedAt
 	return &snapshot
 }
 
--- a/shared/version/evacuation/state_test.go
+++ b/shared/version/evacuation/state_test.go
@@ -52,3 +52,37 @@
 	assert.Assert(t, peer.AdoptReceived(*started.Snapshot()))
 	assert.Equal(t, len(peer.Domains()), 0)
 }
+
+// Guards against a peer that is never told of a change because this process read the
+// change and its opposite at once: the peer has only the first of them.
+func TestPeersThatHaveHalfOfAChangeAreTold(t *testing.T) {
+	for _, test := range []struct{ before, between []string }{
+		{before: nil, between: []string{"a"}},
+		{before: []string{"a"}, between: nil},
+	} {
+		var reader, peer evacuation.State
+		for _, state := range []*evacuation.State{&reader, &peer} {
+			state.AdoptReceived(snapshot(5, test.before...))
+		}
+		peer.AdoptRead(snapshot(7, test.between...))
+		both := snapshot(9, test.before...)
+		both.ChangedAt = 9
+		assert.Assert(t, !reader.AdoptRead(both))
+		assert.Assert(t, reader.NewerThan(peer.Position()))
+		assert.Assert(t, peer.AdoptReceived(*reader.Snapshot()))
+		assert.DeepEqual(t, peer.Domains(), reader.Domains())
+
+		var third evacuation.State
+		third.AdoptReceived(snapshot(5, test.before...))
+		third.AdoptReceived(*reader.Snapshot())
+		assert.Assert(t, third.NewerThan(7), "it tells others what it was told")
+	}
+}
+
+// Guards against an evacuation that is missed because a peer sends the domains in another
+// order.
+func TestDomainsOfPeersAreSorted(t *testing.T) {
+	var state evacuation.State
+	state.AdoptReceived(snapshot(5, "c", "b", "a"))
+	assert.Assert(t, state.Evacuated("a") && state.Evacuated("b") && state.Evacuated("c"))
+}
