--- a/soak/simulation/evacuations.go
+++ b/soak/simulation/evacuations.go
@@ -70,9 +70,11 @@
 	if evacuated {
 		evacuations.since[domain] = world.now
 	}
+	position := evacuations.history[len(evacuations.history)-1].Position + 1 + int64(world.random.IntN(3))
 	evacuations.history = append(evacuations.history, evacuation.Snapshot{
-		Position: evacuations.history[len(evacuations.history)-1].Position + 1 + int64(world.random.IntN(3)),
-		Domains:  slices.Sorted(maps.Keys(evacuations.since)),
+		Position:  position,
+		Domains:   slices.Sorted(maps.Keys(evacuations.since)),
+		ChangedAt: position,
 	})
 	for _, process := range world.processes {
 		if process.alive && evacuations.reachesLog(process) {
