Slow runs: no NaN with many slots, no loop over all upstreams

Cause: the probabilities were multiplied, one factor for each run on the upstream. With some 500 slots, of which a part is slow, both underflow to 0, and the upstream's slowdown becomes NaN for good (the state dump fails on it as well). And each report of a slow run counted the slow upstreams in a loop over all.

Change: logarithms are added; the slow upstreams are counted each tick, in the loop over all that measures their speeds.

Result: TestSlowRunsOnAnUpstreamWithManySlots failed before (NaN) and passes, as do the other tests of the package.

--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -44,6 +44,8 @@
 	mayHandOver bool
 	// topSpeeds holds the highest speed of an upstream by service.
 	topSpeeds map[string]float64
+	// slowUpstreams is the number of upstreams that were slow as of the last tick.
+	slowUpstreams int
 	// sortedAt is when waitingJobs was last sorted.
 	sortedAt time.Time
 	// bySpeed holds the upstreams by speed, the fastest first.
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -29,12 +29,14 @@
 // measureSpeeds updates the speeds of the upstreams and their order by speed.
 func (cell *Cell) measureSpeeds() {
 	clear(cell.topSpeeds)
+	cell.slowUpstreams = 0
 	for _, upstream := range cell.upstreamOrder {
 		upstream.speed = cell.config.Estimator.Speed(upstream.listing.ID)
 		// A slowdown within the spread of estimates is no evidence of a slow
 		// upstream.
 		if upstream.slowdown > slowdownTolerance {
 			upstream.speed /= upstream.slowdown
+			cell.slowUpstreams++
 		}
 		upstream.speed *= cell.warmShare(upstream)
 		if upstream.serves() {
--- a/shared/request/cell/slow_runs.go
+++ b/shared/request/cell/slow_runs.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// moveFactor is how many times longer the rest of a run must be than a new
@@ -59,9 +62,10 @@
 		return 0
 	}
 	longShare := min(cell.config.Estimator.ExceedShare(run.job.submitted.Kind, slowdownTolerance), maxTailShare)
-	slow := cell.slowUpstreamShare(run.upstream)
-	long := (1 - slow) * longShare
-	slow *= slowUpstreamSlowsRuns
+	slowShare := cell.slowUpstreamShare(run.upstream)
+	// The logarithms don't underflow, however many runs there are.
+	logSlow := math.Log(slowShare * slowUpstreamSlowsRuns)
+	logLong := math.Log((1 - slowShare) * longShare)
 	for _, other := range run.upstream.runs {
 		if other == run {
 			continue
@@ -70,14 +74,14 @@
 		switch {
 		case !known:
 		case otherRatio > slowdownTolerance:
-			slow *= slowUpstreamSlowsRuns
-			long *= longShare
+			logSlow += math.Log(slowUpstreamSlowsRuns)
+			logLong += math.Log(longShare)
 		default:
-			slow *= 1 - slowUpstreamSlowsRuns
-			long *= 1 - longShare
+			logSlow += math.Log(1 - slowUpstreamSlowsRuns)
+			logLong += math.Log(1 - longShare)
 		}
 	}
-	return slow / (slow + long)
+	return 1 / (1 + math.Exp(logLong-logSlow))
 }
 
 // slowUpstreamShare returns the probability that an upstream is slow by what is known of
@@ -87,13 +91,7 @@
 	if upstream.slowdown > slowdownTolerance {
 		return likelySlow
 	}
-	slow := 0
-	for _, candidate := range cell.upstreamOrder {
-		if candidate.slowdown > slowdownTolerance {
-			slow++
-		}
-	}
-	return min(max(float64(slow)/float64(max(len(cell.upstreamOrder), 1)), slowUpstreamPrior), likelySlow)
+	return min(max(float64(cell.slowUpstreams)/float64(max(len(cell.upstreamOrder), 1)), slowUpstreamPrior), likelySlow)
 }
 
 // progressRatio returns the ratio of the run time that a run's progress predicts to the
--- a/shared/request/cell/slow_runs_test.go
+++ b/shared/request/cell/slow_runs_test.go
@@ -88,3 +88,34 @@
 	assert.Equal(t, harness.cell.Counters().MovedInVain, int64(1))
 	assert.Equal(t, len(decisionsOf[cell.AnswerJob](harness.answerPoll(start.Order.Upstream, nil, endedRun(2, start.Run, cell.EndDone)))), 1)
 }
+
+// Guards against a slowdown that is no number, because probabilities are too small for a
+// float64: it would stay so, and the state could not be dumped.
+func TestSlowRunsOnAnUpstreamWithManySlots(t *testing.T) {
+	harness := newHarness(t)
+	large := testUpstream("u1")
+	large.Slots = 600
+	harness.list(large)
+	harness.answerFrom(1, nil)
+	job := testJob("j", 600)
+	job.Steps[0].Need = cell.Resources{
+		MilliCores: 1,
+	}
+	job.Objective = 3 * time.Second
+	job.TimeLeft = 10 * time.Second
+	starts := harness.submit(job)
+	assert.Equal(t, len(starts), 600)
+	for _, start := range starts {
+		harness.confirm(start)
+	}
+	harness.now = harness.now.Add(100 * time.Millisecond)
+	var running []cell.RunningRun
+	for number, start := range starts[1:] {
+		running = append(running, runningRuns(start.Run, 10+80*(number%2))...)
+	}
+	harness.answerPoll("u1", append(running, runningRuns(starts[0].Run, 10)...))
+	harness.now = harness.now.Add(200 * time.Millisecond)
+	harness.answerPoll("u1", running, endedRun(1, starts[0].Run, cell.EndDone))
+	slowdown := harness.cell.Dump().Upstreams[0].Slowdown
+	assert.Assert(t, slowdown >= 1, "%v", slowdown)
+}
