--- a/shared/process/dispatcher/estimates_test.go
+++ b/shared/process/dispatcher/estimates_test.go
@@ -75,3 +75,21 @@
 	assert.Assert(t, successor.Adopt(*digests[0], 0, scheduler.knownIncarnations()))
 	assert.Assert(t, math.Abs(successor.Ratio("quote")-3) < 0.2)
 }
+
+// Guards against a successor that trusts what it learned from the scheduler long before it
+// takes over as if it were new.
+func TestInheritedEstimatesAge(t *testing.T) {
+	ratioAfter := func(age time.Duration) float64 {
+		loop := newEntryVMLoop(t)
+		loop.leader = entryVMAddress
+		loop.receive(link.Message{
+			Estimates: digestOf(loop, 3),
+		})
+		loop.now = loop.now.Add(age)
+		loop.startScheduling()
+		loop.estimator.Observe("quote", "u1", 100, 100)
+		return loop.estimator.Ratio("quote")
+	}
+	fresh, old := ratioAfter(0), ratioAfter(10*time.Minute)
+	assert.Assert(t, fresh > 2.5 && old < 2, "%.2f after a fresh digest, %.2f after an old one", fresh, old)
+}
--- a/shared/process/dispatcher/evacuated_orders_test.go
+++ b/shared/process/dispatcher/evacuated_orders_test.go
@@ -16,6 +16,8 @@
 // and refuses its starts after the evacuation was taken back.
 func TestRelayRefusesStartsInEvacuatedDomains(t *testing.T) {
 	loop := newEntryVMLoop(t)
+	sent := make(sentMessages)
+	loop.dispatcher.links = sent
 	executed := 0
 	loop.dispatcher.execute = func(relay.Order, func(cell.Event)) { executed++ }
 	var upstreams []cell.Upstream
@@ -46,6 +48,7 @@
 	}
 	loop.executeRelayedOrders(schedulerAddress, 1, []relay.Order{start("u1"), start("u2"), poll})
 	assert.Equal(t, executed, 2)
+	assert.Equal(t, len(sent.evacuations(schedulerAddress)), 1, "the scheduler is told")
 	replies := loop.queuedReplies[remoteScheduler{
 		address:     schedulerAddress,
 		incarnation: 1,
@@ -63,3 +66,33 @@
 	loop.executeRelayedOrders(schedulerAddress, 1, []relay.Order{start("u1")})
 	assert.Equal(t, executed, 3)
 }
+
+// evacuations returns the snapshots that were sent to an address.
+func (sent sentMessages) evacuations(address string) []evacuation.Snapshot {
+	var snapshots []evacuation.Snapshot
+	for _, message := range sent[address] {
+		if message.Evacuations != nil {
+			snapshots = append(snapshots, *message.Evacuations)
+		}
+	}
+	return snapshots
+}
+
+// Guards against a process that has started and schedules before it is told of an
+// evacuation, and against peers that are told while they may read it themselves.
+func TestStartedPeerIsToldOfEvacuationsAtOnce(t *testing.T) {
+	loop := newEntryVMLoop(t)
+	sent := make(sentMessages)
+	loop.dispatcher.links = sent
+	loop.receiveHeartbeat()
+	loop.evacuations.AdoptRead(evacuation.Snapshot{
+		Position: 7,
+		Domains:  []string{"a"},
+	})
+	loop.receiveHeartbeat()
+	assert.Equal(t, len(sent.evacuations(entryVMAddress)), 0)
+	restarted := heartbeatTo(loop.view.Self().Address)
+	restarted.Heartbeat.Member.Incarnation++
+	loop.receive(restarted)
+	assert.Equal(t, len(sent.evacuations(entryVMAddress)), 1)
+}
--- a/shared/version/region/view_test.go
+++ b/shared/version/region/view_test.go
@@ -405,3 +405,27 @@
 	view.Advance(now.Add(800*time.Millisecond), 0)
 	assert.Assert(t, view.Live(peer), "an older heartbeat that arrives later changes nothing")
 }
+
+// Guards against estimates that are lost with the scheduler's failure domain, or when another
+// domain is cut off, because the processes that would schedule next lie in one domain.
+func TestSuccessorsCoverAllDomains(t *testing.T) {
+	network := newNetwork(9)
+	network.run(10)
+	scheduler := network.views[0]
+	successors := scheduler.Successors(1)
+	domains := make(map[string]int)
+	for _, address := range successors {
+		for number := range network.views {
+			if member(number).Address == address {
+				domains[member(number).Domain]++
+			}
+		}
+	}
+	assert.DeepEqual(t, domains, map[string]int{
+		"domain-0": 1,
+		"domain-1": 1,
+		"domain-2": 1,
+	})
+	assert.Assert(t, len(scheduler.Successors(5)) >= 5)
+	assert.Equal(t, scheduler.Successors(1)[0], scheduler.Successors(5)[0])
+}
