Jobs whose attempts were refused don't wait in an evacuated domain

Cause: jobs with an attempt on its way when their domain was evacuated were left to their deadline, also if the upstreams refused all of these attempts, so that nothing of the job ran or could run.

Change: when the last attempt turns out not to have started, the job is refused as evacuated.

Result: TestJobWhoseAttemptsAreRefusedDoesNotWait failed before (no answer) and passes, as do the other tests of the package. TestEvacuatedDomainStartsNothing only shares its function.

--- a/shared/request/dispatch/rules.go
+++ b/shared/request/dispatch/rules.go
@@ -66,12 +66,12 @@
 	core.mayPlace = true
 }
 
-// refuseWaiting refuses the jobs of which no attempt was made. Jobs with attempts, and
-// tasks of theirs that wait, go on until their deadline.
+// refuseWaiting refuses the jobs that wait although nothing of them was started. Jobs with
+// attempts go on; if all attempts turn out not to have started, they are refused then.
 func (core *Core) refuseWaiting() {
 	var waiting []*jobState
 	for _, acceptedJob := range core.jobs {
-		if !acceptedJob.started && !acceptedJob.ambiguous && acceptedJob.unsettledAttempts == 0 {
+		if acceptedJob.waitsUnstarted() {
 			waiting = append(waiting, acceptedJob)
 		}
 	}
@@ -83,6 +83,11 @@
 	}
 }
 
+// waitsUnstarted reports whether nothing of a job was started or is being started.
+func (acceptedJob *jobState) waitsUnstarted() bool {
+	return !acceptedJob.started && !acceptedJob.ambiguous && acceptedJob.unsettledAttempts == 0
+}
+
 // evacuatedDetail explains ReasonEvacuated to people.
 const evacuatedDetail = "operators have evacuated the failure domain"
 
--- a/shared/request/dispatch/tasks.go
+++ b/shared/request/dispatch/tasks.go
@@ -312,6 +312,9 @@
 		return
 	}
 	core.scheduleRetry(task)
+	if core.evacuated && acceptedJob.waitsUnstarted() {
+		core.close(acceptedJob, job.ReasonEvacuated, evacuatedDetail)
+	}
 }
 
 // settle frees the slot of an attempt whose outcome is decided.
