Cold upstreams: a limit of very few starts a second holds; test of predictions in evacuations

Cause: the time between two starts was converted to a Duration before it was bounded, and overflows for less than one start in 292 years, so that there was no limit. Found by reading; no platform sends such a figure today.

Change: it is bounded first.

Result: TestVeryFewStartsAtAColdUpstream failed before (6 starts in place of 1) and passes. TestPredictionsLeaveEvacuatedUpstreamsOut passes on the code as it was; no test failed when evacuated upstreams counted in the highest speed or in the backlog.

--- a/shared/request/cell/evacuation_test.go
+++ b/shared/request/cell/evacuation_test.go
@@ -59,6 +59,46 @@
 	assert.Equal(t, starts[0].Order.Upstream, "a")
 }
 
+// Guards against predictions that count on evacuated upstreams: a job is kept that only they
+// could serve in time, and callers are told to come back too early.
+func TestPredictionsLeaveEvacuatedUpstreamsOut(t *testing.T) {
+	for _, test := range []struct {
+		evacuated []string
+		refused   bool
+		minRetry  time.Duration
+	}{
+		{evacuated: nil, refused: false},
+		{evacuated: []string{"a"}, refused: true, minRetry: 2 * time.Second},
+	} {
+		harness := newHarness(t)
+		harness.warmUp.Duration = time.Hour
+		harness.cell = harness.newCell()
+		slow := testUpstream("b")
+		slow.Domain = "b"
+		slow.ColdUntil = harness.now.Add(time.Hour)
+		for _, poll := range decisionsOf[cell.Poll](harness.handle(cell.UpstreamsListed{
+			Upstreams: []cell.Upstream{testUpstream("a"), slow},
+		})) {
+			harness.handle(harness.pollReply(poll, nil, nil))
+		}
+		harness.evacuate(test.evacuated...)
+		long := testJob("long", 30)
+		long.Objective = 3 * time.Second
+		long.TimeLeft = 10 * time.Second
+		harness.submit(long)
+		urgent := testJob("urgent", 1)
+		urgent.Stretch = 0.1
+		urgent.Objective = 30 * time.Millisecond
+		harness.submit(urgent)
+		answers := decisionsOf[cell.AnswerJob](harness.advance(5 * time.Millisecond))
+		assert.Equal(t, len(answers) == 1, test.refused)
+		if test.refused {
+			assert.Equal(t, answers[0].Answer.ID, "urgent")
+			assert.Assert(t, answers[0].Answer.RetryAfter > test.minRetry, "%v", answers[0].Answer.RetryAfter)
+		}
+	}
+}
+
 // Guards against the ejection of all upstreams that serve, because evacuated ones count
 // among those of which a third may be ejected.
 func TestEvacuatedUpstreamsDoNotAllowEjections(t *testing.T) {
--- a/shared/request/cell/warm_up.go
+++ b/shared/request/cell/warm_up.go
@@ -37,7 +37,8 @@
 	if !cold || warmUp.StartsPerSecond <= 0 {
 		return
 	}
-	spacing := time.Duration(float64(time.Second) / warmUp.StartsPerSecond)
 	// The limit ends with the warm-up.
-	run.upstream.nextColdStartAt = cell.now.Add(min(spacing, run.upstream.listing.ColdUntil.Sub(cell.now)))
+	left := run.upstream.listing.ColdUntil.Sub(cell.now)
+	spacing := min(float64(time.Second)/warmUp.StartsPerSecond, float64(left))
+	run.upstream.nextColdStartAt = cell.now.Add(time.Duration(spacing))
 }
--- a/shared/request/cell/warm_up_test.go
+++ b/shared/request/cell/warm_up_test.go
@@ -66,6 +66,16 @@
 	assert.Equal(t, len(harness.submit(small)), 6, "two of the 8 slots are used")
 }
 
+// Guards against a limit of very few starts that counts as none, because the time between
+// two of them is longer than a Duration can hold.
+func TestVeryFewStartsAtAColdUpstream(t *testing.T) {
+	harness := newColdHarness(t)
+	harness.warmUp.StartsPerSecond = 1e-10
+	small := testJob("small", 6)
+	small.Steps[0].Need.MilliCores = 1000
+	assert.Equal(t, len(harness.submit(small)), 1)
+}
+
 // Guards against an upstream that is cold without saying so, as after an evacuation, and
 // that gets further tasks while others are free.
 func TestUnknownColdUpstreamIsFoundByItsSpeed(t *testing.T) {
