Late jobs are not held back by jobs that wait for a faster upstream

Cause: placement stops after 32 jobs without success. Jobs that can meet their objective come first and wait on purpose for a fast upstream; from 33 such jobs on, the late ones behind them, which may use any upstream, were never tried and were refused in the end. Upstreams that count as slow stay idle, so that they never show that they are fast again: in a trial without a network (24 upstreams of 4 runs, 264 jobs/s of 200 ms, 3% of them 7 times as long, load 0.65, 3 upstreams three times slower from 40 s on) 8 to 16 runs were left in the last 12 s, with 250 jobs waiting.

Change: when the first 32 are unplaced, the late jobs are tried as well, up to 32 of them without success.

Result: TestLateJobsAreNotHeldBackByJobsThatWait failed before (no start) and passes. BenchmarkTask is the same within its noise (48, 350, 1,000 upstreams: 12.5, 29.1, 70.7 us before, 12.8, 32.4, 72.9 after). An event with 5,000 jobs waiting that no upstream of 1,000 fits: 0.31 ms before, 0.52 after.

--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -103,18 +103,25 @@
 		cell.sortedAt = cell.now
 		cell.sortWaiting()
 	}
-	unplaced := 0
-	for _, job := range cell.waitingJobs {
-		if cell.placeJob(job, usable, muchIdle) {
+	triedLate := false
+	for next, unplaced := 0, 0; next < len(cell.waitingJobs) && len(usable) > 0; next++ {
+		if cell.placeJob(cell.waitingJobs[next], usable, muchIdle) {
 			usable = slices.DeleteFunc(usable, func(upstream *upstreamState) bool {
 				return upstream.free.MilliCores < smallestNeed || !cell.acceptsTasks(upstream)
 			})
-		} else {
-			unplaced++
+			continue
+		}
+		unplaced++
+		if unplaced < maxUnplacedJobs {
+			continue
 		}
-		if len(usable) == 0 || unplaced >= maxUnplacedJobs {
+		if triedLate {
 			break
 		}
+		// Jobs that can meet their objective may wait for faster upstreams, while late
+		// ones use any.
+		triedLate, unplaced = true, 0
+		next = max(next, cell.firstLateJob()-1)
 	}
 	cell.dropPlacedJobs()
 }
@@ -126,10 +133,16 @@
 	sortInterval = 5 * time.Millisecond
 	// maxUnplacedJobs bounds the jobs that are tried without success, because
 	// they need upstreams that are not free, before the rest waits for the next
-	// change.
+	// change. It holds for jobs that can meet their objective and for late ones.
 	maxUnplacedJobs = 32
 )
 
+// firstLateJob returns the index of the first waiting job that can't meet its objective, or
+// the number of waiting jobs. Jobs that were added since the last sort are not searched.
+func (cell *Cell) firstLateJob() int {
+	return sort.Search(len(cell.waitingJobs), func(i int) bool { return cell.rankJob(cell.waitingJobs[i]).class != classOnTime })
+}
+
 // smallestNeed returns the cores of the smallest waiting task, in thousandths.
 func (cell *Cell) smallestNeed() int {
 	smallest := math.MaxInt
