--- a/shared/request/dispatch/rules.go
+++ b/shared/request/dispatch/rules.go
@@ -84,8 +84,8 @@
 }
 
 // waitsUnstarted reports whether nothing of a job was started or is being started.
-func (acceptedJob *jobState) waitsUnstarted() bool {
-	return !acceptedJob.started && !acceptedJob.ambiguous && acceptedJob.unsettledAttempts == 0
+func (jobState *jobState) waitsUnstarted() bool {
+	return !jobState.started && !jobState.ambiguous && jobState.unsettledAttempts == 0
 }
 
 // evacuatedDetail explains ReasonEvacuated to people.
