--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -233,7 +233,7 @@
 		heartbeat.RoutesVersion = loop.routes.Version
 	}
 	if withMembers {
-		heartbeat.Members = loop.view.Introductions()
+		heartbeat.Members, heartbeat.ListsUnheard = loop.view.Introductions()
 		if !loop.view.InCell(address) {
 			heartbeat.Members = loop.view.Roster()
 		}
@@ -241,6 +241,7 @@
 	if loop.cell != nil {
 		heartbeat.PendingJobs = loop.regionPending()
 		heartbeat.UpstreamSet = loop.knownUpstreams.current
+		heartbeat.Admission = loop.cell.AdmissionStates()
 	}
 	loop.send(address, link.Message{
 		Heartbeat: &heartbeat,
--- a/shared/process/dispatcher/load_monitor.go
+++ b/shared/process/dispatcher/load_monitor.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tanagerfall/shared/process/logevent"
 	"tanagerfall/shared/request/cell"
 )
@@ -37,6 +35,10 @@
 	// starts may take at most before the shed share rises, whatever they take at
 	// best.
 	maxSlackShare = 0.6
+	// minSlackShare is the share of the tightest slack that starts may take before the shed
+	// share rises, however long they take at best. On a busy machine, starts of 25 ms made
+	// a scheduler refuse jobs that had 1.6 s beside their run and free upstreams.
+	minSlackShare = 0.05
 	// baseSettleStarts is the number of starts after which the average counts as
 	// a start time of this process.
 	baseSettleStarts = 60
@@ -52,6 +54,9 @@
 	shedIncrease = 0.08
 	shedDecrease = 0.02
 	maxShedShare = 0.8
+	// idleDecay is the part by which the average start time approaches the best one with
+	// each update in which nothing waits and nothing starts.
+	idleDecay = 0.4
 	// fastShedDecrease is the step down while the average start time is at most
 	// half of the limit for shedding. With 0.02, a region took 10 s after a restart until it
 	// served all jobs again.
@@ -73,6 +78,8 @@
 	// shedShare is the share of new jobs to shed.
 	shedShare     float64
 	shedUpdatedAt time.Time
+	// isIdle is set while no job waits for a start.
+	isIdle bool
 	// starts counts the starts since shedUpdatedAt.
 	starts int
 	// startRate is the smoothed number of starts per second before shedUpdatedAt.
@@ -109,6 +116,7 @@
 	limit := baseFactor * loadMonitor.baseStartTime
 	if loadMonitor.slack > 0 {
 		limit = min(limit, time.Duration(maxSlackShare*float64(loadMonitor.slack)))
+		limit = max(limit, time.Duration(minSlackShare*float64(loadMonitor.slack)))
 	}
 	return max(minShedStartTime, limit)
 }
@@ -158,6 +166,10 @@
 	if elapsed < shedUpdateInterval {
 		return
 	}
+	if loadMonitor.isIdle && loadMonitor.starts == 0 {
+		excess := loadMonitor.averageStartTime - loadMonitor.baseStartTime
+		loadMonitor.averageStartTime -= time.Duration(idleDecay * float64(excess))
+	}
 	loadMonitor.startRate += startRateGain * (float64(loadMonitor.starts)/elapsed.Seconds() - loadMonitor.startRate)
 	loadMonitor.starts = 0
 	loadMonitor.shedUpdatedAt = now
@@ -188,10 +200,3 @@
 	}
 	loadMonitor.baseStartTime = grown
 }
-
-// shouldShed reports whether a job is among the share of jobs to shed. The result
-// depends only on the ID and the share, so that retries of a job at the same share
-// get the same result.
-func shouldShed(id string, share float64) bool {
-	return share > 0 && float64(xxhash.Sum64String(id)>>11)/(1<<53) < share
-}
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -57,6 +57,7 @@
 		KnowsUpstreams: func(sets []uint64) bool { return loop.knownUpstreams.covers(loop.now, sets) },
 		Limits:         loop.options.Limits,
 	})
+	loop.overloaded = make(map[string]bool)
 	loop.loadMonitor = loadMonitor{
 		schedulingSince: loop.now,
 		shedUpdatedAt:   loop.now,
@@ -198,7 +199,9 @@
 				Poll: &decision,
 			})
 		case cell.AnswerJob:
-			loop.sendAnswer(decision)
+			if !loop.redirectRefused(decision) {
+				loop.sendAnswer(decision)
+			}
 		case cell.UpstreamChanged:
 			loop.log(logevent.UpstreamState, "upstream", decision.Upstream, "state", decision.State, "reason", decision.Reason)
 		case cell.RunLost:
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -1,10 +1,7 @@
 package cell
 
 import (
-	"cmp"
-	"math"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -43,34 +40,7 @@
 			cell.topSpeeds[upstream.listing.Service] = max(cell.topSpeeds[upstream.listing.Service], upstream.speed)
 		}
 	}
-	cell.bySpeed = append(cell.bySpeed[:0], cell.upstreamOrder...)
-	slices.SortStableFunc(cell.bySpeed, func(a, b *upstreamState) int { return cmp.Compare(b.speed, a.speed) })
-}
-
-// backlogTime returns how long the upstreams of a service need for the waiting
-// tasks.
-func (cell *Cell) backlogTime(service string) time.Duration {
-	cores, work := 0.0, 0.0
-	for _, upstream := range cell.upstreamOrder {
-		if upstream.listing.Service == service && upstream.serves() {
-			cores += float64(upstream.listing.Capacity.MilliCores) * upstream.speed
-		}
-	}
-	if cores == 0 {
-		return cell.config.Limits.MaxRetryAfter
-	}
-	for _, job := range cell.waitingJobs {
-		if job.submitted.Service != service {
-			continue
-		}
-		for _, task := range job.tasks {
-			if task.status == taskWaiting {
-				step := job.submitted.Steps[task.name.Step]
-				work += float64(job.predictRunTime(step.Estimate, 1)) * float64(step.Need.MilliCores)
-			}
-		}
-	}
-	return time.Duration(work / cores)
+	cell.indexUpstreams()
 }
 
 // acceptsTasks reports whether an upstream may get new tasks.
@@ -94,85 +64,48 @@
 	if len(cell.waitingJobs) == 0 {
 		return
 	}
-	smallestNeed := cell.smallestNeed()
-	usable, muchIdle := cell.usableUpstreams(smallestNeed)
-	if len(usable) == 0 {
-		return
-	}
-	if cell.now.Sub(cell.sortedAt) >= sortInterval {
-		cell.sortedAt = cell.now
-		cell.sortWaiting()
+	if cell.planDue() {
+		cell.plannedAt = cell.now
+		cell.planWaiting()
 	}
-	triedLate := false
-	for next, unplaced := 0, 0; next < len(cell.waitingJobs) && len(usable) > 0; next++ {
-		if cell.placeJob(cell.waitingJobs[next], usable, muchIdle) {
-			usable = slices.DeleteFunc(usable, func(upstream *upstreamState) bool {
-				return upstream.free.MilliCores < smallestNeed || !cell.acceptsTasks(upstream)
-			})
-			continue
-		}
-		unplaced++
-		if unplaced < maxUnplacedJobs {
-			continue
-		}
-		if triedLate {
+	muchIdle := cell.muchIdle()
+	unplaced := 0
+	for _, job := range cell.waitingJobs {
+		if unplaced >= maxUnplacedJobs {
 			break
 		}
-		// Jobs that can meet their objective may wait for faster upstreams, while late
-		// ones use any.
-		triedLate, unplaced = true, 0
-		next = max(next, cell.firstLateJob()-1)
+		if !job.held && !cell.placeJob(job, muchIdle) {
+			unplaced++
+		}
 	}
+	cell.refuseJobs(muchIdle)
+	cell.releaseReservations(0)
 	cell.dropPlacedJobs()
 }
 
+// planDue reports whether a round of planning is due. A single job needs none while much
+// capacity is idle.
+func (cell *Cell) planDue() bool {
+	if len(cell.waitingJobs) == 1 && cell.muchIdle() && !cell.servicePlan(cell.waitingJobs[0].submitted.Service).overloaded {
+		return false
+	}
+	return cell.now.Sub(cell.plannedAt) >= planInterval*time.Duration(1+len(cell.waitingJobs)/jobsPerInterval)
+}
+
 const (
-	// sortInterval spaces the sorting of the waiting jobs. Slack changes little
-	// within it, and sorting hundreds of jobs at each event took the whole
-	// processor.
-	sortInterval = 5 * time.Millisecond
+	// planInterval spaces the rounds in which the waiting jobs are ordered. Slack
+	// changes little within it, and sorting hundreds of jobs at each event took the
+	// whole processor.
+	planInterval = 5 * time.Millisecond
+	// jobsPerInterval is the number of waiting jobs with which the interval is twice as
+	// long. A round takes 3 ms at 5,000 waiting jobs.
+	jobsPerInterval = 500
 	// maxUnplacedJobs bounds the jobs that are tried without success, because
 	// they need upstreams that are not free, before the rest waits for the next
-	// change. It holds for jobs that can meet their objective and for late ones.
+	// change.
 	maxUnplacedJobs = 32
 )
 
-// firstLateJob returns the index of the first waiting job that can't meet its objective, or
-// the number of waiting jobs. Jobs that were added since the last sort are not searched.
-func (cell *Cell) firstLateJob() int {
-	return sort.Search(len(cell.waitingJobs), func(i int) bool { return cell.rankJob(cell.waitingJobs[i]).class != classOnTime })
-}
-
-// smallestNeed returns the cores of the smallest waiting task, in thousandths.
-func (cell *Cell) smallestNeed() int {
-	smallest := math.MaxInt
-	for _, job := range cell.waitingJobs {
-		for i := range job.submitted.Steps {
-			smallest = min(smallest, job.submitted.Steps[i].Need.MilliCores)
-		}
-	}
-	return smallest
-}
-
-// usableUpstreams returns the upstreams that may get new tasks and have enough
-// free cores for the smallest, and whether more than IdleShare of the cores of
-// open upstreams is free.
-func (cell *Cell) usableUpstreams(smallestNeed int) ([]*upstreamState, bool) {
-	usable := cell.usableBuffer[:0]
-	free, total := 0, 0
-	for _, upstream := range cell.bySpeed {
-		if upstream.serves() {
-			total += upstream.listing.Capacity.MilliCores
-			free += max(upstream.free.MilliCores, 0)
-		}
-		if upstream.free.MilliCores >= smallestNeed && cell.acceptsTasks(upstream) {
-			usable = append(usable, upstream)
-		}
-	}
-	cell.usableBuffer = usable
-	return usable, float64(free) > cell.config.Limits.IdleShare*float64(total)
-}
-
 func (cell *Cell) dropPlacedJobs() {
 	cell.waitingJobs = slices.DeleteFunc(cell.waitingJobs, func(job *jobState) bool {
 		job.inWaitingJobs = job.waitingTasks > 0
@@ -180,79 +113,22 @@
 	})
 }
 
-// Classes of waiting jobs, in the order in which they get upstreams.
-const (
-	// classOnTime is for jobs that can meet their objective.
-	classOnTime = iota
-	// classLate is for jobs that can't meet their objective.
-	classLate
-	// classWorthless is for jobs whose answer will have no value to the caller.
-	classWorthless
-)
-
-// rankedJob is a waiting job with its sort keys.
-type rankedJob struct {
-	job   *jobState
-	class int
-	// orderTime orders the jobs of a class: the latest time for a start that
-	// meets the objective, or the arrival.
-	orderTime time.Time
-}
-
-// sortWaiting sorts the waiting jobs by class. Within classOnTime the job with
-// the least slack to its objective goes first, within the others the earliest
-// arrival.
-func (cell *Cell) sortWaiting() {
-	rankedJobs := cell.rankedBuffer[:0]
-	for _, job := range cell.waitingJobs {
-		rankedJobs = append(rankedJobs, cell.rankJob(job))
-	}
-	cell.rankedBuffer = rankedJobs
-	slices.SortStableFunc(rankedJobs, compareRankedJobs)
-	for i := range rankedJobs {
-		cell.waitingJobs[i] = rankedJobs[i].job
-	}
-}
-
-func compareRankedJobs(a, b rankedJob) int {
-	if a.class != b.class {
-		return a.class - b.class
-	}
-	return a.orderTime.Compare(b.orderTime)
-}
-
-func (cell *Cell) rankJob(job *jobState) rankedJob {
-	ranking := rankedJob{
-		job:       job,
-		orderTime: job.arrival,
-	}
-	predicted := job.predictRunTime(job.chainEstimate, cell.fastestSpeed(job.submitted.Service))
-	finishAt := cell.now.Add(predicted)
-	switch {
-	case !finishAt.After(job.target):
-		ranking.class = classOnTime
-		ranking.orderTime = job.target.Add(-predicted)
-	case !finishAt.After(job.worthlessAt):
-		ranking.class = classLate
-	default:
-		ranking.class = classWorthless
-	}
-	return ranking
-}
-
 // placeJob starts the waiting tasks of one job as far as capacity allows, and
 // reports whether it started any. muchIdle is set if more than IdleShare of the
-// cores is free.
-func (cell *Cell) placeJob(job *jobState, usable []*upstreamState, muchIdle bool) bool {
+// cores is free. While its service is overloaded, a job starts whole or not at all.
+func (cell *Cell) placeJob(job *jobState, muchIdle bool) bool {
 	if !cell.mayStartTasks(job) {
 		return false
 	}
+	if cell.startsWhole(job) {
+		return cell.placeWhole(job, muchIdle)
+	}
 	started := false
 	for _, task := range job.tasks {
 		if task.status != taskWaiting || cell.liveRuns[task.name] > 0 {
 			continue
 		}
-		upstream := cell.chooseUpstream(job, task, usable, muchIdle)
+		upstream := cell.chooseUpstream(job, task, muchIdle)
 		if upstream == nil {
 			// The other tasks of the step have the same needs.
 			if len(job.submitted.Steps) == 1 {
@@ -269,30 +145,38 @@
 // chooseUpstream returns the upstream for a task: the slowest one that meets
 // the objective, or the fastest one if much capacity is idle or none meets it.
 // It returns nil if no upstream has capacity, or if the task should wait for a
-// faster one. The usable upstreams are sorted by speed, the fastest first.
-func (cell *Cell) chooseUpstream(job *jobState, task *taskState, usable []*upstreamState, muchIdle bool) *upstreamState {
+// faster one and can.
+func (cell *Cell) chooseUpstream(job *jobState, task *taskState, muchIdle bool) *upstreamState {
+	index, known := cell.indexes[job.submitted.Service]
+	if !known {
+		return nil
+	}
 	step := &job.submitted.Steps[task.name.Step]
-	fastEnough := cell.countFastEnough(job, step, usable)
+	need := step.Need.MilliCores
+	fastEnough := index.countFastEnough(job, step, cell.now)
 	if muchIdle {
-		for _, upstream := range usable[:fastEnough] {
-			if cell.suitable(upstream, job, task, step) {
-				return upstream
+		for i := index.next(0, need); i >= 0 && i < fastEnough; i = index.next(i+1, need) {
+			if cell.suitable(index.bySpeed[i], job, task, step) {
+				return index.bySpeed[i]
 			}
 		}
 	} else {
-		for i := fastEnough - 1; i >= 0; i-- {
-			if cell.suitable(usable[i], job, task, step) {
-				return usable[i]
+		for i := index.previous(fastEnough-1, need); i >= 0; i = index.previous(i-1, need) {
+			if cell.suitable(index.bySpeed[i], job, task, step) {
+				return index.bySpeed[i]
 			}
 		}
 	}
 	earliestFinish := cell.now.Add(job.predictRunTime(step.Estimate, cell.fastestSpeed(job.submitted.Service)))
-	if earliestFinish.Before(job.target) {
+	if earliestFinish.Before(job.target) && !job.lastChance {
 		return nil
 	}
-	for _, upstream := range usable[fastEnough:] {
-		if cell.suitable(upstream, job, task, step) {
-			return upstream
+	for i := index.next(fastEnough, need); i >= 0; i = index.next(i+1, need) {
+		if cell.suitable(index.bySpeed[i], job, task, step) {
+			if cell.endsUseless(job, step, index.bySpeed[i]) {
+				return nil
+			}
+			return index.bySpeed[i]
 		}
 	}
 	return nil
@@ -300,21 +184,17 @@
 
 // countFastEnough returns the number of upstreams, from the fastest on, on
 // which a task meets its job's objective.
-func (cell *Cell) countFastEnough(job *jobState, step *Step, usable []*upstreamState) int {
-	timeLeft := float64(job.target.Sub(cell.now))
+func (index *speedIndex) countFastEnough(job *jobState, step *Step, now time.Time) int {
+	timeLeft := float64(job.target.Sub(now))
 	if timeLeft <= 0 {
 		return 0
 	}
-	minSpeed := job.ratio * float64(step.Estimate) / timeLeft
-	return sort.Search(len(usable), func(i int) bool { return usable[i].speed < minSpeed })
+	return index.fastEnough(job.ratio * float64(step.Estimate) / timeLeft)
 }
 
 // suitable reports whether a task may run on an upstream.
 func (cell *Cell) suitable(upstream *upstreamState, job *jobState, task *taskState, step *Step) bool {
-	if upstream.listing.Service != job.submitted.Service || upstream.usedSlots >= upstream.listing.Slots || !upstream.free.fits(step.Need) {
-		return false
-	}
-	if (upstream.probing && upstream.usedSlots > 0) || upstream.nextColdStartAt.After(cell.now) {
+	if !cell.acceptsTasks(upstream) || !upstream.free.fits(step.Need) {
 		return false
 	}
 	if task.failures > 0 && (upstream.consecutiveFailures > 0 || upstream.probing || upstream.listing.ID == task.avoidedUpstream) {
@@ -323,7 +203,7 @@
 	if !cell.entryAllows(upstream, step) {
 		return false
 	}
-	return step.MaxPerUpstream <= 0 || upstream.countStepTasks(task.name) < step.MaxPerUpstream
+	return step.MaxPerUpstream <= 0 || upstream.countStepTasks(task.name)+cell.countReserved(upstream, task.name) < step.MaxPerUpstream
 }
 
 // countStepTasks returns how many tasks of the named task's step run on the
