--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -44,6 +44,8 @@
 	mayHandOver bool
 	// topSpeeds holds the highest speed of an upstream by service.
 	topSpeeds map[string]float64
+	// slowUpstreams is the number of upstreams that were slow as of the last tick.
+	slowUpstreams int
 	// plans holds the decisions about waiting jobs by service, and planOrder the same in
 	// the order of their first job. plannedAt is the time of the last round.
 	plans     map[string]*servicePlan
