Cell: an upstream that counts as slow is tried again after a pause

Change: after 2 s without a run its slowdown falls to the limit from which it counts. The new test fails without the change.

--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -28,6 +28,7 @@
 	clear(cell.topSpeeds)
 	cell.slowUpstreams = 0
 	for _, upstream := range cell.upstreamOrder {
+		upstream.forgetSlowdown(cell.now)
 		upstream.speed = cell.config.Estimator.Speed(upstream.listing.ID)
 		// A slowdown within the spread of estimates is no evidence of a slow
 		// upstream.
--- a/shared/request/cell/slow_runs.go
+++ b/shared/request/cell/slow_runs.go
@@ -17,6 +17,10 @@
 	// likelySlow is the probability above which a slow run counts against its
 	// upstream while it goes on.
 	likelySlow = 0.5
+	// idleSlowdownTime is how long an upstream that counts as slow must be idle before it
+	// is tried again. Only runs change its slowdown, and while others are idle it gets
+	// none.
+	idleSlowdownTime = 2 * time.Second
 	// slowUpstreamSlowsRuns is the probability that a run on a slow upstream is slow
 	// itself.
 	slowUpstreamSlowsRuns = 0.95
@@ -114,3 +118,11 @@
 	run.task.longerThanExpected = true
 	cell.counters.MovedInVain++
 }
+
+// forgetSlowdown lets an upstream that counted as slow, and has been idle since, get a run
+// that shows whether it still is.
+func (upstream *upstreamState) forgetSlowdown(now time.Time) {
+	if upstream.slowdown > slowdownTolerance && len(upstream.runs) == 0 && now.Sub(upstream.lastRunAt) > idleSlowdownTime {
+		upstream.slowdown = slowdownTolerance
+	}
+}
--- a/shared/request/cell/slow_runs_test.go
+++ b/shared/request/cell/slow_runs_test.go
@@ -119,3 +119,24 @@
 	slowdown := harness.cell.Dump().Upstreams[0].Slowdown
 	assert.Assert(t, slowdown >= 1, "%v", slowdown)
 }
+
+// Guards against an upstream that was slow for a while and gets no runs any more, because
+// only a run could show that it has recovered.
+func TestSlowUpstreamIsTriedAgainAfterAPause(t *testing.T) {
+	harness, starts := startPair(t)
+	for step := 1; step <= 6; step++ {
+		harness.now = harness.now.Add(20 * time.Millisecond)
+		harness.progress(starts, 2*step, 2*step)
+	}
+	slowdown := func() float64 { return harness.cell.Dump().Upstreams[0].Slowdown }
+	assert.Assert(t, slowdown() > 2, "%.1f", slowdown())
+	harness.handle(cell.JobWithdrawn{
+		EntryVM: entryVM,
+		ID:      "j",
+	})
+	harness.answerPoll("u1", nil, endedRun(1, starts[0].Run, cell.EndStopped), endedRun(2, starts[1].Run, cell.EndStopped))
+	harness.advance(time.Second)
+	assert.Assert(t, slowdown() > 2, "%.1f after a second", slowdown())
+	harness.advance(1100 * time.Millisecond)
+	assert.Assert(t, slowdown() < 2, "%.1f after a pause", slowdown())
+}
