tanagerctl where: where a job would go now, and why

Operators had to send a job to learn where it goes. POST /where on the control address of platform serve answers it without sending: route, scheduler, the door's admission, and at the scheduler a trial of the next round with the upstreams that would take a task and why the others don't. The trial runs the Cell's own placement; only startRun and refuse record instead of acting while it runs.

--- a/shared/process/dispatcher/door_admission.go
+++ b/shared/process/dispatcher/door_admission.go
@@ -43,7 +43,7 @@
 	described := job.AdmissionJob(loop.now, loop.estimator.Ratio(job.Kind))
 	planner.Arrived(loop.now, described)
 	share := loop.shedShare()
-	if share == 0 || job.ResentAfter > 0 || heldJob.foreignScheduler != "" || planner.Rank(loop.now, described) <= 1-share || loop.chooseForeignScheduler(heldJob) {
+	if share == 0 || job.ResentAfter > 0 || heldJob.foreignScheduler != "" || !loop.isShed(planner, described, share) || loop.chooseForeignScheduler(heldJob) {
 		return false
 	}
 	loop.log(logevent.JobGivenUp, "job", job.ID, "kind", job.Kind, "result", string(cell.NotRun),
@@ -57,6 +57,11 @@
 	return true
 }
 
+// isShed reports whether a job is among the share that costs callers least to lose.
+func (loop *loop) isShed(planner *admission.Planner, described admission.Job, share float64) bool {
+	return planner.Rank(loop.now, described) > 1-share
+}
+
 // refuseAtDoor answers a job of a caller that the scheduler would refuse by its last
 // heartbeat, and reports whether it did. A job that another cell has room for goes there.
 func (loop *loop) refuseAtDoor(heldJob *heldJob, answer chan<- cell.Answer) bool {
--- a/shared/process/dispatcher/door_admission_test.go
+++ b/shared/process/dispatcher/door_admission_test.go
@@ -80,6 +80,8 @@
 				TimeLeft: 2 * time.Second,
 			}
 			test.change(&job)
+			asked := loop.explain(job).Admission
+			assert.Equal(t, asked.Refused, test.refused, "the explanation agrees")
 			answer := make(chan cell.Answer, 1)
 			loop.acceptCallerJob(jobAccepted{
 				job:    job,
@@ -92,6 +94,7 @@
 			refusal := <-answer
 			assert.Equal(t, refusal.Result, cell.NotRun)
 			assert.Assert(t, refusal.RetryAfter >= time.Second)
+			assert.Equal(t, refusal.RetryAfter.Milliseconds(), asked.RetryAfterMs)
 		})
 	}
 }
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -176,6 +176,8 @@
 		}
 	case stateRequested:
 		event.state <- loop.state()
+	case explanationRequested:
+		event.explanation <- loop.explain(event.job)
 	case ticked:
 		loop.tick()
 	}
--- a/shared/process/dispatcher/neighbours.go
+++ b/shared/process/dispatcher/neighbours.go
@@ -263,20 +263,30 @@
 // chooseForeignScheduler sends a job that the own cell can't accept to another
 // cell. It reports whether one has room.
 func (loop *loop) chooseForeignScheduler(heldJob *heldJob) bool {
-	if loop.view.Division() != region.DividedByDomain || heldJob.job.Spilled {
+	if !loop.maySpill(&heldJob.job) {
 		return false
 	}
+	target, found := loop.neighbours.planner.Choose(loop.now, heldJob.job.Service, spillNeed(&heldJob.job))
+	if found {
+		heldJob.assignForeign(target)
+	}
+	return found
+}
+
+// maySpill reports whether a job may go to another cell.
+func (loop *loop) maySpill(job *cell.Job) bool {
+	return loop.view.Division() == region.DividedByDomain && !job.Spilled
+}
+
+// spillNeed returns the thousandths of a core that the first steps of a job need.
+func spillNeed(job *cell.Job) int {
 	need := 0
-	for _, step := range heldJob.job.Steps {
+	for _, step := range job.Steps {
 		if len(step.DependsOn) == 0 {
 			need += step.Count * step.Need.MilliCores
 		}
 	}
-	target, found := loop.neighbours.planner.Choose(loop.now, heldJob.job.Service, need)
-	if found {
-		heldJob.assignForeign(target)
-	}
-	return found
+	return need
 }
 
 // assignForeign makes the scheduler of another cell the destination of a job. It
--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -325,6 +325,10 @@
 // refuse answers a job that a Planner refuses. The answer says what the job needs, unless
 // it may not be handed to another cell.
 func (cell *Cell) refuse(job *jobState, refusal admission.Refusal) {
+	if cell.trial != nil {
+		cell.trial.refuse(job, refusal)
+		return
+	}
 	cell.counters.Refused++
 	if !job.submitted.Spilled {
 		job.surplus = &Surplus{
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -71,6 +71,8 @@
 	averageNeed float64
 	decisions   []Decision
 	counters    Counters
+	// trial is set during a call of Explain.
+	trial *trial
 }
 
 // Counters counts the actions of a Cell for metrics and the state dump.
--- a/shared/request/cell/dump.go
+++ b/shared/request/cell/dump.go
@@ -50,17 +50,21 @@
 func (cell *Cell) Loads() map[string]ServiceLoad {
 	loads := make(map[string]ServiceLoad)
 	for _, plan := range cell.planOrder {
-		loads[plan.service] = ServiceLoad{
-			Load:       plan.load,
-			Overloaded: plan.overloaded,
-			Waiting:    len(plan.jobs),
-			Deferred:   plan.deferred,
-			Packing:    plan.packing,
-		}
+		loads[plan.service] = plan.describe()
 	}
 	return loads
 }
 
+func (plan *servicePlan) describe() ServiceLoad {
+	return ServiceLoad{
+		Load:       plan.load,
+		Overloaded: plan.overloaded,
+		Waiting:    len(plan.jobs),
+		Deferred:   plan.deferred,
+		Packing:    plan.packing,
+	}
+}
+
 // Dump returns the state for operators.
 func (cell *Cell) Dump() Dump {
 	dump := Dump{
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -70,6 +70,10 @@
 
 // startRun orders a run of a waiting task.
 func (cell *Cell) startRun(job *jobState, task *taskState, upstream *upstreamState) {
+	if cell.trial != nil {
+		cell.trial.start(cell, job, task, upstream)
+		return
+	}
 	task.status = taskActive
 	task.runNumber++
 	job.startOrdered = true
--- a/shared/request/spill/planner.go
+++ b/shared/request/spill/planner.go
@@ -80,6 +80,26 @@
 // service that needs the given thousandths of a core, and counts the job as sent
 // there. It returns false if no cell has room.
 func (planner *Planner) Choose(now time.Time, service string, need int) (string, bool) {
+	best := planner.mostRoom(now, service, need)
+	if best == nil {
+		return "", false
+	}
+	best.sent[service] += need
+	return best.report.Scheduler, true
+}
+
+// Peek returns what Choose would return, and counts nothing.
+func (planner *Planner) Peek(now time.Time, service string, need int) (string, bool) {
+	best := planner.mostRoom(now, service, need)
+	if best == nil {
+		return "", false
+	}
+	return best.report.Scheduler, true
+}
+
+// mostRoom returns the report of the cell with the most room, or nil if none has the given
+// room.
+func (planner *Planner) mostRoom(now time.Time, service string, need int) *reportState {
 	var best *reportState
 	bestRoom := 0
 	for _, state := range planner.reports {
@@ -89,11 +109,7 @@
 		}
 		best, bestRoom = state, room
 	}
-	if best == nil {
-		return "", false
-	}
-	best.sent[service] += need
-	return best.report.Scheduler, true
+	return best
 }
 
 // Forget drops the report of the cell that a process schedules, because it does not
--- a/tanagerctl/command/command_test.go
+++ b/tanagerctl/command/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"encoding/pem"
 	"fmt"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
 
+	"tanagerfall/shared/process/where"
 	"tanagerfall/standin/platform"
 	"tanagerfall/tanagerctl/command"
 )
@@ -36,6 +38,9 @@
 	platform *platform.Platform
 	// state is the state dump of the VM, a string with JSON.
 	state atomic.Value
+	// answers holds the answers to questions where a job would go, by the failure domain
+	// that they name.
+	answers map[string]string
 	// drains counts the requests to drain the VM.
 	drains atomic.Int32
 }
@@ -47,11 +52,26 @@
 	case "POST /drain":
 		fixture.drains.Add(1)
 		writer.WriteHeader(http.StatusAccepted)
+	case "POST /where":
+		fixture.serveWhere(writer, request)
 	default:
 		writer.WriteHeader(http.StatusNotFound)
 	}
 }
 
+// serveWhere answers with the JSON for the failure domain that the question names.
+func (fixture *fixture) serveWhere(writer http.ResponseWriter, request *http.Request) {
+	var question struct {
+		where.Question
+		Job json.RawMessage `json:"job"`
+	}
+	if err := json.NewDecoder(request.Body).Decode(&question); err != nil || question.Host == "" || question.Path == "" || len(question.Job) == 0 {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	_, _ = writer.Write([]byte(fixture.answers[question.Domain]))
+}
+
 // tokenCheckingVM is the operator endpoint of an entry VM that requires the operator
 // token.
 type tokenCheckingVM struct {
@@ -118,7 +138,13 @@
 		Setup:               setup,
 		RequireExplicitExec: true,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"exits":    runExpectingCode,
+			"exits": runExpectingCode,
+			"answers-where": func(script *testscript.TestScript, _ bool, args []string) {
+				fixtureOf(script).answers = map[string]string{
+					"":   script.ReadFile(args[0]),
+					"z1": script.ReadFile(args[1]),
+				}
+			},
 			"log-down": func(script *testscript.TestScript, _ bool, _ []string) { fixtureOf(script).platform.LogDown(false, 0) },
 			"log-up":   func(script *testscript.TestScript, _ bool, _ []string) { fixtureOf(script).platform.Clear() },
 			"lose-reply": func(script *testscript.TestScript, _ bool, _ []string) {
--- a/tanagerctl/command/root.go
+++ b/tanagerctl/command/root.go
@@ -64,7 +64,7 @@
 	flags := &flags{}
 	root := &cobra.Command{
 		Use:           "tanagerctl",
-		Short:         "Checks and publishes plans, drains entry VMs and explains failed jobs",
+		Short:         "Checks and publishes plans, drains entry VMs, and explains failed jobs and where new ones go",
 		Example:       "  tanagerctl plan check monday.xlsx --settings tanagerctl.yaml",
 		SilenceErrors: true,
 		SilenceUsage:  true,
@@ -86,7 +86,7 @@
 	flagSet.StringVarP(&flags.output, "output", "o", outputTable, "table or json")
 	flagSet.DurationVar(&flags.timeout, "timeout", defaultTimeout, "time limit for calls of the platform and of VMs, including retries")
 	mustRegisterCompletion(root, "output", outputTable, outputJSON)
-	root.AddCommand(newPlanCommand(flags), newVMCommand(flags), newExplainCommand(flags))
+	root.AddCommand(newPlanCommand(flags), newVMCommand(flags), newExplainCommand(flags), newWhereCommand(flags))
 	return root
 }
 
--- a/tanagerctl/command/vm.go
+++ b/tanagerctl/command/vm.go
@@ -150,7 +150,12 @@
 // call calls the operator endpoint of the VM at address and returns the body of the
 // reply. The error wraps errVMCallFailed.
 func (operatorClient *operatorClient) call(ctx context.Context, method, address, path string) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, method, operatorClient.scheme+"://"+address+path, nil)
+	return operatorClient.callWithBody(ctx, method, address, path, http.NoBody)
+}
+
+// callWithBody does what call does, and sends a body.
+func (operatorClient *operatorClient) callWithBody(ctx context.Context, method, address, path string, body io.Reader) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, operatorClient.scheme+"://"+address+path, body)
 	if err != nil {
 		return nil, eris.Wrapf(errVMCallFailed, "%s: %v", address, err)
 	}
@@ -162,14 +167,14 @@
 		return nil, eris.Wrapf(errVMCallFailed, "%s: %v", address, err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	reply, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
 	if err != nil {
 		return nil, eris.Wrapf(errVMCallFailed, "%s: %v", address, err)
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return nil, eris.Wrapf(errVMCallFailed, "%s: %s: %.*s", address, response.Status, maxQuotedErrorBytes, strings.TrimSpace(string(body)))
+		return nil, eris.Wrapf(errVMCallFailed, "%s: %s: %.*s", address, response.Status, maxQuotedErrorBytes, strings.TrimSpace(string(reply)))
 	}
-	return body, nil
+	return reply, nil
 }
 
 // VMStatus is the plan version of one entry VM.
