--- a/shared/request/cell/explain_test.go
+++ b/shared/request/cell/explain_test.go
@@ -23,8 +23,9 @@
 // that is then taken, and against a Cell that decides otherwise after it was asked.
 func TestExplanationsAgreeWithDecisionsAndChangeNothing(t *testing.T) {
 	verdicts := make(map[cell.Verdict]int)
-	play := func(ask bool) *loadedCell {
+	play := func(ask bool) (*loadedCell, []time.Duration) {
 		loaded := newLoadedCell(t, 20, 4)
+		var slacks []time.Duration
 		submit := func(kind string, tasks int, estimate time.Duration) {
 			if !ask {
 				loaded.submitLoaded(kind, tasks, estimate)
@@ -44,6 +45,11 @@
 			}
 		}
 		loaded.play(4*time.Second, func(step int) {
+			slacks = append(slacks, loaded.cell.TightestSlack())
+			if ask {
+				// A job that is not submitted, and so not learned of.
+				loaded.cell.Explain(loaded.now, explainedJob(loaded, "quick", 9, time.Duration(step)*time.Millisecond))
+			}
 			switch {
 			case step%4 == 1:
 				submit("long", 1+step%3, 500*time.Millisecond)
@@ -52,9 +58,11 @@
 			}
 		})
 		loaded.play(2*time.Second, func(int) {})
-		return loaded
+		return loaded, slacks
 	}
-	asked, other := play(true), play(false)
+	asked, askedSlacks := play(true)
+	other, otherSlacks := play(false)
+	assert.DeepEqual(t, askedSlacks, otherSlacks)
 	for _, verdict := range []cell.Verdict{cell.VerdictStarts, cell.VerdictWaits, cell.VerdictRefused} {
 		assert.Assert(t, verdicts[verdict] > 0, "%s: %v", verdict, verdicts)
 	}
