Cell: the last held job starts, and one with an ordered start is not held

Cause: a single waiting job gets no round of planning while much capacity is idle. If the last round had held it, it stayed held until its answer was worthless and was then refused with all upstreams free. A job whose start an upstream had refused was held in each round as one to refuse, and never refused since its start was ordered.

Change: a held job alone gets a round. To the Planner a job with an ordered start counts as started, which is never held.

--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -111,7 +111,7 @@
 		Tasks:       job.waitingTasks,
 		Remaining:   job.predictRunTime(job.chainEstimate, 1),
 		LogStdDev:   cell.config.Estimator.LogStdDev(job.submitted.Kind),
-		Started:     job.mayHaveRun(),
+		Started:     job.mayHaveRun() || job.startOrdered,
 	}
 	if len(job.submitted.Steps) == 1 {
 		step := &job.submitted.Steps[0]
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -82,9 +82,9 @@
 }
 
 // planDue reports whether a round of planning is due. A single job needs none while much
-// capacity is idle.
+// capacity is idle, unless the last round held it.
 func (cell *Cell) planDue() bool {
-	if len(cell.waitingJobs) == 1 && cell.muchIdle() && !cell.servicePlan(cell.waitingJobs[0].submitted.Service).overloaded {
+	if len(cell.waitingJobs) == 1 && !cell.waitingJobs[0].held && cell.muchIdle() && !cell.servicePlan(cell.waitingJobs[0].submitted.Service).overloaded {
 		return false
 	}
 	return cell.now.Sub(cell.plannedAt) >= planInterval*time.Duration(1+len(cell.waitingJobs)/jobsPerInterval)
--- /dev/null
+++ b/shared/request/cell/planning_test.go
@@ -0,0 +1,70 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/request/estimate"
+)
+
+// planningCell returns a Cell with one open upstream, and a job that waits there.
+func planningCell(tasks int) (*Cell, *jobState) {
+	cell := New(time.Unix(1_000_000, 0), Config{
+		Estimator:      estimate.New(),
+		Claims:         func(Upstream) Claim { return ClaimFirm },
+		NextToken:      func() int64 { return 1024 },
+		GuardsCapacity: func(string) bool { return true },
+		Limits:         DefaultLimits(),
+	})
+	cell.applyListing([]Upstream{{
+		ID:          "u1",
+		Service:     "orders",
+		Slots:       8,
+		Incarnation: 1,
+		Capacity: Resources{
+			MilliCores: 16_000,
+		},
+	}})
+	upstream := cell.upstreamOrder[0]
+	upstream.clockAt, upstream.incarnation = cell.now, 1
+	cell.setStatus(upstream, upstreamOpen, "")
+	cell.measureSpeeds()
+	job := cell.newJobState(Job{
+		ID:      "job",
+		Kind:    "quote",
+		Service: "orders",
+		Steps: []Step{{
+			Count: tasks,
+			Need: Resources{
+				MilliCores: 1_000,
+			},
+			Estimate: 100 * time.Millisecond,
+		}},
+		Objective: time.Second,
+		TimeLeft:  5 * time.Second,
+	})
+	cell.jobs["job"] = job
+	cell.unblockTasks(job)
+	cell.enqueue(job)
+	return cell, job
+}
+
+// Guards against a job that the last round of an overload held, and that no later round
+// releases: a single job needs none while much capacity is idle.
+func TestLastHeldJobStarts(t *testing.T) {
+	cell, job := planningCell(2)
+	job.held = true
+	cell.plannedAt = cell.now.Add(-time.Second)
+	cell.placeTasks()
+	assert.Equal(t, job.activeTasks, 2)
+}
+
+// Guards against a job whose start an upstream has refused, and that is held as a job to
+// refuse in each round, although it isn't refused because its start was ordered.
+func TestJobWithOrderedStartIsNotRefused(t *testing.T) {
+	cell, job := planningCell(2)
+	job.startOrdered = true
+	assert.Assert(t, cell.admissionJob(job).Started)
+}
