Cell: an overload ends when no jobs wait

Cause: the state of a service changes in rounds of planning only, and there are none without waiting jobs. When the waiting jobs of an overload left or were refused, the service stayed overloaded until the next job, minutes later: the event of its end and the metric were late, and the next burst counted as the same sustained overload.

--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -224,6 +224,19 @@
 	}
 }
 
+// endIdleOverloads ends the overload of all services once no job has waited for a while:
+// without jobs there are no rounds.
+func (cell *Cell) endIdleOverloads() {
+	if len(cell.waitingJobs) > 0 || cell.now.Sub(cell.plannedAt) < sustainedTime {
+		return
+	}
+	for _, plan := range cell.planOrder {
+		plan.load = 0
+		plan.deferred = 0
+		plan.setOverloaded(cell.now, 0)
+	}
+}
+
 // refuses reports whether jobs of the service are refused because others need the capacity:
 // it has been overloaded for a while, and this Cell is not just taking over.
 func (cell *Cell) refuses(plan *servicePlan) bool {
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -175,6 +175,7 @@
 		cell.tickJob(cell.jobs[id])
 	}
 	cell.expireEarlyEnds()
+	cell.endIdleOverloads()
 	cell.completed.expire(cell.now.Add(-completedRetention))
 	cell.placementPending = true
 }
