Cell: jobs that can't start whole start in parts; small services keep room for large jobs

Cause: under overload a job of up to half of a service's cores starts whole or not at all. (1) Whether it can was judged by cores alone. A job of 8 tasks, one per upstream, at 6 upstreams never started, nor did jobs whose label, memory or accelerators few upstreams have. (2) Capacity was kept for jobs of up to a quarter of the service only, so that those between a quarter and a half lost each free part to smaller jobs. (3) A whole job started all its tasks at once at a cold upstream, whatever its service's limit on starts.

Change: the tasks of each step must be at most half of those that the upstreams could run if idle, by all needs, label, bound per upstream and limit of cold upstreams; else the job starts in parts. The first job that waits for the rest always may reserve. A reserved start at a cold upstream with a limit counts as its next one.

--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -54,6 +54,8 @@
 	releases []admission.Release
 	// releaseCores holds the thousandths of cores that runs free, by releaseStep.
 	releaseCores [releaseSteps]int
+	// rooms holds the results of Cell.room since the last round.
+	rooms map[roomKey]int
 }
 
 // refusedJob is a job that a round wants refused.
@@ -74,6 +76,7 @@
 				MaxRetryAfter: limits.MaxRetryAfter,
 			}),
 			packing: 1,
+			rooms:   make(map[roomKey]int),
 		}
 		cell.plans[service] = plan
 		cell.planOrder = append(cell.planOrder, plan)
@@ -247,6 +250,7 @@
 // this Cell yet count as capacity that is free soon.
 func (cell *Cell) capacity(plan *servicePlan) admission.Capacity {
 	clear(plan.releaseCores[:])
+	clear(plan.rooms)
 	smallestNeed := math.MaxInt
 	for i := range plan.jobs {
 		smallestNeed = min(smallestNeed, plan.jobs[i].MilliCores)
--- a/shared/request/cell/overload_limits_test.go
+++ b/shared/request/cell/overload_limits_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,3 +44,82 @@
 	}
 	assert.Equal(t, completed, 60, "of %d jobs after the first %d", len(loaded.jobs)-left, left)
 }
+
+// Load: twice the capacity, and jobs of 8 tasks of which an upstream takes one each, at 6
+// upstreams. Guards against jobs that wait to be started whole and never can be.
+func TestJobsThatCannotStartWholeAreServedUnderOverload(t *testing.T) {
+	loaded := newLoadedCell(t, 6, 0)
+	started := 0
+	loaded.play(4*time.Second, func(step int) {
+		if step%2 == 0 {
+			loaded.submitLoaded("quick", 2, 100*time.Millisecond)
+		}
+		if step%100 == 0 {
+			job := testJob(fmt.Sprintf("wide-%03d", step), 8)
+			job.Kind = "wide"
+			job.Steps[0].Need.MilliCores = 1000
+			job.Steps[0].MaxPerUpstream = 1
+			job.Steps[0].Estimate = 50 * time.Millisecond
+			job.Objective = time.Second
+			job.TimeLeft = 3 * time.Second
+			loaded.jobs[job.ID] = job
+			loaded.arrivals[job.ID] = loaded.now
+			loaded.apply(loaded.handle(cell.JobSubmitted{
+				EntryVM: entryVM,
+				Job:     job,
+			}))
+		}
+	})
+	loaded.play(3*time.Second, func(int) {})
+	for id := range loaded.jobs {
+		if loaded.jobs[id].Kind == "wide" && loaded.answers[id].result == cell.Completed {
+			started++
+		}
+	}
+	assert.Assert(t, started >= 4, "%d of 8 completed", started)
+}
+
+// Load: twice the capacity of a small service, in jobs of one task and some that need 3/8 of all
+// upstreams. Guards against large jobs of small services whose capacity is never kept for them.
+func TestLargeJobsOfSmallServicesAreServedUnderOverload(t *testing.T) {
+	loaded := newLoadedCell(t, 4, 0)
+	loaded.play(4*time.Second, func(step int) {
+		if step%2 == 0 {
+			loaded.submitLoaded("quick", 1, 120*time.Millisecond)
+		}
+		if step%20 == 0 {
+			loaded.submitLoaded("large", 3, 120*time.Millisecond)
+		}
+	})
+	loaded.play(2*time.Second, func(int) {})
+	served, asked := make(map[string]int), make(map[string]int)
+	for id, job := range loaded.jobs {
+		asked[job.Kind]++
+		if loaded.answers[id].result == cell.Completed {
+			served[job.Kind]++
+		}
+	}
+	assert.Assert(t, 2*served["large"]*asked["quick"] >= served["quick"]*asked["large"], "%v of %v", served, asked)
+}
+
+// Load: an overloaded service with a cold upstream. Guards against a job that starts whole
+// and so exceeds the limit on starts at a cold upstream, or never starts by that limit.
+func TestWholeJobsRespectTheLimitOfColdUpstreams(t *testing.T) {
+	harness := newColdHarness(t)
+	for number := range 40 {
+		job := testJob(fmt.Sprint(number), 4)
+		job.Steps[0].Need.MilliCores = 1000
+		job.TimeLeft = 10 * time.Second
+		job.Objective = 3 * time.Second
+		harness.submit(job)
+	}
+	most, all := 0, 0
+	for range 40 {
+		starts := len(decisionsOf[cell.StartRun](harness.advance(10 * time.Millisecond)))
+		most = max(most, starts)
+		all += starts
+	}
+	assert.Assert(t, harness.cell.Loads()[service].Overloaded, "%v", harness.cell.Loads())
+	assert.Equal(t, most, 1)
+	assert.Equal(t, all, 4, "10 a second")
+}
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -198,7 +198,7 @@
 	if task.failures > 0 && (upstream.consecutiveFailures > 0 || upstream.probing || upstream.listing.ID == task.avoidedUpstream) {
 		return false
 	}
-	if !cell.entryAllows(upstream, step) {
+	if !cell.entryAllows(upstream, step) || cell.reservesColdStart(upstream) {
 		return false
 	}
 	return step.MaxPerUpstream <= 0 || upstream.countStepTasks(task.name)+cell.countReserved(upstream, task.name) < step.MaxPerUpstream
--- a/shared/request/cell/resources.go
+++ b/shared/request/cell/resources.go
@@ -1,5 +1,7 @@
 package cell
 
+import "math"
+
 // Resources is what a task occupies or what an upstream has. Cores are counted
 // in thousandths, memory in MB.
 type Resources struct {
@@ -15,6 +17,21 @@
 		need.Accelerators <= free.Accelerators
 }
 
+// divide returns how many tasks of the given need fit.
+func (free Resources) divide(need Resources) int {
+	tasks := math.MaxInt
+	if need.MilliCores > 0 {
+		tasks = free.MilliCores / need.MilliCores
+	}
+	if need.MemoryMb > 0 {
+		tasks = min(tasks, free.MemoryMb/need.MemoryMb)
+	}
+	if need.Accelerators > 0 {
+		tasks = min(tasks, free.Accelerators/need.Accelerators)
+	}
+	return tasks
+}
+
 func (free Resources) minus(need Resources) Resources {
 	return Resources{
 		MilliCores:   free.MilliCores - need.MilliCores,
--- a/shared/request/cell/warm_up.go
+++ b/shared/request/cell/warm_up.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"tanagerfall/shared/version/routing"
@@ -30,6 +31,20 @@
 	return 1 - (1-minWarmShare)*coldShare
 }
 
+// reservesColdStart reports whether the next start that a cold upstream may get is reserved.
+func (cell *Cell) reservesColdStart(upstream *upstreamState) bool {
+	if len(cell.reservations) == 0 || !cell.limitsStarts(upstream) {
+		return false
+	}
+	return slices.ContainsFunc(cell.reservations, func(reservation reservation) bool { return reservation.upstream == upstream })
+}
+
+// limitsStarts reports whether an upstream is cold and its service limits the starts there.
+func (cell *Cell) limitsStarts(upstream *upstreamState) bool {
+	warmUp, cold := cell.warmUpOf(upstream)
+	return cold && warmUp.StartsPerSecond > 0
+}
+
 // recordColdStart spaces the starts at a cold upstream by the limit of its service.
 func (cell *Cell) recordColdStart(run *runState) {
 	warmUp, cold := cell.warmUpOf(run.upstream)
--- a/shared/request/cell/whole_jobs.go
+++ b/shared/request/cell/whole_jobs.go
@@ -20,11 +20,57 @@
 }
 
 // startsWhole reports whether a job has to start with all its waiting tasks: its service
-// is overloaded, and none of its tasks has been started.
+// is overloaded, none of its tasks has been started, and the upstreams have room for it.
 func (cell *Cell) startsWhole(job *jobState) bool {
 	plan := cell.servicePlan(job.submitted.Service)
-	return plan.overloaded && !job.startOrdered && !job.started &&
-		float64(job.initialNeed()) <= wholeShare*float64(plan.capacity)
+	if !plan.overloaded || job.startOrdered || job.started ||
+		float64(job.initialNeed()) > wholeShare*float64(plan.capacity) {
+		return false
+	}
+	for i := range job.submitted.Steps {
+		step := &job.submitted.Steps[i]
+		if len(step.DependsOn) == 0 && float64(step.Count) > wholeShare*float64(cell.room(plan, step)) {
+			return false
+		}
+	}
+	return true
+}
+
+// roomKey holds what limits where the tasks of a step may run.
+type roomKey struct {
+	need           Resources
+	label          string
+	maxPerUpstream int
+}
+
+// room returns how many tasks of a step could start at once if no task ran, as of the last
+// round.
+func (cell *Cell) room(plan *servicePlan, step *Step) int {
+	key := roomKey{
+		need:           step.Need,
+		label:          step.Label,
+		maxPerUpstream: step.MaxPerUpstream,
+	}
+	room, known := plan.rooms[key]
+	if known {
+		return room
+	}
+	for _, upstream := range cell.upstreamOrder {
+		if upstream.listing.Service != plan.service || !upstream.serves() || !upstream.present ||
+			upstream.listing.Leaving || !cell.entryAllows(upstream, step) {
+			continue
+		}
+		tasks := min(upstream.listing.Slots, upstream.listing.Capacity.divide(step.Need))
+		if step.MaxPerUpstream > 0 {
+			tasks = min(tasks, step.MaxPerUpstream)
+		}
+		if cell.limitsStarts(upstream) {
+			tasks = min(tasks, 1)
+		}
+		room += tasks
+	}
+	plan.rooms[key] = room
+	return room
 }
 
 // placeWhole starts all waiting tasks of a job, or none, and reports which. The capacity
@@ -68,7 +114,11 @@
 // mayReserve reports whether capacity may be kept for a job that waits for the rest.
 func (cell *Cell) mayReserve(job *jobState) bool {
 	plan := cell.servicePlan(job.submitted.Service)
-	return cell.reservingJobs < maxReservingJobs && !job.lastChance &&
+	if job.lastChance || cell.reservingJobs >= maxReservingJobs {
+		return false
+	}
+	// Any job that starts whole may be the first, however small the service is.
+	return cell.reservingJobs == 0 ||
 		float64(cell.reservedCores+job.initialNeed()) <= reservedShare*float64(plan.capacity)
 }
 
