Cell: a service without room doesn't block the jobs of others

Cause: waiting jobs are in the order of their services, and a placement ended after 32 jobs without success, of whichever service. 32 jobs that wait for the upstreams of one service kept the jobs of all later ones from free upstreams.

Change: the bound holds for each service.

Measured: TestServiceWithoutRoomDoesNotBlockOthers fails without it (0 of 1 started).

--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -41,6 +41,8 @@
 	overloadedSince time.Time
 	load            float64
 	deferred        int
+	// unplaced counts the jobs that the current placement tried without success.
+	unplaced int
 	// packing is the share of the cores that runs occupied while tasks waited. Parts of
 	// upstreams that are too small for a task stay free.
 	packing float64
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -67,13 +67,22 @@
 		cell.planWaiting()
 	}
 	muchIdle := cell.muchIdle()
-	unplaced := 0
+	for _, plan := range cell.planOrder {
+		plan.unplaced = 0
+	}
+	var plan *servicePlan
 	for _, job := range cell.waitingJobs {
-		if unplaced >= maxUnplacedJobs {
-			break
+		if plan == nil || plan.service != job.submitted.Service {
+			plan = cell.servicePlan(job.submitted.Service)
+		}
+		if plan.unplaced >= maxUnplacedJobs {
+			if len(cell.planOrder) == 1 {
+				break
+			}
+			continue
 		}
 		if !job.held && !cell.placeJob(job, muchIdle) {
-			unplaced++
+			plan.unplaced++
 		}
 	}
 	cell.refuseJobs(muchIdle)
@@ -98,7 +107,7 @@
 	// jobsPerInterval is the number of waiting jobs with which the interval is twice as
 	// long. A round takes 3 ms at 5,000 waiting jobs.
 	jobsPerInterval = 500
-	// maxUnplacedJobs bounds the jobs that are tried without success, because
+	// maxUnplacedJobs bounds the jobs of a service that are tried without success, because
 	// they need upstreams that are not free, before the rest waits for the next
 	// change.
 	maxUnplacedJobs = 32
--- a/shared/request/cell/planning_test.go
+++ b/shared/request/cell/planning_test.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,6 +53,39 @@
 	return cell, job
 }
 
+// Load: 40 jobs that wait for the only upstream of a service, which is full. Guards against
+// jobs of another service that wait behind them while their upstream is free.
+func TestServiceWithoutRoomDoesNotBlockOthers(t *testing.T) {
+	cell, _ := planningCell(16)
+	other := cell.upstreamOrder[0].listing
+	other.ID = "u2"
+	other.Service = "prices"
+	cell.applyListing([]Upstream{cell.upstreamOrder[0].listing, other})
+	upstream := cell.upstreams["u2"]
+	upstream.clockAt, upstream.incarnation = cell.now, 1
+	cell.setStatus(upstream, upstreamOpen, "")
+	cell.measureSpeeds()
+	cell.placeTasks()
+	submit := func(id, service string, objective time.Duration) *jobState {
+		job := cell.jobs["job"].submitted
+		job.ID, job.Service, job.Objective = id, service, objective
+		job.Steps = slices.Clone(job.Steps)
+		job.Steps[0].Count = 1
+		cell.submit(JobSubmitted{
+			EntryVM: "vm-1#a",
+			Job:     job,
+		})
+		return cell.jobs[id]
+	}
+	for number := range 40 {
+		submit(fmt.Sprint(number), "orders", time.Second)
+	}
+	job := submit("other", "prices", 2*time.Second)
+	cell.plannedAt = cell.now.Add(-time.Second)
+	cell.placeTasks()
+	assert.Equal(t, job.activeTasks, 1)
+}
+
 // Guards against a job that the last round of an overload held, and that no later round
 // releases: a single job needs none while much capacity is idle.
 func TestLastHeldJobStarts(t *testing.T) {
