Admission: long keys aren't kept; time without capacity is no excess

Cause: (1) a Planner kept the keys of served jobs as callers sent them, up to 1,024 a kind and as long as a body: 10 MB with keys of 10,000 bytes, outside the memory budget of jobs. (2) While no upstream is known, as after a takeover, all arriving work counted as excess over a capacity of 0, for up to 5 s; once upstreams answered, an excess was predicted to last as long again.

Change: keys are counted by their hash; rounds without capacity add no excess.

Measured: TestLongKeysAreNotKept (over 1 MB) and TestTimeWithoutCapacityIsNoExcess (1.99 s) fail without it.

--- a/shared/request/admission/planner_test.go
+++ b/shared/request/admission/planner_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,6 +100,40 @@
 	})
 }
 
+// TestLongKeysAreNotKept guards against a planner whose memory grows with the length of the
+// keys that callers send.
+func TestLongKeysAreNotKept(t *testing.T) {
+	heap := func() int64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	planner := New(testConfig)
+	before := heap()
+	for i := range maxKeys {
+		planner.Ended(epoch, Job{
+			Kind: "kind",
+			Key:  strings.Repeat("x", 10_000) + strconv.Itoa(i),
+		}, OutcomeOnTime)
+	}
+	assert.Assert(t, heap()-before < 1<<20)
+	runtime.KeepAlive(planner)
+}
+
+// TestTimeWithoutCapacityIsNoExcess guards against refusals after a time in which no upstream
+// was known, as after a takeover, as if so much more work than the capacity had arrived.
+func TestTimeWithoutCapacityIsNoExcess(t *testing.T) {
+	planner := New(testConfig)
+	jobs := equalJobs(epoch, 1)
+	for round := range 200 {
+		now := epoch.Add(time.Duration(round) * 10 * time.Millisecond)
+		planner.Arrived(now, jobs[0])
+		planner.Plan(now, jobs, Capacity{})
+	}
+	assert.Equal(t, planner.excess, 0.0)
+}
+
 // overloaded returns a planner to which jobs arrived for 3 s, and its last plan.
 func overloaded(now time.Time, jobs []Job, capacity Capacity) (*Planner, Plan) {
 	planner := New(testConfig)
--- a/shared/request/admission/schedule.go
+++ b/shared/request/admission/schedule.go
@@ -100,7 +100,7 @@
 	total := max(float64(capacity.MilliCores)*speed/1000, 1e-9)
 	arriving := planner.arrivals.rate(now)
 	elapsed := max(now.Sub(planner.plannedAt).Seconds(), 0)
-	if arriving > total && elapsed < maxPlanInterval {
+	if capacity.MilliCores > 0 && arriving > total && elapsed < maxPlanInterval {
 		planner.excess = min(planner.excess+elapsed, maxExcess)
 	} else {
 		planner.excess = max(planner.excess-elapsed, 0)
--- a/shared/request/admission/statistics.go
+++ b/shared/request/admission/statistics.go
@@ -114,9 +114,9 @@
 	count  int
 	mean   float64
 	large  float64
-	// keys holds the smoothed number of served jobs by key, and keySum their sum with
-	// those without a key.
-	keys      map[string]float64
+	// keys holds the smoothed number of served jobs by the hash of their key, since callers
+	// choose its length, and keySum their sum with those without a key.
+	keys      map[uint64]float64
 	keySum    float64
 	keysAt    time.Time
 	refusedAt time.Time
@@ -128,7 +128,7 @@
 	if found == nil {
 		found = &kind{
 			served: newShare(now),
-			keys:   make(map[string]float64),
+			keys:   make(map[uint64]float64),
 			keysAt: now,
 		}
 		planner.kinds[name] = found
@@ -177,15 +177,15 @@
 		factor := decay(kind.keysAt, now, shareTime)
 		kind.keysAt = now
 		kind.keySum *= factor
-		for name, count := range kind.keys {
-			if kind.keys[name] = count * factor; count < minKeyCount {
-				delete(kind.keys, name)
+		for hash, count := range kind.keys {
+			if kind.keys[hash] = count * factor; count < minKeyCount {
+				delete(kind.keys, hash)
 			}
 		}
 	}
 	kind.keySum++
 	if key != "" && len(kind.keys) < maxKeys {
-		kind.keys[key]++
+		kind.keys[xxhash.Sum64String(key)]++
 	}
 }
 
@@ -195,5 +195,5 @@
 	if key == "" || kind.keySum < sharePrior {
 		return 1
 	}
-	return 1 + keyGain*max(kind.keys[key]/kind.keySum-keyShare, 0)
+	return 1 + keyGain*max(kind.keys[xxhash.Sum64String(key)]/kind.keySum-keyShare, 0)
 }
