Cell: a running task is no reason to give up a job

Cause: a started job with a waiting task is given up when the longest chain of its steps can't end in time any more. A step whose tasks run counted with its whole estimate, also when nearly done.

Change: steps without waiting or blocked tasks do not count.

Measured: TestRunningTaskIsNoReasonToGiveUp fails without it: a task of 20 ms waits while one of 500 ms has run for 475 ms, with 325 ms left, and the job is interrupted.

--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -386,7 +386,7 @@
 		// does not count.
 		speed = max(speed, 1)
 	}
-	fastest := job.predictRunTime(job.chainEstimate, speed)
+	fastest := job.predictRunTime(job.unstartedChain(), speed)
 	surely := time.Duration(float64(fastest) * math.Exp(-cell.config.Estimator.LogStdDev(job.submitted.Kind)))
 	if cell.now.Add(surely).After(cell.uselessAt(job)) {
 		cell.abandon(job, admission.ReasonOverload, cell.servicePlan(job.submitted.Service).planner.RetryAfter(job.submitted.ID))
@@ -422,13 +422,26 @@
 
 // remainingChain returns the estimated run time of the longest chain of steps that are not
 // done.
-func (job *jobState) remainingChain() time.Duration {
+func (job *jobState) remainingChain() time.Duration { return job.chainWithout(taskDone) }
+
+// unstartedChain returns the estimated run time of the longest chain of steps with tasks that
+// do not run yet. The others may be about to end.
+func (job *jobState) unstartedChain() time.Duration {
+	if len(job.submitted.Steps) == 1 || job.activeTasks == 0 {
+		return job.chainEstimate
+	}
+	return job.chainWithout(taskActive, taskDone)
+}
+
+// chainWithout returns the estimated run time of the longest chain of steps, without those
+// whose tasks all have one of the given statuses.
+func (job *jobState) chainWithout(statuses ...taskStatus) time.Duration {
 	remaining := slices.Clone(job.submitted.Steps)
 	for step := range remaining {
 		remaining[step].Estimate = 0
 	}
 	for _, task := range job.tasks {
-		if task.status != taskDone {
+		if !slices.Contains(statuses, task.status) {
 			remaining[task.name.Step].Estimate = job.submitted.Steps[task.name.Step].Estimate
 		}
 	}
--- a/shared/request/cell/overload_limits_test.go
+++ b/shared/request/cell/overload_limits_test.go
@@ -123,3 +123,26 @@
 	assert.Equal(t, most, 1)
 	assert.Equal(t, all, 4, "10 a second")
 }
+
+// Guards against a started job that is given up because a task which is nearly done counts as
+// if it had yet to start: the task that waits would end in time.
+func TestRunningTaskIsNoReasonToGiveUp(t *testing.T) {
+	harness := newHarness(t)
+	harness.listUpstreams(nil, "u1")
+	job := testJob("job", 1)
+	job.TimeLeft = 800 * time.Millisecond
+	job.Steps[0].Estimate = 500 * time.Millisecond
+	short := job.Steps[0]
+	short.Estimate = 20 * time.Millisecond
+	job.Steps = append(job.Steps, short)
+	starts := harness.submit(job)
+	assert.Equal(t, len(starts), 2)
+	harness.confirm(starts[0])
+	assert.Equal(t, len(decisionsOf[cell.AnswerJob](harness.advance(450*time.Millisecond))), 0)
+	decisions := harness.handle(cell.StartReplied{
+		Reply: harness.reply(starts[1].Order, cell.OutcomeFull),
+		Run:   starts[1].Run,
+	})
+	decisions = append(decisions, harness.advance(25*time.Millisecond)...)
+	assert.Equal(t, len(decisionsOf[cell.AnswerJob](decisions)), 0)
+}
