Dispatcher: reports of an overload leave the regular heartbeats

Cause: each begin or end of an overload sent a heartbeat to all peers and counted as the regular one. With demand about the capacity the state changes up to 4 times a second in the mean (replay of mild overloads, 20 to 160 upstreams), so that the regular heartbeats, which alone carry the members and the estimates and reset silent streams, could stay out for as long.

Change: one such report an interval at most, and the regular heartbeats follow as without it.

--- a/shared/process/dispatcher/door_admission.go
+++ b/shared/process/dispatcher/door_admission.go
@@ -7,7 +7,8 @@
 )
 
 // reportOverload logs the services whose overload began or ended, and tells the entry VMs at
-// once: until their next heartbeat they would refuse jobs that can be served again.
+// once: until their next heartbeat they would refuse jobs that can be served again. Regular
+// heartbeats follow as if it had not: they alone carry the members and the estimates.
 func (loop *loop) reportOverload() {
 	changed := false
 	for service, load := range loop.cell.Loads() {
@@ -23,8 +24,11 @@
 		loop.log(event, "service", service, "load", load.Load, "waiting", load.Waiting, "deferred", load.Deferred,
 			"packing", load.Packing)
 	}
-	if changed {
+	if changed && loop.now.Sub(loop.overloadSentAt) >= loop.view.HeartbeatInterval() {
+		loop.overloadSentAt = loop.now
+		regularAt := loop.heartbeatsSentAt
 		loop.sendHeartbeats(false)
+		loop.heartbeatsSentAt = regularAt
 	}
 }
 
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -90,6 +90,9 @@
 	shedding map[string]*admission.Planner
 	// overloaded holds the services whose overload was logged last.
 	overloaded map[string]bool
+	// overloadSentAt is when the entry VMs were last told of it beside the regular
+	// heartbeats.
+	overloadSentAt time.Time
 	// removedAt holds when upstreams left the list, by ID.
 	removedAt  map[string]time.Time
 	neighbours *neighbours
