Cell: a refused job of two entry VMs is not handed over

Cause: the answer to a refused job says what it needs, and the dispatcher hands it to another cell instead of sending the answer, for each entry VM on its own. If a caller had sent the job through two, one could hand it over while the other answered that it has not run, or both to different cells, where it ran twice.

Change: such a job is refused at both.

Measured: TestRefusedJobOfTwoEntryVMsIsNotHandedOver fails without it.

--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -342,10 +342,11 @@
 }
 
 // refuse answers a job that a Planner refuses. The answer says what the job needs, unless
-// it may not be handed to another cell.
+// it may not be handed to another cell. Each entry VM gets an answer of its own, so that
+// several could hand the job to different cells.
 func (cell *Cell) refuse(job *jobState, refusal admission.Refusal) {
 	cell.counters.Refused++
-	if !job.submitted.Spilled {
+	if !job.submitted.Spilled && len(job.entryVMs) == 1 {
 		job.surplus = &Surplus{
 			ID:         job.submitted.ID,
 			Service:    job.submitted.Service,
--- a/shared/request/cell/planning_test.go
+++ b/shared/request/cell/planning_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tanagerfall/shared/request/admission"
 	"tanagerfall/shared/request/estimate"
 )
 
@@ -53,6 +54,27 @@
 	return cell, job
 }
 
+// Guards against a refused job that one of its entry VMs hands to another cell, where it runs,
+// while the other entry VM answers that it has not run or hands it to a third cell.
+func TestRefusedJobOfTwoEntryVMsIsNotHandedOver(t *testing.T) {
+	for _, entryVMs := range [][]string{{"vm-1#a"}, {"vm-1#a", "vm-2#a"}} {
+		cell, job := planningCell(2)
+		job.entryVMs = entryVMs
+		cell.refuse(job, admission.Refusal{
+			ID:     "job",
+			Reason: admission.ReasonOverload,
+		})
+		answers := 0
+		for _, decision := range cell.decisions {
+			if answer, isAnswer := decision.(AnswerJob); isAnswer {
+				answers++
+				assert.Equal(t, answer.Surplus != nil, len(entryVMs) == 1)
+			}
+		}
+		assert.Equal(t, answers, len(entryVMs))
+	}
+}
+
 // Load: 40 jobs that wait for the only upstream of a service, which is full. Guards against
 // jobs of another service that wait behind them while their upstream is free.
 func TestServiceWithoutRoomDoesNotBlockOthers(t *testing.T) {
