--- a/shared/request/cell/overload_limits_test.go
+++ b/shared/request/cell/overload_limits_test.go
@@ -146,3 +146,23 @@
 	decisions = append(decisions, harness.advance(25*time.Millisecond)...)
 	assert.Equal(t, len(decisionsOf[cell.AnswerJob](decisions)), 0)
 }
+
+// Load: twice the capacity from the start of a scheduler. Guards against refusals by the jobs that
+// it has while entry VMs still submit those of the previous one.
+func TestNewSchedulerRefusesNoneForOthers(t *testing.T) {
+	loaded := newLoadedCell(t, 20, 0)
+	window := cell.DefaultLimits().AdoptionWindow - cell.DefaultLimits().StopGrace
+	loaded.play(window-10*time.Millisecond, func(step int) {
+		if step%2 == 0 {
+			loaded.submitLoaded("long", 4, 300*time.Millisecond)
+		}
+	})
+	assert.Assert(t, loaded.cell.Loads()[service].Overloaded)
+	assert.Equal(t, len(loaded.refusalTimes()), 0)
+	loaded.play(time.Second, func(step int) {
+		if step%2 == 0 {
+			loaded.submitLoaded("long", 4, 300*time.Millisecond)
+		}
+	})
+	assert.Assert(t, len(loaded.refusalTimes()) > 0)
+}
