--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -41,6 +41,8 @@
 	overloadedSince time.Time
 	load            float64
 	deferred        int
+	// unplaced counts the jobs that the current placement tried without success.
+	unplaced int
 	// packing is the share of the cores that runs occupied while tasks waited. Parts of
 	// upstreams that are too small for a task stay free.
 	packing float64
@@ -54,6 +56,8 @@
 	releases []admission.Release
 	// releaseCores holds the thousandths of cores that runs free, by releaseStep.
 	releaseCores [releaseSteps]int
+	// rooms holds the results of Cell.room since the last round.
+	rooms map[roomKey]int
 }
 
 // refusedJob is a job that a round wants refused.
@@ -74,6 +78,7 @@
 				MaxRetryAfter: limits.MaxRetryAfter,
 			}),
 			packing: 1,
+			rooms:   make(map[roomKey]int),
 		}
 		cell.plans[service] = plan
 		cell.planOrder = append(cell.planOrder, plan)
@@ -111,7 +116,7 @@
 		Tasks:       job.waitingTasks,
 		Remaining:   job.predictRunTime(job.chainEstimate, 1),
 		LogStdDev:   cell.config.Estimator.LogStdDev(job.submitted.Kind),
-		Started:     job.mayHaveRun(),
+		Started:     job.mayHaveRun() || job.startOrdered,
 	}
 	if len(job.submitted.Steps) == 1 {
 		step := &job.submitted.Steps[0]
@@ -224,6 +229,19 @@
 	}
 }
 
+// endIdleOverloads ends the overload of all services once no job has waited for a while:
+// without jobs there are no rounds.
+func (cell *Cell) endIdleOverloads() {
+	if len(cell.waitingJobs) > 0 || cell.now.Sub(cell.plannedAt) < sustainedTime {
+		return
+	}
+	for _, plan := range cell.planOrder {
+		plan.load = 0
+		plan.deferred = 0
+		plan.setOverloaded(cell.now, 0)
+	}
+}
+
 // refuses reports whether jobs of the service are refused because others need the capacity:
 // it has been overloaded for a while, and this Cell is not just taking over.
 func (cell *Cell) refuses(plan *servicePlan) bool {
@@ -234,6 +252,7 @@
 // this Cell yet count as capacity that is free soon.
 func (cell *Cell) capacity(plan *servicePlan) admission.Capacity {
 	clear(plan.releaseCores[:])
+	clear(plan.rooms)
 	smallestNeed := math.MaxInt
 	for i := range plan.jobs {
 		smallestNeed = min(smallestNeed, plan.jobs[i].MilliCores)
@@ -323,14 +342,15 @@
 }
 
 // refuse answers a job that a Planner refuses. The answer says what the job needs, unless
-// it may not be handed to another cell.
+// it may not be handed to another cell. Each entry VM gets an answer of its own, so that
+// several could hand the job to different cells.
 func (cell *Cell) refuse(job *jobState, refusal admission.Refusal) {
 	if cell.trial != nil {
 		cell.trial.refuse(job, refusal)
 		return
 	}
 	cell.counters.Refused++
-	if !job.submitted.Spilled {
+	if !job.submitted.Spilled && len(job.entryVMs) == 1 {
 		job.surplus = &Surplus{
 			ID:         job.submitted.ID,
 			Service:    job.submitted.Service,
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -70,13 +70,22 @@
 		cell.planWaiting()
 	}
 	muchIdle := cell.muchIdle()
-	unplaced := 0
+	for _, plan := range cell.planOrder {
+		plan.unplaced = 0
+	}
+	var plan *servicePlan
 	for _, job := range cell.waitingJobs {
-		if unplaced >= maxUnplacedJobs {
-			break
+		if plan == nil || plan.service != job.submitted.Service {
+			plan = cell.servicePlan(job.submitted.Service)
+		}
+		if plan.unplaced >= maxUnplacedJobs {
+			if len(cell.planOrder) == 1 {
+				break
+			}
+			continue
 		}
 		if !job.held && !cell.placeJob(job, muchIdle) {
-			unplaced++
+			plan.unplaced++
 		}
 	}
 	cell.refuseJobs(muchIdle)
@@ -85,9 +94,9 @@
 }
 
 // planDue reports whether a round of planning is due. A single job needs none while much
-// capacity is idle.
+// capacity is idle, unless the last round held it.
 func (cell *Cell) planDue() bool {
-	if len(cell.waitingJobs) == 1 && cell.muchIdle() && !cell.servicePlan(cell.waitingJobs[0].submitted.Service).overloaded {
+	if len(cell.waitingJobs) == 1 && !cell.waitingJobs[0].held && cell.muchIdle() && !cell.servicePlan(cell.waitingJobs[0].submitted.Service).overloaded {
 		return false
 	}
 	return cell.now.Sub(cell.plannedAt) >= planInterval*time.Duration(1+len(cell.waitingJobs)/jobsPerInterval)
@@ -101,7 +110,7 @@
 	// jobsPerInterval is the number of waiting jobs with which the interval is twice as
 	// long. A round takes 3 ms at 5,000 waiting jobs.
 	jobsPerInterval = 500
-	// maxUnplacedJobs bounds the jobs that are tried without success, because
+	// maxUnplacedJobs bounds the jobs of a service that are tried without success, because
 	// they need upstreams that are not free, before the rest waits for the next
 	// change.
 	maxUnplacedJobs = 32
@@ -201,7 +210,7 @@
 	if task.failures > 0 && (upstream.consecutiveFailures > 0 || upstream.probing || upstream.listing.ID == task.avoidedUpstream) {
 		return false
 	}
-	if !cell.entryAllows(upstream, step) {
+	if !cell.entryAllows(upstream, step) || cell.reservesColdStart(upstream) {
 		return false
 	}
 	return step.MaxPerUpstream <= 0 || upstream.countStepTasks(task.name)+cell.countReserved(upstream, task.name) < step.MaxPerUpstream
