Intake: the refusal of an unread body reaches its client

Cause: net/http waits between the answer and the close of a connection only after a body beyond a limit, or if more than 256 KiB of it are known to be left. AbortBody made its read of the rest fail, so that the connection of a body that was ended for want of memory or time was closed at once, and reset by the bytes that its client still sent. The client could lose the 503 and its Retry-After, and send again as after a broken connection.

Change: AbortBody marks the body as beyond its limit.

--- a/shared/connection/intake/body.go
+++ b/shared/connection/intake/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,9 +43,13 @@
 	conn.gate.ledger.Read(now, conn.entry)
 }
 
-// AbortBody makes the server close the connection without reading the rest of the body.
+// AbortBody makes the server close the connection without reading the rest of the body. It
+// has to be called before the header is written.
 func (conn *Conn) AbortBody(writer http.ResponseWriter) {
 	writer.Header().Set("Connection", "close")
+	// The server waits between the answer and the close only after a body beyond a limit.
+	// Otherwise the unread bytes reset the connection, and the client may lose the answer.
+	_, _ = http.MaxBytesReader(writer, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
 	conn.gate.mutex.Lock()
 	conn.gate.ledger.Leave(conn.entry)
 	conn.gate.mutex.Unlock()
