Intake: an evicted body that waits for memory is woken

Cause: a body that waits for memory holds what it has. If it was told to end for another one, only its reads failed; it went on waiting for up to 1 s, and the other body, whose wait is as long, was refused although the memory could have been free at once.

Change: bodies that wait try again when others are told to end.

Measured: TestEvictedBodyThatWaitsIsWoken failed before ("too much held for clients" after 1 s), passes now; go test -race ./shared/connection/intake passes.

--- a/shared/connection/intake/gate.go
+++ b/shared/connection/intake/gate.go
@@ -174,14 +174,18 @@
 		gate.mutex.Lock()
 		verdict, victims := gate.ledger.Reserve(time.Now(), conn.entry, bytes, isLarge)
 		evicted := conn.entry.evicted
-		released := gate.released
-		if verdict == Pending {
-			gate.waiting++
-		}
 		stopped := make([]*Conn, 0, len(victims))
 		for _, victim := range victims {
 			stopped = append(stopped, gate.conns[victim])
 		}
+		if len(victims) > 0 {
+			// One of them may itself wait for memory.
+			gate.wakeWaiting()
+		}
+		released := gate.released
+		if verdict == Pending {
+			gate.waiting++
+		}
 		gate.mutex.Unlock()
 		for _, other := range stopped {
 			if other != nil {
@@ -215,6 +219,11 @@
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	gate.ledger.ReleaseBody(conn.entry)
+	gate.wakeWaiting()
+}
+
+// wakeWaiting makes the bodies that wait for memory try again.
+func (gate *Gate) wakeWaiting() {
 	if gate.waiting > 0 {
 		gate.waiting = 0
 		close(gate.released)
--- a/shared/connection/intake/gate_test.go
+++ b/shared/connection/intake/gate_test.go
@@ -1,12 +1,14 @@
 package intake
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -52,3 +54,37 @@
 		assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 503"), "%s: %q", framing, answer)
 	}
 }
+
+// Guards against a body that was told to end while it waits for memory itself: unless it
+// is woken, it keeps its memory until its wait ends, and the body for which it gives way
+// is refused.
+func TestEvictedBodyThatWaitsIsWoken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := New(Limits{
+			LargeBodyBytes: 100_000,
+		}, func(Reason) {})
+		open := func() *Conn {
+			conn := gate.admit(nil)
+			gate.ledger.Read(time.Now(), conn.entry)
+			return conn
+		}
+		// slow is told to end for waiting, but its reader does not notice.
+		slow, waiting, other, newer := open(), open(), open(), open()
+		assert.NilError(t, slow.reserve(10_000, true))
+		time.Sleep(time.Millisecond)
+		assert.NilError(t, waiting.reserve(60_000, true))
+		assert.NilError(t, other.reserve(25_000, true))
+		time.Sleep(minStall)
+		ended := make(chan error, 1)
+		go func() {
+			err := waiting.reserve(10_000, true)
+			waiting.releaseBody()
+			ended <- err
+		}()
+		synctest.Wait()
+		startedAt := time.Now()
+		assert.NilError(t, newer.reserve(50_000, true))
+		assert.Assert(t, time.Since(startedAt) < evictionTimeout/2, "waited %s", time.Since(startedAt))
+		assert.Assert(t, errors.Is(<-ended, ErrEvicted))
+	})
+}
