Cancellations: each cancel has a number of its own

Cause: since cancels are sent to the other cells also if this scheduler has the job itself, such a message carried the number of the cancel before it. The answer "not found" then counted for that one: its caller could get 410 before the scheduler that has the job answered.

Change: the number rises with each cancel.

Measured: TestAnswersToCancelsAreNotMixedUp failed before (an answer was passed to the other caller), passes now, also with -race.

--- a/shared/process/dispatcher/cancellations.go
+++ b/shared/process/dispatcher/cancellations.go
@@ -56,8 +56,9 @@
 		event.jobKnown <- known
 		event.jobKnown = nil
 	}
+	// A number of its own in each case: the answers must not count for another cancel.
+	loop.lastCancelNumber++
 	if event.jobKnown != nil {
-		loop.lastCancelNumber++
 		loop.pendingCancels[loop.lastCancelNumber] = pendingCancel{
 			jobKnown:   event.jobKnown,
 			held:       known,
--- a/shared/process/dispatcher/cancellations_test.go
+++ b/shared/process/dispatcher/cancellations_test.go
@@ -10,6 +10,7 @@
 	"tanagerfall/shared/connection/link"
 	"tanagerfall/shared/request/cancellation"
 	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/request/spill"
 )
 
 // sentMessages records the messages by address.
@@ -181,3 +182,34 @@
 	})
 	assert.Equal(t, len(forwarded.cancellations("10.0.0.11:1")), 0, "only the origin and the scheduler pass cancels on")
 }
+
+// Guards against an answer that counts for another caller's cancel: the scheduler has one
+// of two cancelled jobs itself and asks the schedulers of the other cells about both.
+func TestAnswersToCancelsAreNotMixedUp(t *testing.T) {
+	scheduler := newSchedulerLoop(t)
+	sent := make(sentMessages)
+	scheduler.dispatcher.links = sent
+	const foreign = "10.0.1.1:1"
+	scheduler.neighbours.planner.Update(spill.Report{
+		Cell:       "b",
+		Scheduler:  foreign,
+		ReportedAt: scheduler.now,
+	})
+	scheduler.submitFromEntryVM()
+	unknown := make(chan bool, 1)
+	scheduler.handle(scheduler.now, cancelRequested{
+		id:       "unknown",
+		jobKnown: unknown,
+	})
+	assert.Assert(t, received(t, scheduler.cancel()))
+	for _, message := range sent[foreign] {
+		if message.Cancel != nil && message.Cancel.JobID == "j" {
+			scheduler.receive(link.Message{
+				Cancelled: &link.Cancelled{
+					RequestNumber: message.Cancel.RequestNumber,
+				},
+			})
+		}
+	}
+	assert.Equal(t, len(unknown), 0, "nobody has answered this cancel")
+}
