Region: a frozen process doesn't divide the region

Cause: an undivided region is divided, for good, when the processes that are present can't schedule all upstreams. Since a silent process is absent after 2 s, a freeze of the strongest one for that long was enough; before, only processes that were forgotten after a minute did not count.

Change: an undivided region is divided only if all known processes call for it too. Those that are lost for good still don't make it too large.

Measured: TestFrozenProcessDoesNotDivideTheRegion failed before ("divided by failure domain"), passes now; go test -race ./shared/version/region passes.

--- a/shared/version/region/division.go
+++ b/shared/version/region/division.go
@@ -110,7 +110,10 @@
 		}
 		return view.adoptDivision(ChooseDivision(view.presentRoster(), upstreams)), true
 	case Undivided:
-		if !view.rosterSettled() || ChooseDivision(view.presentRoster(), upstreams*4/5) != DividedByDomain {
+		// Absent processes count as well: a strong one may be back soon.
+		upstreams = upstreams * 4 / 5
+		if !view.rosterSettled() || ChooseDivision(view.presentRoster(), upstreams) != DividedByDomain ||
+			ChooseDivision(view.rosterMembers(), upstreams) != DividedByDomain {
 			return nil, false
 		}
 		return view.adoptDivision(DividedByDomain), true
--- a/shared/version/region/division_test.go
+++ b/shared/version/region/division_test.go
@@ -128,3 +128,25 @@
 	_, changed = view.AdoptDivision(region.Division(9))
 	assert.Assert(t, !changed, "an unknown division is ignored")
 }
+
+// Guards against a region that is divided for good because its strongest process was
+// frozen for a few seconds: the others can't schedule all upstreams, but it can again.
+func TestFrozenProcessDoesNotDivideTheRegion(t *testing.T) {
+	network := newNetwork(9)
+	const strongest = 4
+	for number := range network.views {
+		started := member(number)
+		started.Weight = 0.1
+		if number == strongest {
+			started.Weight = 1
+		}
+		network.views[number] = region.New(network.now, started)
+	}
+	network.upstreams = 90
+	network.run(20)
+	assert.Equal(t, network.views[0].Division(), region.Undivided)
+	network.connected = func(from, to int) bool { return from != strongest && to != strongest }
+	network.run(30)
+	assert.Equal(t, network.views[0].Division(), region.Undivided)
+	assert.Equal(t, network.views[0].AbsentCount(), 1)
+}
