Members: a cut that moves leaves one majority

Cause: a process that was taken to be lost counted again with its first heartbeat. If a cut moves from one failure domain to another at that moment, those that rejoin and a part of the others are a majority of all members, while the rest is a majority of those that were present, which they alone know: both sides claimed the upstreams of the other. Before members could be lost, there was one majority of all.

Change: a lost process that is heard again counts when at least half of those present have been heard since. Until then the heartbeats to it say so (ReceiverLost, field 29), and neither counts the other for a majority.

Measured: TestCutThatMovesLeavesOneMajority (domains of 3, 2 and 4 processes) failed before with weak claims of schedulers 1 and 7, passes now. TestThirdsLostInTurnDoNotHoldClaims guards the other side and passed before as well. go test -race ./shared/version/region and go test ./shared/process/dispatcher pass.

--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -226,6 +226,7 @@
 		ShedShare:       loop.loadMonitor.shedShare,
 		Division:        loop.view.Division(),
 		Unheard:         !loop.view.Live(address),
+		ReceiverLost:    loop.view.TakesForLost(address),
 
 		EvacuationsPosition: loop.evacuations.Position(),
 	}
--- a/shared/version/region/claim.go
+++ b/shared/version/region/claim.go
@@ -62,12 +62,12 @@
 	return ok && view.live(peer) && view.inCell(peer.heartbeat.Member) && peer.heartbeat.Follows == view.self.Address
 }
 
-// followerCount returns the number of live processes that follow this one,
-// itself included.
+// followerCount returns the number of live processes that follow this one and count for
+// its majority, itself included.
 func (view *View) followerCount() int {
 	count := 1
-	for address := range view.peers {
-		if view.isFollower(address) {
+	for address, peer := range view.peers {
+		if view.isFollower(address) && view.votesHere(peer) {
 			count++
 		}
 	}
--- a/shared/version/region/presence.go
+++ b/shared/version/region/presence.go
@@ -52,29 +52,64 @@
 // updateLost marks the silent peers as lost while most of the processes that are present
 // are live. Of two sides of a partition only one can have that majority, and only that
 // one reduces the number of which it needs the majority later. So the claims survive
-// the loss of any number of processes one after the other.
+// the loss of any number of processes one after the other. A lost process that is heard
+// again counts once at least half of those present have been heard since: otherwise the
+// others, who may not hear it, may be the majority.
 func (view *View) updateLost() {
-	if 2*view.LiveCount() <= 1+view.presentPeerCount() {
-		return
+	present := 1 + view.presentPeerCount()
+	hasMajority := 2*view.votesSince(time.Time{}) > present
+	var returned []*peerState
+	for _, peer := range view.peers {
+		switch {
+		case peer.lost && view.live(peer):
+			if 2*view.votesSince(peer.silentAt) >= present {
+				returned = append(returned, peer)
+			}
+		case peer.heartbeatReceived && !view.live(peer):
+			peer.silentAt = view.now
+			isLong := view.now.Sub(peer.lastHeartbeatAt) >= lostAfter
+			peer.lost = peer.lost || (isLong && hasMajority)
+		}
+	}
+	for _, peer := range returned {
+		peer.lost = false
 	}
+}
+
+// votesSince returns the number of live processes, this one included, that count for its
+// majority and were heard at a time or later.
+func (view *View) votesSince(start time.Time) int {
+	votes := 1
 	for _, peer := range view.peers {
-		if peer.heartbeatReceived && !view.live(peer) && view.now.Sub(peer.lastHeartbeatAt) >= lostAfter {
-			peer.lost = true
+		if view.live(peer) && view.inCell(peer.heartbeat.Member) && view.votesHere(peer) && !peer.lastHeartbeatAt.Before(start) {
+			votes++
 		}
 	}
+	return votes
 }
 
-// absent reports whether a process is taken to be lost rather than to be cut off:
-// either most others were live when it was silent, or it refuses connections, so that
-// its VM can be reached, or neither this process nor a live one that reports to it has
-// heard it since its own start.
+// votesHere reports whether a live process counts for a majority of this one: neither
+// takes the other to be lost.
+func (view *View) votesHere(peer *peerState) bool { return !peer.lost && !peer.heartbeat.ReceiverLost }
+
+// TakesForLost reports whether the process at an address is taken to be lost, also if it
+// is heard again and does not count yet.
+func (view *View) TakesForLost(address string) bool {
+	peer, known := view.peers[address]
+	return known && peer.lost
+}
+
+// absent reports whether a process does not count because it is taken to be lost rather
+// than to be cut off: either most others were live when it was silent, or it refuses
+// connections, so that its VM can be reached, or neither this process nor a live one that
+// reports to it has heard it since its own start.
 func (view *View) absent(peer *peerState) bool {
-	if view.live(peer) {
-		return false
-	}
 	if peer.lost {
 		return true
 	}
+	if view.live(peer) {
+		return false
+	}
 	if !peer.lastRefusedAt.IsZero() && view.now.Sub(peer.lastRefusedAt) < refusalMemory {
 		return true
 	}
--- a/shared/version/region/presence_test.go
+++ b/shared/version/region/presence_test.go
@@ -165,3 +165,59 @@
 		assert.Assert(t, claims <= 1, "upstream %s has %d claims", upstream.ID, claims)
 	}
 }
+
+// checkMajorities checks that one side at most claims upstreams whose homes it does not
+// hear.
+func (network *network) checkMajorities(t *testing.T) {
+	t.Helper()
+	sides := make(map[int]bool)
+	for index := range 90 {
+		upstream := cell.Upstream{
+			ID:     fmt.Sprintf("u%d", index),
+			Domain: fmt.Sprintf("domain-%d", index%3),
+		}
+		for _, number := range network.schedulers() {
+			if network.views[number].Claim(upstream) == cell.ClaimWeak {
+				sides[number] = true
+			}
+		}
+	}
+	assert.Assert(t, len(sides) <= 1, "schedulers with weak claims: %v", sides)
+}
+
+// Guards against two sides that both claim everything when the cut moves: processes 0 to 2
+// were lost to the others, are heard by 3 and 4 again, and never by 5 to 8, who go on as
+// the majority without them.
+func TestCutThatMovesLeavesOneMajority(t *testing.T) {
+	network := newNetwork(9)
+	network.run(10)
+	network.connected = func(from, to int) bool { return (from < 3) == (to < 3) }
+	network.run(50)
+	network.connected = func(from, to int) bool { return (from < 5) == (to < 5) }
+	for range 30 {
+		network.run(1)
+		network.checkMajorities(t)
+	}
+	assert.Assert(t, network.claimedShare() == 1.0)
+	network.connected = func(int, int) bool { return true }
+	network.run(20)
+	for _, view := range network.views {
+		assert.Equal(t, view.AbsentCount(), 0)
+	}
+	assert.Equal(t, network.claimedShare(), 1.0)
+}
+
+// Guards against upstreams that belong to nobody because a process that is back does not
+// count: one third was lost and is back when the next one is lost.
+func TestThirdsLostInTurnDoNotHoldClaims(t *testing.T) {
+	network := newNetwork(9)
+	network.run(10)
+	third := func(number int) int { return number / 3 }
+	cutOff := 0
+	network.connected = func(from, to int) bool { return (third(from) == cutOff) == (third(to) == cutOff) }
+	for cutOff = range 3 {
+		network.run(50)
+		network.checkMajorities(t)
+		assert.Equal(t, network.claimedShare(), 1.0)
+	}
+}
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -87,6 +87,9 @@
 	Members []Member `cbor:"8,keyasint,omitempty"`
 	// ListsUnheard is set if the sender may not have heard all Members itself.
 	ListsUnheard bool `cbor:"28,keyasint,omitempty"`
+	// ReceiverLost is set if the sender takes the receiver to be lost, until it counts
+	// again.
+	ReceiverLost bool `cbor:"29,keyasint,omitempty"`
 	// PendingJobs counts, by kind, the jobs of which no task has started. Only a
 	// scheduler sets it.
 	PendingJobs map[string]int `cbor:"9,keyasint,omitempty"`
@@ -129,8 +132,9 @@
 	lastRefusedAt time.Time
 	// reportedAt is when another process last reported that it has heard the peer.
 	reportedAt time.Time
-	// lost is set by updateLost, until the next heartbeat.
-	lost bool
+	// lost is set and reset by updateLost, which last found the peer silent at silentAt.
+	lost     bool
+	silentAt time.Time
 }
 
 // View is one process's view of the membership of its region. It is not safe
@@ -268,7 +272,6 @@
 	if sentAt := view.now.Add(-delay); restarted || sentAt.After(sender.lastHeartbeatAt) {
 		sender.lastHeartbeatAt = sentAt
 	}
-	sender.lost = false
 	sender.refusedAt = time.Time{}
 	sender.lastRefusedAt = time.Time{}
 	return restarted
--- a/shared/version/region/view_test.go
+++ b/shared/version/region/view_test.go
@@ -60,6 +60,7 @@
 			for from, sender := range network.views {
 				if from != to && network.connected(from, to) {
 					heartbeat := network.heartbeat(from, sender)
+					heartbeat.ReceiverLost = sender.TakesForLost(view.Self().Address)
 					view.HandleHeartbeat(heartbeat, 0)
 					view.AddMembers(heartbeat.Members)
 					view.AdoptDivision(sender.Division())
