Cell: callers refused for want of memory return at different times

Cause: all jobs for which the scheduler had no memory were refused with the shortest Retry-After, so that their callers came back together after 1 s.

Change: the delay is that of other refusals: by the predicted drain, spread by the ID.

Measured: TestJobsBeyondTheMemoryAreNotRun failed with 1 delay for 17 callers, passes with more than 10; go test -race ./shared/request/cell passes.

--- a/shared/request/cell/memory.go
+++ b/shared/request/cell/memory.go
@@ -55,7 +55,7 @@
 			ID:         event.Job.ID,
 			Result:     NotRun,
 			Reason:     "memory",
-			RetryAfter: cell.config.Limits.MinRetryAfter,
+			RetryAfter: cell.servicePlan(event.Job.Service).planner.RetryAfter(event.Job.ID),
 		},
 	})
 }
--- a/shared/request/cell/memory_test.go
+++ b/shared/request/cell/memory_test.go
@@ -26,6 +26,7 @@
 		KnowsUpstreams: func([]uint64) bool { return true },
 		Limits:         limits,
 	})
+	delays := make(map[time.Duration]bool)
 	refused := func(job cell.Job) bool {
 		answers := decisionsOf[cell.AnswerJob](harness.handle(cell.JobSubmitted{
 			EntryVM: entryVM,
@@ -36,6 +37,7 @@
 		}
 		assert.Equal(t, answers[0].Answer.Result, cell.NotRun)
 		assert.Assert(t, answers[0].Answer.RetryAfter >= time.Second)
+		delays[answers[0].Answer.RetryAfter] = true
 		return true
 	}
 	admitted := 0
@@ -45,6 +47,7 @@
 		}
 	}
 	assert.Equal(t, admitted, 3)
+	assert.Assert(t, len(delays) > 10, "the callers of 17 jobs return after %d different delays", len(delays))
 	assert.Assert(t, !refused(testJob("small", 2)))
 	taken := testJob("taken over", cell.MaxTasks)
 	taken.Generation = 1
