--- a/shared/process/dispatcher/cancellations_test.go
+++ b/shared/process/dispatcher/cancellations_test.go
@@ -213,3 +213,24 @@
 	}
 	assert.Equal(t, len(unknown), 0, "nobody has answered this cancel")
 }
+
+// Guards against a cancel that only its own cell knows: the job may be with the scheduler
+// of another cell, or with an entry VM there that submits it later.
+func TestSchedulerTellsTheOtherCells(t *testing.T) {
+	scheduler := newSchedulerLoop(t)
+	sent := make(sentMessages)
+	scheduler.dispatcher.links = sent
+	scheduler.neighbours.planner.Update(spill.Report{
+		Cell:       "b",
+		Scheduler:  "10.0.1.1:1",
+		ReportedAt: scheduler.now,
+	})
+	scheduler.receive(link.Message{
+		Cancel: &link.Cancel{
+			JobID:         "j",
+			RequestNumber: 1,
+		},
+	})
+	scheduler.advance(tickInterval)
+	assert.DeepEqual(t, sent.cancellations("10.0.1.1:1"), []string{"j"})
+}
