--- a/shared/process/dispatcher/door_admission.go
+++ b/shared/process/dispatcher/early_refusal.go
@@ -66,9 +66,9 @@
 	return planner.Rank(loop.now, described) > 1-share
 }
 
-// refuseAtDoor answers a job of a caller that the scheduler would refuse by its last
+// refuseEarly answers a job of a caller that the scheduler would refuse by its last
 // heartbeat, and reports whether it did. A job that another cell has room for goes there.
-func (loop *loop) refuseAtDoor(heldJob *heldJob, answer chan<- cell.Answer) bool {
+func (loop *loop) refuseEarly(heldJob *heldJob, answer chan<- cell.Answer) bool {
 	if loop.cell != nil || loop.leader == "" {
 		return false
 	}
@@ -82,8 +82,8 @@
 	if !refused || loop.chooseForeignScheduler(heldJob) {
 		return false
 	}
-	loop.dispatcher.instruments.increment(metricDoorRefusals)
-	loop.log(logevent.JobRefusedAtDoor, "job", job.ID, "kind", job.Kind, "reason", refusal.Reason,
+	loop.dispatcher.instruments.increment(metricEarlyRefusals)
+	loop.log(logevent.JobRefusedEarly, "job", job.ID, "kind", job.Kind, "reason", refusal.Reason,
 		"load", heartbeat.Admission[job.Service].Digest.Load, "age", age, "retry-after", refusal.RetryAfter)
 	answer <- cell.Answer{
 		ID:         job.ID,
--- a/shared/process/dispatcher/door_admission_test.go
+++ b/shared/process/dispatcher/early_refusal_test.go
@@ -15,7 +15,7 @@
 // Load: an overload that the scheduler has reported. Guards against refusals by a report
 // that is old, of a job that the scheduler would take, or of one that may have run before;
 // and against a hop to a scheduler that is sure to refuse.
-func TestRefusalAtTheDoorFollowsTheScheduler(t *testing.T) {
+func TestEarlyRefusalFollowsTheScheduler(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		age     time.Duration
--- a/shared/process/dispatcher/explain.go
+++ b/shared/process/dispatcher/explain.go
@@ -73,7 +73,7 @@
 	return explanation
 }
 
-// explainAdmission says what refuseAtDoor would answer.
+// explainAdmission says what refuseEarly would answer.
 func (loop *loop) explainAdmission(state cell.AdmissionState, age time.Duration, job *cell.Job) where.Admission {
 	refusal, refused := state.Refuse(loop.now, age, job)
 	return where.Admission{
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -94,7 +94,7 @@
 		job.quarantineEnd = loop.now.Add(loop.quarantine() - event.job.ResentAfter)
 	}
 	job.job.Domain = loop.view.Self().Domain
-	if loop.refuseAtDoor(job, event.answer) || loop.shed(job, event.answer) {
+	if loop.refuseEarly(job, event.answer) || loop.shed(job, event.answer) {
 		return
 	}
 	loop.heldJobs[event.job.ID] = job
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -39,7 +39,7 @@
 	metricCancellations     = "tanagerfall_region_cancellations"
 
 	metricCancelledSubmissions = "tanagerfall_region_cancelled_submissions_total"
-	metricDoorRefusals         = "tanagerfall_region_door_refusals_total"
+	metricEarlyRefusals        = "tanagerfall_region_early_refusals_total"
 	metricLoad                 = "tanagerfall_region_load"
 	metricDeferredJobs         = "tanagerfall_region_deferred_jobs"
 	metricDiscardedStarts      = "tanagerfall_region_discarded_starts"
@@ -52,7 +52,7 @@
 		metricLiveProcesses, metricHeldJobs, metricListAge, metricRoutesVersion, metricUpstreams, metricTakeovers, metricDroppedLogLines,
 		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages, metricEvacuatedDomains, metricEvacuatedOrders,
 		metricMoves, metricMovesInVain, metricCancellations, metricCancelledSubmissions,
-		metricDoorRefusals, metricLoad, metricDeferredJobs, metricDiscardedStarts,
+		metricEarlyRefusals, metricLoad, metricDeferredJobs, metricDiscardedStarts,
 	}
 }
 
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -354,9 +354,9 @@
 		Level:  log.InfoLevel,
 		Text:   "peer does not hear this process; the stream to it is replaced",
 	}
-	JobRefusedAtDoor = Event{
+	JobRefusedEarly = Event{
 		Number: 761,
-		Name:   "job-refused-at-door",
+		Name:   "job-refused-early",
 		Level:  log.InfoLevel,
 		Text:   "job refused by the admission state in the scheduler's last heartbeat",
 	}
@@ -447,6 +447,6 @@
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate, CancelApplied, CancelledSubmission,
 		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
-		JobRefusedAtDoor, OverloadBegan, OverloadEnded, EstimatesInherited, EstimatesIgnored, EvacuationsChanged, IntakeRefused,
+		JobRefusedEarly, OverloadBegan, OverloadEnded, EstimatesInherited, EstimatesIgnored, EvacuationsChanged, IntakeRefused,
 	}
 }
--- a/shared/process/where/where.go
+++ b/shared/process/where/where.go
@@ -19,7 +19,7 @@
 }
 
 // Answer says where a job would go. Route is nil if none matches, and Dispatch if the job
-// would not get to a scheduler's door. Problem says why.
+// would not be submitted to a scheduler. Problem says why.
 type Answer struct {
 	RoutesVersion int64          `json:"routes-version"`
 	Route         *routing.Route `json:"route"`
