tanagerctl: no race in the fixture of the where sessions

Cause: TestSessions failed with a data race in a run of the whole script: the script set the answers while the server of the fixture could read them. Change: the answers stand in a sync.Map; an answer that is not set is 404.

--- a/tanagerctl/command/command_test.go
+++ b/tanagerctl/command/command_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -38,9 +39,9 @@
 	platform *platform.Platform
 	// state is the state dump of the VM, a string with JSON.
 	state atomic.Value
-	// answers holds the answers to questions where a job would go, by the failure domain
-	// that they name.
-	answers map[string]string
+	// answers holds the answers to questions where a job would go, a string with JSON by the
+	// failure domain that they name.
+	answers sync.Map
 	// drains counts the requests to drain the VM.
 	drains atomic.Int32
 }
@@ -69,7 +70,12 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	_, _ = writer.Write([]byte(fixture.answers[question.Domain]))
+	answer, known := fixture.answers.Load(question.Domain)
+	if !known {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = writer.Write([]byte(answer.(string)))
 }
 
 // tokenCheckingVM is the operator endpoint of an entry VM that requires the operator
@@ -140,10 +146,8 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"exits": runExpectingCode,
 			"answers-where": func(script *testscript.TestScript, _ bool, args []string) {
-				fixtureOf(script).answers = map[string]string{
-					"":   script.ReadFile(args[0]),
-					"z1": script.ReadFile(args[1]),
-				}
+				fixtureOf(script).answers.Store("", script.ReadFile(args[0]))
+				fixtureOf(script).answers.Store("z1", script.ReadFile(args[1]))
 			},
 			"log-down": func(script *testscript.TestScript, _ bool, _ []string) { fixtureOf(script).platform.LogDown(false, 0) },
 			"log-up":   func(script *testscript.TestScript, _ bool, _ []string) { fixtureOf(script).platform.Clear() },
