Log and count repeated submissions and ignored replies

Change: events E717, E729 and E730, two metrics, the scheduler's address in E713. No change of logic.

--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -58,8 +59,21 @@
 	// notStarted is set if all schedulers that had the job have reported that they
 	// ordered no start.
 	notStarted bool
+	// resubmitReason says why the job has to be submitted again.
+	resubmitReason string
 }
 
+// Reasons for which a job is submitted again.
+const (
+	resubmitStreamReplaced = "stream replaced"
+	resubmitDropped        = "dropped by the scheduler"
+	resubmitFollows        = "follows another scheduler"
+	resubmitReleased       = "scheduler stepped down"
+	resubmitDeclined       = "declined"
+	resubmitLost           = "scheduler lost"
+	resubmitDivided        = "region divided"
+)
+
 // tooLate reports whether no scheduler has the job and its answer would come too
 // late to be of use even if the job started now on the fastest upstream.
 func (heldJob *heldJob) tooLate(now time.Time, speed float64) bool {
@@ -158,6 +172,9 @@
 	heldJob.released = false
 	heldJob.runsAt = nil
 	heldJob.notStarted = false
+	if heldJob.resubmitReason != "" {
+		loop.recordResubmission(heldJob, &job)
+	}
 	if scheduler == loop.view.Self().Address {
 		loop.notifyCell(cell.JobSubmitted{
 			EntryVM: loop.selfName(),
@@ -175,12 +192,20 @@
 	})
 }
 
+// recordResubmission logs and counts a submission that is not the first one of a job.
+func (loop *loop) recordResubmission(heldJob *heldJob, job *cell.Job) {
+	loop.dispatcher.instruments.increment(fmt.Sprintf("%s{reason=%q}", metricResubmissions, heldJob.resubmitReason))
+	loop.log(logevent.JobResubmitted, "job", job.ID, "scheduler", heldJob.scheduler, "reason", heldJob.resubmitReason,
+		"generation", job.Generation, "quarantine", job.Quarantine, "not-started", job.NotStarted)
+	heldJob.resubmitReason = ""
+}
+
 // resubmitAll submits all jobs to the scheduler again after its connection was
 // established anew. The scheduler ignores the jobs that it has.
 func (loop *loop) resubmitAll() {
 	for _, heldJob := range inOrder(loop.heldJobs) {
 		if heldJob.scheduler == loop.leader {
-			loop.suspend(heldJob)
+			loop.suspend(heldJob, resubmitStreamReplaced)
 		}
 		loop.submit(heldJob)
 	}
@@ -205,7 +230,7 @@
 			if previousLeader != loop.view.Self().Address {
 				loop.withdrawFromScheduler(heldJob)
 			}
-			loop.suspend(heldJob)
+			loop.suspend(heldJob, resubmitFollows)
 		}
 	}
 	if leader == "" {
@@ -219,13 +244,28 @@
 	}
 }
 
+// holder returns the held job that a scheduler's reply is about. A reply of a process that
+// does not have the job any more is ignored.
+func (loop *loop) holder(from, id, reply string) (*heldJob, bool) {
+	heldJob, known := loop.heldJobs[id]
+	if !known {
+		return nil, false
+	}
+	if heldJob.scheduler != from {
+		loop.dispatcher.instruments.increment(metricRepliesIgnored)
+		loop.log(logevent.ReplyIgnored, "job", id, "member", from, "reply", reply, "scheduler", heldJob.scheduler)
+		return nil, false
+	}
+	return heldJob, true
+}
+
 // handleRelease records which runs of a job a scheduler left when it stepped down.
 func (loop *loop) handleRelease(from string, release cell.Release) {
-	heldJob, known := loop.heldJobs[release.ID]
-	if !known || heldJob.scheduler != from {
+	heldJob, known := loop.holder(from, release.ID, "release")
+	if !known {
 		return
 	}
-	loop.leaveScheduler(heldJob)
+	loop.leaveScheduler(heldJob, resubmitReleased)
 	heldJob.released = true
 	heldJob.runsAt = release.RunsAt
 	heldJob.notStarted = release.NotStarted
@@ -235,12 +275,13 @@
 // accept. The job goes to target, the scheduler of another cell, unless that is
 // empty.
 func (loop *loop) handleDecline(from, id, target string) {
-	heldJob, known := loop.heldJobs[id]
-	if !known || heldJob.scheduler != from {
+	heldJob, known := loop.holder(from, id, "decline")
+	if !known {
 		return
 	}
 	heldJob.scheduler = ""
 	heldJob.foreignScheduler = ""
+	heldJob.resubmitReason = resubmitDeclined
 	if heldJob.submissions == 1 {
 		// No other scheduler had the job, so the next submission is its first.
 		heldJob.submissions = 0
@@ -260,14 +301,15 @@
 		if heldJob.scheduler != from {
 			continue
 		}
-		loop.suspend(heldJob)
+		loop.suspend(heldJob, resubmitDropped)
 		loop.submit(heldJob)
 	}
 }
 
 // suspend records that a job has to be submitted again, although its scheduler may still
 // act on it until the end of a quarantine.
-func (loop *loop) suspend(heldJob *heldJob) {
+func (loop *loop) suspend(heldJob *heldJob, reason string) {
+	heldJob.resubmitReason = reason
 	set := loop.knownUpstreams.current
 	if heldJob.scheduler != loop.view.Self().Address {
 		heartbeat, _ := loop.view.LastHeartbeat(heldJob.scheduler)
@@ -283,8 +325,8 @@
 // handleAnswer passes a scheduler's answer to the callers. An answer of a process
 // that does not have the job any more is ignored.
 func (loop *loop) handleAnswer(from string, answer cell.Answer) {
-	heldJob, known := loop.heldJobs[answer.ID]
-	if !known || heldJob.scheduler != from {
+	heldJob, known := loop.holder(from, answer.ID, string(answer.Result))
+	if !known {
 		return
 	}
 	loop.answerCallers(heldJob, answer)
@@ -305,6 +347,7 @@
 	pairs := []any{
 		"job", answer.ID, "kind", heldJob.job.Kind, "result", string(answer.Result),
 		"reason", answer.Reason, "took", elapsed, "allowed", heldJob.job.LatencyBudget(1), "schedulers", heldJob.submissions,
+		"scheduler", heldJob.scheduler,
 	}
 	if progress := answer.Progress; progress != nil {
 		pairs = append(pairs, "done", progress.Done, "running", progress.Running, "waiting", progress.Waiting)
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -262,7 +262,7 @@
 			continue
 		}
 		loop.withdrawFromScheduler(heldJob)
-		loop.leaveScheduler(heldJob)
+		loop.leaveScheduler(heldJob, resubmitDivided)
 		heldJob.runsElsewhere = true
 	}
 	for address, entryVM := range inOrder(loop.entryVMs) {
--- a/shared/process/dispatcher/metrics.go
+++ b/shared/process/dispatcher/metrics.go
@@ -43,6 +43,8 @@
 	metricLoad                 = "tanagerfall_region_load"
 	metricDeferredJobs         = "tanagerfall_region_deferred_jobs"
 	metricDiscardedStarts      = "tanagerfall_region_discarded_starts"
+	metricResubmissions        = "tanagerfall_region_resubmissions_total"
+	metricRepliesIgnored       = "tanagerfall_region_replies_ignored_total"
 )
 
 // MetricNames returns the names of all metrics of a Dispatcher.
@@ -53,6 +55,7 @@
 		metricRelayedOrders, metricLostRelayedOrders, metricStaleMessages, metricInvalidMessages, metricEvacuatedDomains, metricEvacuatedOrders,
 		metricMoves, metricMovesInVain, metricCancellations, metricCancelledSubmissions,
 		metricEarlyRefusals, metricLoad, metricDeferredJobs, metricDiscardedStarts,
+		metricResubmissions, metricRepliesIgnored,
 	}
 }
 
--- a/shared/process/dispatcher/neighbours.go
+++ b/shared/process/dispatcher/neighbours.go
@@ -86,7 +86,7 @@
 		if heldJob.scheduler != scheduler || heldJob.submittedAt.After(loop.neighbours.brokenAt[scheduler]) {
 			continue
 		}
-		loop.suspend(heldJob)
+		loop.suspend(heldJob, resubmitStreamReplaced)
 		loop.submit(heldJob)
 	}
 }
@@ -334,14 +334,14 @@
 		loop.log(logevent.SchedulerFollowed, "scheduler", loop.leader, "before", scheduler, "job", heldJob.job.ID, "reason", "silent")
 		loop.withdrawFromScheduler(heldJob)
 		loop.neighbours.planner.Forget(scheduler)
-		loop.leaveScheduler(heldJob)
+		loop.leaveScheduler(heldJob, resubmitLost)
 	}
 }
 
 // leaveScheduler suspends a job and makes its next destination that of a new job.
-func (loop *loop) leaveScheduler(heldJob *heldJob) {
+func (loop *loop) leaveScheduler(heldJob *heldJob, reason string) {
 	heldJob.runsElsewhere = heldJob.runsElsewhere || heldJob.foreignScheduler != ""
-	loop.suspend(heldJob)
+	loop.suspend(heldJob, reason)
 	heldJob.foreignScheduler = ""
 }
 
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -273,6 +273,10 @@
 		})
 		return
 	}
+	if job.Generation > 0 {
+		loop.log(logevent.EarlierJobReceived, "job", job.ID, "member", address, "generation", job.Generation,
+			"quarantine", job.Quarantine, "known", loop.cell.HasJob(job.ID))
+	}
 	entryVM := entryVMName(address, incarnation)
 	_, known := loop.entryVMs[address]
 	loop.entryVMs[address] = entryVM
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -354,6 +354,24 @@
 		Level:  log.InfoLevel,
 		Text:   "peer does not hear this process; the stream to it is replaced",
 	}
+	JobResubmitted = Event{
+		Number: 729,
+		Name:   "job-resubmitted",
+		Level:  log.InfoLevel,
+		Text:   "job is submitted again; an earlier submission may have been accepted",
+	}
+	ReplyIgnored = Event{
+		Number: 730,
+		Name:   "reply-ignored",
+		Level:  log.InfoLevel,
+		Text:   "reply about a job is not from its last submission and is ignored",
+	}
+	EarlierJobReceived = Event{
+		Number: 717,
+		Name:   "earlier-job-received",
+		Level:  log.InfoLevel,
+		Text:   "scheduler received a job that was submitted before",
+	}
 	JobRefusedEarly = Event{
 		Number: 761,
 		Name:   "job-refused-early",
@@ -444,8 +462,8 @@
 		UpstreamLost, UpstreamDraining, UpstreamAsked,
 		PeerUnreachable, HandoverStarted, HandoverDone, HandoverFailed, HandoverReceived, PeerReachable,
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
-		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate, CancelApplied, CancelledSubmission,
-		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset,
+		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate, EarlierJobReceived, CancelApplied, CancelledSubmission,
+		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset, JobResubmitted, ReplyIgnored,
 		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
 		JobRefusedEarly, OverloadBegan, OverloadEnded, EstimatesInherited, EstimatesIgnored, EvacuationsChanged, IntakeRefused,
 	}
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -260,6 +260,12 @@
 	}
 }
 
+// HasJob reports whether the Cell has a job.
+func (cell *Cell) HasJob(id string) bool {
+	_, ok := cell.jobs[id]
+	return ok
+}
+
 // HoldsJobsOf reports whether the Cell has a job of an entry VM.
 func (cell *Cell) HoldsJobsOf(entryVM string) bool {
 	for _, job := range cell.jobs {
