Replies of schedulers name the submission that they answer

Cause: an entry VM that wakes from a pause submits its callers' jobs to the new scheduler, and then hears that this one had dropped its jobs during the pause. It took this for the jobs that it had just submitted as well, and submitted them again. The scheduler refused the first submission; the entry VM matched the reply by sender and job ID only, and passed it on although the second submission was on its way. The scheduler started that one. A replaced stream does the same. Change: submissions have numbers; answers, declines and releases name theirs, a notice of dropped jobs the last one received. A scheduler remembers how it ended a submission and repeats that to a later one of the same series, so that a refusal stays true and is not reported as unknown. Why it works: an entry VM reports only the reply to its last submission, and the scheduler has seen all that it received before that one, because a stream keeps the order.

--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -63,7 +63,10 @@
 
 // Dropped is sent by a scheduler to an entry VM that was silent, when its heartbeats
 // arrive again: the scheduler has withdrawn all its jobs.
-type Dropped struct{}
+type Dropped struct {
+	// Through is the last submission that the scheduler had received by then; 0 means all.
+	Through uint64 `cbor:"1,keyasint,omitempty"`
+}
 
 // LeavingUpstreams tells which upstreams have begun to leave. The store of a process
 // that has just started may still serve an older entry.
@@ -127,8 +130,11 @@
 // not accept the job, usually because it does not schedule.
 type Decline struct {
 	JobID string `cbor:"1,keyasint"`
-	// Target, if set, is the scheduler of another cell that has room for the job.
+	// Target, if set, is the scheduler of another cell that has room for the job. The sender
+	// had the job and ordered no start.
 	Target string `cbor:"2,keyasint,omitempty"`
+	// Submission is the submission that is declined.
+	Submission uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Cancel requests that the scheduler cancel a job, whichever entry VM submitted
--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -170,8 +170,9 @@
 	assert.Equal(t, scheduler.cell.Counters().Submitted, int64(1))
 	scheduler.advance(2 * time.Second)
 	assert.Equal(t, len(scheduler.entryVMs), 0)
-	assert.DeepEqual(t, scheduler.droppedEntryVMs, map[string]string{
-		entryVMAddress: entryVMName(entryVMAddress, 2),
+	assert.Equal(t, len(scheduler.droppedEntryVMs), 1)
+	assert.Equal(t, scheduler.droppedEntryVMs[entryVMAddress], droppedEntryVM{
+		name: entryVMName(entryVMAddress, 2),
 	})
 	scheduler.receiveHeartbeat()
 	assert.Equal(t, len(scheduler.droppedEntryVMs), 0, "the entry VM is told once")
--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -90,14 +90,16 @@
 		return
 	}
 	delete(loop.droppedEntryVMs, member.Address)
-	if loop.cell == nil || entryVM != entryVMName(member.Address, member.Incarnation) {
+	if loop.cell == nil || entryVM.name != entryVMName(member.Address, member.Incarnation) {
 		return
 	}
 	if !loop.view.InCell(member.Address) {
 		loop.useForeignLink(member.Address)
 	}
 	loop.send(member.Address, link.Message{
-		Dropped: &link.Dropped{},
+		Dropped: &link.Dropped{
+			Through: entryVM.through,
+		},
 	})
 }
 
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -40,6 +39,15 @@
 	foreignScheduler string
 	// submittedAt is when the job was last submitted.
 	submittedAt time.Time
+	// submission is the number of the last submission, lastScheduler where it went, and
+	// firstSubmission the first of those that went there without another between them.
+	submission      uint64
+	firstSubmission uint64
+	lastScheduler   string
+	// settled is set if lastScheduler has reported that it does not have the job and ordered
+	// no start, and settledBefore if the same is known of all before firstSubmission.
+	settled       bool
+	settledBefore bool
 	// runsElsewhere is set if a scheduler of another cell than that of the next
 	// submission may have started the job.
 	runsElsewhere bool
@@ -56,24 +64,10 @@
 	// it left of the job. They can only be on the upstreams in runsAt.
 	released bool
 	runsAt   []string
-	// notStarted is set if all schedulers that had the job have reported that they
-	// ordered no start.
-	notStarted bool
 	// resubmitReason says why the job has to be submitted again.
 	resubmitReason string
 }
 
-// Reasons for which a job is submitted again.
-const (
-	resubmitStreamReplaced = "stream replaced"
-	resubmitDropped        = "dropped by the scheduler"
-	resubmitFollows        = "follows another scheduler"
-	resubmitReleased       = "scheduler stepped down"
-	resubmitDeclined       = "declined"
-	resubmitLost           = "scheduler lost"
-	resubmitDivided        = "region divided"
-)
-
 // tooLate reports whether no scheduler has the job and its answer would come too
 // late to be of use even if the job started now on the fastest upstream.
 func (heldJob *heldJob) tooLate(now time.Time, speed float64) bool {
@@ -95,10 +89,11 @@
 		return
 	}
 	job = &heldJob{
-		job:        event.job,
-		receivedAt: loop.now.Add(-event.job.Age),
-		deadline:   loop.now.Add(event.job.TimeLeft),
-		waiters:    []chan<- cell.Answer{event.answer},
+		job:           event.job,
+		receivedAt:    loop.now.Add(-event.job.Age),
+		deadline:      loop.now.Add(event.job.TimeLeft),
+		waiters:       []chan<- cell.Answer{event.answer},
+		settledBefore: true,
 	}
 	if loop.refuseCancelled(event.job.ID) {
 		loop.answerCallers(job, cancelledAnswer(event.job.ID))
@@ -155,6 +150,7 @@
 	heldJob.submissions++
 	heldJob.scheduler = scheduler
 	heldJob.submittedAt = loop.now
+	loop.numberSubmission(heldJob)
 	job := heldJob.job
 	isForeign := scheduler == heldJob.foreignScheduler
 	// Runs of an earlier scheduler of the own cell are elsewhere for a foreign one.
@@ -168,10 +164,8 @@
 	job.EarlierSets = heldJob.earlierSets
 	job.Released = heldJob.released
 	job.RunsAt = heldJob.runsAt
-	job.NotStarted = heldJob.notStarted
 	heldJob.released = false
 	heldJob.runsAt = nil
-	heldJob.notStarted = false
 	if heldJob.resubmitReason != "" {
 		loop.recordResubmission(heldJob, &job)
 	}
@@ -192,14 +186,6 @@
 	})
 }
 
-// recordResubmission logs and counts a submission that is not the first one of a job.
-func (loop *loop) recordResubmission(heldJob *heldJob, job *cell.Job) {
-	loop.dispatcher.instruments.increment(fmt.Sprintf("%s{reason=%q}", metricResubmissions, heldJob.resubmitReason))
-	loop.log(logevent.JobResubmitted, "job", job.ID, "scheduler", heldJob.scheduler, "reason", heldJob.resubmitReason,
-		"generation", job.Generation, "quarantine", job.Quarantine, "not-started", job.NotStarted)
-	heldJob.resubmitReason = ""
-}
-
 // resubmitAll submits all jobs to the scheduler again after its connection was
 // established anew. The scheduler ignores the jobs that it has.
 func (loop *loop) resubmitAll() {
@@ -244,50 +230,40 @@
 	}
 }
 
-// holder returns the held job that a scheduler's reply is about. A reply of a process that
-// does not have the job any more is ignored.
-func (loop *loop) holder(from, id, reply string) (*heldJob, bool) {
-	heldJob, known := loop.heldJobs[id]
-	if !known {
-		return nil, false
-	}
-	if heldJob.scheduler != from {
-		loop.dispatcher.instruments.increment(metricRepliesIgnored)
-		loop.log(logevent.ReplyIgnored, "job", id, "member", from, "reply", reply, "scheduler", heldJob.scheduler)
-		return nil, false
-	}
-	return heldJob, true
-}
-
 // handleRelease records which runs of a job a scheduler left when it stepped down.
 func (loop *loop) handleRelease(from string, release cell.Release) {
-	heldJob, known := loop.holder(from, release.ID, "release")
+	heldJob, known := loop.answeredJob(from, release.ID, release.Submission, "release")
 	if !known {
 		return
 	}
 	loop.leaveScheduler(heldJob, resubmitReleased)
 	heldJob.released = true
 	heldJob.runsAt = release.RunsAt
-	heldJob.notStarted = release.NotStarted
+	heldJob.settled = release.NotStarted
 }
 
 // handleDecline schedules another submission of a job that the scheduler did not
-// accept. The job goes to target, the scheduler of another cell, unless that is
-// empty.
-func (loop *loop) handleDecline(from, id, target string) {
-	heldJob, known := loop.holder(from, id, "decline")
+// accept. The job goes to the target of the decline, the scheduler of another cell, unless
+// that is empty.
+func (loop *loop) handleDecline(from string, decline link.Decline) {
+	heldJob, known := loop.answeredJob(from, decline.JobID, decline.Submission, "decline")
 	if !known {
 		return
 	}
 	heldJob.scheduler = ""
 	heldJob.foreignScheduler = ""
 	heldJob.resubmitReason = resubmitDeclined
-	if heldJob.submissions == 1 {
-		// No other scheduler had the job, so the next submission is its first.
+	// A scheduler that does not accept this submission may have accepted one before.
+	heldJob.settled = decline.Target != "" || heldJob.submission == heldJob.firstSubmission
+	if heldJob.neverStarted() && heldJob.job.ResentAfter == 0 {
+		// The next submission is as good as the first one.
 		heldJob.submissions = 0
+		heldJob.quarantineEnd = time.Time{}
+		heldJob.earlierSets = nil
+		heldJob.runsElsewhere = false
 	}
-	if target != "" {
-		heldJob.assignForeign(target)
+	if decline.Target != "" {
+		heldJob.assignForeign(decline.Target)
 		loop.submit(heldJob)
 		return
 	}
@@ -295,10 +271,11 @@
 }
 
 // handleDropped submits the jobs again that a scheduler has withdrawn because it did
-// not hear this process. A run of them may still be stopping.
-func (loop *loop) handleDropped(from string) {
+// not hear this process. A run of them may still be stopping. Jobs that were submitted since
+// are not affected.
+func (loop *loop) handleDropped(from string, through uint64) {
 	for _, heldJob := range inOrder(loop.heldJobs) {
-		if heldJob.scheduler != from {
+		if heldJob.scheduler != from || (through != 0 && heldJob.submission > through) {
 			continue
 		}
 		loop.suspend(heldJob, resubmitDropped)
@@ -325,10 +302,15 @@
 // handleAnswer passes a scheduler's answer to the callers. An answer of a process
 // that does not have the job any more is ignored.
 func (loop *loop) handleAnswer(from string, answer cell.Answer) {
-	heldJob, known := loop.holder(from, answer.ID, string(answer.Result))
+	heldJob, known := loop.answeredJob(from, answer.ID, answer.Submission, string(answer.Result))
 	if !known {
 		return
 	}
+	if answer.Result == cell.NotRun && answer.Submission == 0 && heldJob.submissions > 1 {
+		// The answer may be to an earlier submission.
+		answer.Result = cell.Interrupted
+		answer.RetryAfter = 0
+	}
 	loop.answerCallers(heldJob, answer)
 }
 
@@ -420,8 +402,7 @@
 		Result: cell.Interrupted,
 		Reason: reason,
 	}
-	neverStarted := heldJob.submissions == 0 || (heldJob.scheduler == "" && heldJob.notStarted)
-	if neverStarted && heldJob.job.ResentAfter == 0 {
+	if heldJob.neverStarted() && heldJob.job.ResentAfter == 0 {
 		answer.Result = cell.NotRun
 		answer.Reason = "no scheduler"
 		answer.RetryAfter = callerRetryAfter
--- a/shared/process/dispatcher/held_jobs_test.go
+++ b/shared/process/dispatcher/held_jobs_test.go
@@ -54,6 +54,14 @@
 	return answer
 }
 
+// declineTestJob handles a decline of the last submission of the job "j".
+func (loop *loop) declineTestJob() {
+	loop.handleDecline(schedulerAddress, link.Decline{
+		JobID:      "j",
+		Submission: loop.heldJobs["j"].submission,
+	})
+}
+
 // Guards against a job that runs although its caller got the answer that it did
 // not run. It happened when a submission was repeated after its connection broke
 // and was counted as not sent. An entry VM reports "not run" only for a job that no
@@ -68,13 +76,13 @@
 			delete(loop.heldJobs, "j")
 			loop.leader = ""
 		}, cell.NotRun},
-		{"declined", func(loop *loop) { loop.handleDecline(schedulerAddress, "j", "") }, cell.NotRun},
+		{"declined", func(loop *loop) { loop.declineTestJob() }, cell.NotRun},
 		{"sent", func(*loop) {}, cell.Interrupted},
 		{"connection broke, then declined", func(loop *loop) {
 			loop.handleLinkEvent(link.Up{
 				Address: schedulerAddress,
 			})
-			loop.handleDecline(schedulerAddress, "j", "")
+			loop.declineTestJob()
 		}, cell.Interrupted},
 		{"released without a start", func(loop *loop) {
 			loop.handleRelease(schedulerAddress, cell.Release{
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -46,8 +46,10 @@
 	// leader is the address of the scheduler that this process submits jobs to;
 	// empty if none is known.
 	leader string
-	// heldJobs holds the jobs of this VM's callers by job ID.
-	heldJobs map[string]*heldJob
+	// heldJobs holds the jobs of this VM's callers by job ID, and lastSubmission is the number
+	// of the last submission of any of them.
+	heldJobs       map[string]*heldJob
+	lastSubmission uint64
 
 	// cell is nil while this process does not schedule.
 	cell *cell.Cell
@@ -56,9 +58,12 @@
 	activation int
 	// token is the last fencing token that this process issued.
 	token int64
-	// droppedEntryVMs holds the names of the entry VMs, by address, whose jobs were
-	// withdrawn because they were silent.
-	droppedEntryVMs map[string]string
+	// droppedEntryVMs holds the entry VMs, by address, whose jobs were withdrawn because they
+	// were silent.
+	droppedEntryVMs map[string]droppedEntryVM
+	// receivedSubmissions holds, by the name of an entry VM, the number of the last
+	// submission that the Cell received from it.
+	receivedSubmissions map[string]uint64
 	// leavingIncarnations holds, by ID, the highest incarnation of an upstream that
 	// has begun to leave. It never becomes available again.
 	leavingIncarnations map[string]int64
@@ -118,6 +123,13 @@
 	estimatesAdoptedAt time.Time
 }
 
+// droppedEntryVM is an entry VM that has to learn that its jobs were withdrawn.
+type droppedEntryVM struct {
+	name string
+	// through is the last submission received before that.
+	through uint64
+}
+
 // entryVMName returns the name of one incarnation of an entry VM, by which the
 // Cell distinguishes it from earlier processes at the same address.
 func entryVMName(address string, incarnation uint64) string {
@@ -332,7 +344,7 @@
 	case message.Answer != nil:
 		loop.handleAnswer(message.From, *message.Answer)
 	case message.Decline != nil:
-		loop.handleDecline(message.From, message.Decline.JobID, message.Decline.Target)
+		loop.handleDecline(message.From, *message.Decline)
 	case message.Cancel != nil:
 		loop.handlePeerCancel(message.From, *message.Cancel, delay)
 	case message.Cancelled != nil:
@@ -362,7 +374,7 @@
 		}
 		loop.handleCellStates(message.From, message.Cells.Cells)
 	case message.Dropped != nil:
-		loop.handleDropped(message.From)
+		loop.handleDropped(message.From, message.Dropped.Through)
 	case message.Leaving != nil:
 		loop.recordLeaving(message.Leaving.Incarnations)
 	case message.Estimates != nil:
@@ -380,7 +392,7 @@
 	case message.Heartbeat != nil, message.Released != nil, message.Cells != nil, message.Estimates != nil:
 	case message.Submit != nil:
 		loop.log(logevent.MessageStale, "member", message.From, "job", message.Submit.ID, "delay", delay)
-		loop.sendDecline(message.From, message.Submit.ID)
+		loop.sendDecline(message.From, message.Submit)
 	case message.Orders != nil:
 		loop.log(logevent.MessageStale, "member", message.From, "orders", len(message.Orders.Orders), "delay", delay)
 		scheduler := remoteScheduler{
--- a/shared/process/dispatcher/neighbours.go
+++ b/shared/process/dispatcher/neighbours.go
@@ -221,8 +221,12 @@
 			return
 		}
 		loop.log(logevent.JobHandedOver, "job", surplus.ID, "scheduler", target, "cores", surplus.MilliCores)
-		for _, entryVM := range loop.cell.HandOver(surplus.ID) {
-			loop.redirect(entryVM, surplus.ID, target)
+		for _, holder := range loop.cell.HandOver(surplus.ID) {
+			loop.redirect(holder.EntryVM, link.Decline{
+				JobID:      surplus.ID,
+				Target:     target,
+				Submission: holder.Submission,
+			})
 		}
 	}
 }
@@ -230,7 +234,7 @@
 // redirectRefused hands a refused job to another cell, if one has room, and reports
 // whether it did.
 func (loop *loop) redirectRefused(decision cell.AnswerJob) bool {
-	if decision.Surplus == nil || loop.view.Division() != region.DividedByDomain {
+	if decision.Surplus == nil || decision.Answer.Result != cell.NotRun || loop.view.Division() != region.DividedByDomain {
 		return false
 	}
 	target, found := loop.neighbours.planner.Choose(loop.now, decision.Surplus.Service, decision.Surplus.MilliCores)
@@ -238,23 +242,24 @@
 		return false
 	}
 	loop.log(logevent.JobHandedOver, "job", decision.Answer.ID, "scheduler", target, "cores", decision.Surplus.MilliCores)
-	loop.redirect(decision.EntryVM, decision.Answer.ID, target)
+	loop.redirect(decision.EntryVM, link.Decline{
+		JobID:      decision.Answer.ID,
+		Target:     target,
+		Submission: decision.Answer.Submission,
+	})
 	return true
 }
 
 // redirect tells an entry VM to submit a job to the scheduler of another cell.
-func (loop *loop) redirect(entryVM, id, target string) {
+func (loop *loop) redirect(entryVM string, decline link.Decline) {
 	if entryVM == loop.selfName() {
-		loop.handleDecline(loop.view.Self().Address, id, target)
+		loop.handleDecline(loop.view.Self().Address, decline)
 		return
 	}
 	for address, name := range loop.entryVMs {
 		if name == entryVM {
 			loop.send(address, link.Message{
-				Decline: &link.Decline{
-					JobID:  id,
-					Target: target,
-				},
+				Decline: &decline,
 			})
 		}
 	}
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -43,7 +43,8 @@
 	loop.view.Activate()
 	loop.dispatcher.instruments.increment(metricTakeovers)
 	loop.entryVMs = make(map[string]string)
-	loop.droppedEntryVMs = make(map[string]string)
+	loop.droppedEntryVMs = make(map[string]droppedEntryVM)
+	loop.receivedSubmissions = make(map[string]uint64)
 	loop.relays = relay.New(loop.activation, relayThreshold(loop.options.RelayFrom, loop.view.Self()))
 	loop.relays.SetMembers(loop.now, loop.view.RelayCandidates())
 	loop.suspectedRelays = nil
@@ -257,17 +258,18 @@
 // this process does not schedule.
 func (loop *loop) handleSubmission(address string, incarnation uint64, job cell.Job) {
 	if loop.cell == nil {
-		loop.sendDecline(address, job.ID)
+		loop.sendDecline(address, &job)
 		return
 	}
 	if err := job.Validate(); err != nil {
 		loop.dispatcher.instruments.increment(metricInvalidMessages)
 		loop.log(logevent.MessageInvalid, "member", address, "job", job.ID, "error", err)
-		loop.sendDecline(address, job.ID)
+		loop.sendDecline(address, &job)
 		return
 	}
 	if loop.refuseCancelled(job.ID) {
 		answer := cancelledAnswer(job.ID)
+		answer.Submission = job.Submission
 		loop.send(address, link.Message{
 			Answer: &answer,
 		})
@@ -275,11 +277,12 @@
 	}
 	if job.Generation > 0 {
 		loop.log(logevent.EarlierJobReceived, "job", job.ID, "member", address, "generation", job.Generation,
-			"quarantine", job.Quarantine, "known", loop.cell.HasJob(job.ID))
+			"submission", job.Submission, "first", job.FirstSubmission, "quarantine", job.Quarantine, "known", loop.cell.HasJob(job.ID))
 	}
 	entryVM := entryVMName(address, incarnation)
 	_, known := loop.entryVMs[address]
 	loop.entryVMs[address] = entryVM
+	loop.receivedSubmissions[entryVM] = max(loop.receivedSubmissions[entryVM], job.Submission)
 	if !known && !loop.view.InCell(address) {
 		loop.useForeignLink(address)
 		loop.sendHeartbeat(address, false)
@@ -291,10 +294,11 @@
 }
 
 // sendDecline reports to an entry VM that this process does not accept a job.
-func (loop *loop) sendDecline(address, id string) {
+func (loop *loop) sendDecline(address string, job *cell.Job) {
 	loop.send(address, link.Message{
 		Decline: &link.Decline{
-			JobID: id,
+			JobID:      job.ID,
+			Submission: job.Submission,
 		},
 	})
 }
@@ -311,8 +315,12 @@
 			loop.dispatcher.links.Reset(address)
 		}
 		if loop.cell.HoldsJobsOf(entryVM) {
-			loop.droppedEntryVMs[address] = entryVM
+			loop.droppedEntryVMs[address] = droppedEntryVM{
+				name:    entryVM,
+				through: loop.receivedSubmissions[entryVM],
+			}
 		}
+		delete(loop.receivedSubmissions, entryVM)
 		loop.notifyCell(cell.EntryVMLost{
 			EntryVM: entryVM,
 		})
--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -350,7 +350,7 @@
 		return
 	}
 	cell.counters.Refused++
-	if !job.submitted.Spilled && len(job.entryVMs) == 1 {
+	if !job.submitted.Spilled && len(job.holders) == 1 {
 		job.surplus = &Surplus{
 			ID:         job.submitted.ID,
 			Service:    job.submitted.Service,
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -67,6 +67,9 @@
 	// placementPending is set when a change may allow a task to be placed.
 	placementPending bool
 	completed        completedJobs
+	// ended holds what became of the submissions whose jobs this Cell had and that it
+	// did not complete.
+	ended endedSubmissions
 	// slacks holds the average slack by kind.
 	slacks map[string]kindSlack
 	// averageNeed is the moving average of the cores of a task, in thousandths.
@@ -122,6 +125,9 @@
 		completed: completedJobs{
 			ids: make(map[string]bool),
 		},
+		ended: endedSubmissions{
+			last: make(map[submitter]endedSubmission),
+		},
 		orphans:   make(map[string][]*runState),
 		earlyEnds: make(map[string][]TaskName),
 	}
@@ -181,6 +187,7 @@
 	cell.expireEarlyEnds()
 	cell.endIdleOverloads()
 	cell.completed.expire(cell.now.Add(-completedRetention))
+	cell.ended.expire(cell.now.Add(-completedRetention))
 	cell.placementPending = true
 }
 
@@ -231,12 +238,13 @@
 				}
 			}
 		}
-		for _, entryVM := range job.entryVMs {
+		for _, holder := range job.holders {
 			releases = append(releases, Release{
 				ID:         id,
 				RunsAt:     runsAt,
 				NotStarted: job.submitted.neverStarted() && !job.startOrdered,
-				EntryVM:    entryVM,
+				EntryVM:    holder.EntryVM,
+				Submission: holder.Submission,
 			})
 		}
 	}
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -312,7 +312,7 @@
 		MilliCores: 14_000,
 	}})
 	assert.Equal(t, len(harness.cell.HandOver("running")), 0)
-	assert.DeepEqual(t, harness.cell.HandOver("waiting"), []string{entryVM})
+	assert.DeepEqual(t, harness.cell.HandOver("waiting"), []cell.Holder{{EntryVM: entryVM}})
 	assert.Equal(t, len(harness.cell.HandOver("waiting")), 0)
 	assert.Equal(t, len(harness.cell.Surplus()), 0)
 }
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -46,10 +46,11 @@
 // jobState is the Cell's state of a job.
 type jobState struct {
 	submitted Job
-	entryVMs  []string
-	tasks     []*taskState
-	arrival   time.Time
-	deadline  time.Time
+	// holders are the entry VMs whose callers wait for the job.
+	holders  []Holder
+	tasks    []*taskState
+	arrival  time.Time
+	deadline time.Time
 	// submittedAt is when this Cell received the job.
 	submittedAt time.Time
 	// chainEstimate is the estimated run time of the longest chain of steps that are not
@@ -89,10 +90,7 @@
 func (cell *Cell) submit(event JobSubmitted) {
 	job, ok := cell.jobs[event.Job.ID]
 	if ok {
-		if !slices.Contains(job.entryVMs, event.EntryVM) {
-			job.entryVMs = append(job.entryVMs, event.EntryVM)
-		}
-		job.deadline = laterOf(job.deadline, cell.now.Add(event.Job.TimeLeft))
+		cell.join(job, event)
 		return
 	}
 	cell.counters.Submitted++
@@ -100,19 +98,30 @@
 		cell.decide(AnswerJob{
 			EntryVM: event.EntryVM,
 			Answer: Answer{
-				ID:     event.Job.ID,
-				Result: Completed,
+				ID:         event.Job.ID,
+				Result:     Completed,
+				Submission: event.Job.Submission,
 			},
 		})
 		return
 	}
+	if cell.repeatAnswer(event) {
+		return
+	}
+	if event.Job.Generation > 0 && event.Job.NotStartedBefore && cell.neverStartedHere(&event) {
+		event.Job.NotStarted = true
+		event.Job.Quarantine = 0
+	}
 	if !cell.admitsCost(&event.Job) {
 		cell.refuseForMemory(event)
 		return
 	}
 	cell.heldBytes += event.Job.scheduledCost()
 	job = cell.newJobState(event.Job)
-	job.entryVMs = []string{event.EntryVM}
+	job.holders = []Holder{{
+		EntryVM:    event.EntryVM,
+		Submission: event.Job.Submission,
+	}}
 	cell.jobs[event.Job.ID] = job
 	cell.adoptEarlierRuns(job)
 	if job.unfinished == 0 {
@@ -125,8 +134,7 @@
 	cell.enqueue(job)
 	cell.servicePlan(job.submitted.Service).planner.Arrived(cell.now, cell.admissionJob(job))
 	if event.Job.Quarantine > 0 {
-		cell.quarantinedUntil = laterOf(cell.quarantinedUntil, job.quarantineEnd)
-		cell.verifyService(event.Job.Service)
+		cell.awaitQuarantine(job)
 	}
 }
 
@@ -249,39 +257,6 @@
 	cell.waitingJobs = append(cell.waitingJobs, job)
 }
 
-func (cell *Cell) withdraw(entryVM, id string) {
-	job, ok := cell.jobs[id]
-	if !ok {
-		return
-	}
-	job.entryVMs = slices.DeleteFunc(job.entryVMs, func(other string) bool { return other == entryVM })
-	if len(job.entryVMs) == 0 {
-		cell.removeJob(job, "withdrawn")
-	}
-}
-
-// HasJob reports whether the Cell has a job.
-func (cell *Cell) HasJob(id string) bool {
-	_, ok := cell.jobs[id]
-	return ok
-}
-
-// HoldsJobsOf reports whether the Cell has a job of an entry VM.
-func (cell *Cell) HoldsJobsOf(entryVM string) bool {
-	for _, job := range cell.jobs {
-		if slices.Contains(job.entryVMs, entryVM) {
-			return true
-		}
-	}
-	return false
-}
-
-func (cell *Cell) withdrawEntryVM(entryVM string) {
-	for _, id := range cell.jobIDs() {
-		cell.withdraw(entryVM, id)
-	}
-}
-
 // ReasonCancelled is the reason in the answer of a job that a caller has cancelled.
 // Such a job must not be submitted again.
 const ReasonCancelled = "cancelled"
@@ -327,12 +302,15 @@
 	case NotRun:
 		cell.counters.NotRun++
 	}
-	for _, entryVM := range job.entryVMs {
-		cell.decide(AnswerJob{
-			EntryVM: entryVM,
+	for _, holder := range job.holders {
+		answer.Submission = holder.Submission
+		decision := AnswerJob{
+			EntryVM: holder.EntryVM,
 			Answer:  answer,
 			Surplus: job.surplus,
-		})
+		}
+		cell.rememberAnswer(decision)
+		cell.decide(decision)
 	}
 	cell.removeJob(job, answer.Reason)
 }
--- a/shared/request/cell/memory.go
+++ b/shared/request/cell/memory.go
@@ -49,13 +49,16 @@
 // refuseForMemory answers a job for which there is no memory as not run.
 func (cell *Cell) refuseForMemory(event JobSubmitted) {
 	cell.counters.NotRun++
-	cell.decide(AnswerJob{
+	decision := AnswerJob{
 		EntryVM: event.EntryVM,
 		Answer: Answer{
 			ID:         event.Job.ID,
 			Result:     NotRun,
 			Reason:     "memory",
 			RetryAfter: cell.servicePlan(event.Job.Service).planner.RetryAfter(event.Job.ID),
+			Submission: event.Job.Submission,
 		},
-	})
+	}
+	cell.rememberAnswer(decision)
+	cell.decide(decision)
 }
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -42,7 +42,7 @@
 	Released bool `cbor:"14,keyasint,omitempty"`
 	// RunsAt holds the IDs of upstreams on which runs of the job may exist.
 	RunsAt []string `cbor:"15,keyasint,omitempty"`
-	// NotStarted is set if no earlier Cell has ordered a start.
+	// NotStarted is set if no Cell has ordered a start for an earlier submission.
 	NotStarted bool `cbor:"16,keyasint,omitempty"`
 	// Spilled is set if another cell has handed the job over, or should have had
 	// it. It is not handed over again.
@@ -59,6 +59,15 @@
 	ResentAfter time.Duration `cbor:"20,keyasint,omitempty"`
 	// Domain is the failure domain of the entry VM that received the job.
 	Domain string `cbor:"21,keyasint,omitempty"`
+	// Submission is the number of the submission. An entry VM numbers its submissions of
+	// all jobs, from 1; 0 is that of a version without numbers.
+	Submission uint64 `cbor:"22,keyasint,omitempty"`
+	// FirstSubmission is the first of the submissions of the job to the receiver that no
+	// submission to another scheduler lies between.
+	FirstSubmission uint64 `cbor:"23,keyasint,omitempty"`
+	// NotStartedBefore is set if no Cell has ordered a start for a submission before
+	// FirstSubmission. The receiver knows what it did with those from FirstSubmission on.
+	NotStartedBefore bool `cbor:"24,keyasint,omitempty"`
 }
 
 // ErrInvalidJob is wrapped by the errors of Validate.
@@ -117,6 +126,8 @@
 	NotStarted bool `cbor:"3,keyasint,omitempty"`
 	// EntryVM is the entry VM that holds the job.
 	EntryVM string `cbor:"-"`
+	// Submission is the last submission of the job that the Cell received from EntryVM.
+	Submission uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Step is a set of equal tasks of a job.
@@ -474,6 +485,8 @@
 	// Progress holds the progress of a job that was not completed; nil if the
 	// answer does not come from a scheduler.
 	Progress *Progress `cbor:"5,keyasint,omitempty"`
+	// Submission is the submission that is answered.
+	Submission uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Progress counts the tasks of a job by state.
--- a/shared/request/cell/planning_test.go
+++ b/shared/request/cell/planning_test.go
@@ -57,9 +57,9 @@
 // Guards against a refused job that one of its entry VMs hands to another cell, where it runs,
 // while the other entry VM answers that it has not run or hands it to a third cell.
 func TestRefusedJobOfTwoEntryVMsIsNotHandedOver(t *testing.T) {
-	for _, entryVMs := range [][]string{{"vm-1#a"}, {"vm-1#a", "vm-2#a"}} {
+	for _, holders := range [][]Holder{{{EntryVM: "vm-1#a"}}, {{EntryVM: "vm-1#a"}, {EntryVM: "vm-2#a"}}} {
 		cell, job := planningCell(2)
-		job.entryVMs = entryVMs
+		job.holders = holders
 		cell.refuse(job, admission.Refusal{
 			ID:     "job",
 			Reason: admission.ReasonOverload,
@@ -68,10 +68,10 @@
 		for _, decision := range cell.decisions {
 			if answer, isAnswer := decision.(AnswerJob); isAnswer {
 				answers++
-				assert.Equal(t, answer.Surplus != nil, len(entryVMs) == 1)
+				assert.Equal(t, answer.Surplus != nil, len(holders) == 1)
 			}
 		}
-		assert.Equal(t, answers, len(entryVMs))
+		assert.Equal(t, answers, len(holders))
 	}
 }
 
--- /dev/null
+++ b/shared/request/cell/submissions_test.go
@@ -0,0 +1,95 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagerfall/shared/request/cell"
+)
+
+// numbered returns a job in a submission that is one of several to the same scheduler.
+func numbered(job cell.Job, first, submission uint64) cell.Job {
+	job.FirstSubmission = first
+	job.Submission = submission
+	job.NotStartedBefore = true
+	if submission > first {
+		job.Generation = 1
+		job.Quarantine = time.Second
+	}
+	return job
+}
+
+// Guards against a job that is started after it was refused, and against a true refusal that
+// is reported as unknown: a submission of it arrives when an earlier one has been answered.
+func TestSubmissionAfterTheAnswerIsAnsweredTheSame(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		first      uint64
+		submission uint64
+		answered   bool
+		held       bool
+	}{
+		{"repeats the answered one", 7, 8, true, false},
+		{"another scheduler may have had it", 8, 9, false, true},
+		{"overtaken by the answered one", 6, 6, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			harness := newHarness(t)
+			harness.submit(numbered(testJob("j", 1), 7, 7))
+			_, decisions := harness.cell.Cancel(harness.now, "j")
+			refused := harness.onlyAnswer(decisions)
+			assert.Equal(t, refused.Result, cell.NotRun)
+			assert.Equal(t, refused.Submission, uint64(7))
+
+			answers := decisionsOf[cell.AnswerJob](harness.handle(cell.JobSubmitted{
+				EntryVM: entryVM,
+				Job:     numbered(testJob("j", 1), test.first, test.submission),
+			}))
+			assert.Equal(t, len(answers) == 1, test.answered)
+			for _, repeated := range answers {
+				refused.Submission = test.submission
+				assert.DeepEqual(t, repeated.Answer, refused)
+			}
+			assert.Equal(t, harness.cell.HasJob("j"), test.held)
+		})
+	}
+}
+
+// Guards against a true refusal that is reported as unknown: the scheduler had withdrawn the
+// job of a silent entry VM without a start.
+func TestWithdrawnJobWithoutAStartIsReportedAsNotRun(t *testing.T) {
+	for _, startOrdered := range []bool{false, true} {
+		harness := newHarness(t)
+		if startOrdered {
+			harness.listUpstreams(nil, "u1")
+		}
+		starts := harness.submit(numbered(testJob("j", 1), 7, 7))
+		assert.Equal(t, len(starts) == 1, startOrdered)
+		harness.handle(cell.EntryVMLost{
+			EntryVM: entryVM,
+		})
+		assert.Assert(t, !harness.cell.HasJob("j"))
+		harness.submit(numbered(testJob("j", 1), 7, 8))
+		_, decisions := harness.cell.Cancel(harness.now, "j")
+		want := map[bool]cell.Result{
+			false: cell.NotRun,
+			true:  cell.Interrupted,
+		}[startOrdered]
+		assert.Equal(t, harness.onlyAnswer(decisions).Result, want)
+	}
+}
+
+// Guards against a reply that the entry VM ignores: it names a submission before the last one
+// that the scheduler received.
+func TestAnswerNamesTheLastSubmission(t *testing.T) {
+	harness := newHarness(t)
+	harness.submit(numbered(testJob("j", 1), 7, 7))
+	harness.submit(numbered(testJob("j", 1), 7, 9))
+	harness.submit(numbered(testJob("j", 1), 7, 8))
+	_, decisions := harness.cell.Cancel(harness.now, "j")
+	answer := harness.onlyAnswer(decisions)
+	assert.Equal(t, answer.Submission, uint64(9))
+	assert.Equal(t, answer.Result, cell.NotRun, "the scheduler knows that it has not started the job")
+}
--- a/shared/request/cell/surplus.go
+++ b/shared/request/cell/surplus.go
@@ -44,18 +44,21 @@
 }
 
 // HandOver removes a job that Surplus has returned, and returns the entry VMs that
-// hold it. No run of the job was ordered. It returns nothing if the job has been
+// hold it with their last submissions. No run of the job was ordered. It returns nothing if the job has been
 // started or answered since.
-func (cell *Cell) HandOver(id string) []string {
+func (cell *Cell) HandOver(id string) []Holder {
 	job, ok := cell.jobs[id]
 	if !ok || job.startOrdered || job.started || !job.submitted.neverStarted() {
 		return nil
 	}
 	cell.counters.HandedOver++
+	for _, holder := range job.holders {
+		cell.rememberUnanswered(job, holder)
+	}
 	cell.removeJob(job, "handed to another cell")
 	cell.waitingJobs = slices.DeleteFunc(cell.waitingJobs, func(waiting *jobState) bool { return waiting == job })
 	job.inWaitingJobs = false
-	return job.entryVMs
+	return job.holders
 }
 
 // Headroom returns, by service, the cores in thousandths that neither runs nor
