Cell: a job that comes again keeps what other schedulers may have done

A caller could be told that its job has not run although another scheduler had started it. Cause: a scheduler that still has a job (the withdrawal was lost with its stream, or two entry VMs hold the job of one caller) took over the deadline of a new submission only. Its generation, its quarantine and that its caller had sent it before were lost, so the job counted as never started and its tasks could start beside earlier runs. Change: a submission from another entry VM, or after submissions to another scheduler, adds its history to the job; if no start was ordered yet, the job waits for the new quarantine.

--- a/shared/request/cell/submissions.go
+++ b/shared/request/cell/submissions.go
@@ -142,9 +142,13 @@
 			EntryVM:    event.EntryVM,
 			Submission: submitted.Submission,
 		})
+		cell.addHistory(job, submitted)
 	case submitted.Submission > 0 && submitted.Submission <= job.holders[index].Submission:
 		return
 	default:
+		if submitted.Submission == 0 || submitted.FirstSubmission > job.holders[index].Submission {
+			cell.addHistory(job, submitted)
+		}
 		job.holders[index].Submission = submitted.Submission
 	}
 	job.deadline = laterOf(job.deadline, cell.now.Add(submitted.TimeLeft))
@@ -156,6 +160,36 @@
 	cell.verifyService(job.submitted.Service)
 }
 
+// addHistory adds what a submission says of other Cells to a job that this Cell has. They may
+// have runs of the job, unless it has been started here.
+func (cell *Cell) addHistory(job *jobState, submitted *Job) {
+	known := &job.submitted
+	if submitted.neverStarted() {
+		return
+	}
+	known.ResentAfter = max(known.ResentAfter, submitted.ResentAfter)
+	known.Generation = max(known.Generation, submitted.Generation)
+	known.NotStarted = false
+	for _, task := range job.tasks {
+		task.runNumber = max(task.runNumber, known.Generation*runsPerGeneration)
+	}
+	if submitted.Quarantine == 0 || job.startOrdered || job.started {
+		return
+	}
+	known.Released = false
+	known.RunsElsewhere = known.RunsElsewhere || submitted.RunsElsewhere
+	for _, set := range submitted.EarlierSets {
+		if !slices.Contains(known.EarlierSets, set) {
+			known.EarlierSets = append(known.EarlierSets, set)
+		}
+	}
+	known.Quarantine = max(known.Quarantine, submitted.Quarantine)
+	job.quarantineEnd = laterOf(job.quarantineEnd, cell.now.Add(submitted.Quarantine))
+	job.submittedAt = cell.now
+	job.startsAllowed = false
+	cell.awaitQuarantine(job)
+}
+
 func (cell *Cell) withdraw(entryVM, id string) {
 	job, ok := cell.jobs[id]
 	if !ok {
