Dispatcher: a request that joins a held job makes a refusal unknown

A caller whose connection broke sends its job again, perhaps after another entry VM had it, and was told that the job has not run if this process held the job already. Cause: a request for a held job only added a waiter. That its caller had sent the job before, so that an earlier scheduler may have run it, was lost. Change: the held job records it, with the quarantine, and a refusal is reported as unknown. Measured: the test fails before ('not-run != interrupted') and passes now. Found by reading.

--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -86,6 +86,7 @@
 	job, known := loop.heldJobs[event.job.ID]
 	if known {
 		job.waiters = append(job.waiters, event.answer)
+		loop.recordEarlierRequest(job, event.job.ResentAfter)
 		return
 	}
 	job = &heldJob{
@@ -99,9 +100,7 @@
 		loop.answerCallers(job, cancelledAnswer(event.job.ID))
 		return
 	}
-	if event.job.ResentAfter > 0 {
-		job.quarantineEnd = loop.now.Add(loop.quarantine() - event.job.ResentAfter)
-	}
+	loop.recordEarlierRequest(job, event.job.ResentAfter)
 	job.job.Domain = loop.view.Self().Domain
 	if loop.refuseEarly(job, event.answer) || loop.shed(job, event.answer) {
 		return
@@ -111,6 +110,18 @@
 	loop.submit(job)
 }
 
+// recordEarlierRequest records that the caller of a job has sent it before, perhaps to another
+// entry VM, whose scheduler may have started it. resentAfter is 0 if it has not.
+func (loop *loop) recordEarlierRequest(heldJob *heldJob, resentAfter time.Duration) {
+	if resentAfter == 0 {
+		return
+	}
+	heldJob.job.ResentAfter = max(heldJob.job.ResentAfter, resentAfter)
+	if quarantineEnd := loop.now.Add(loop.quarantine() - resentAfter); quarantineEnd.After(heldJob.quarantineEnd) {
+		heldJob.quarantineEnd = quarantineEnd
+	}
+}
+
 // shedShare returns the share of new jobs that the scheduler wants shed.
 func (loop *loop) shedShare() float64 {
 	if loop.cell != nil {
@@ -306,8 +317,9 @@
 	if !known {
 		return
 	}
-	if answer.Result == cell.NotRun && answer.Submission == 0 && heldJob.submissions > 1 {
-		// The answer may be to an earlier submission.
+	if answer.Result == cell.NotRun && (heldJob.job.ResentAfter > 0 || (answer.Submission == 0 && heldJob.submissions > 1)) {
+		// The scheduler does not know of the earlier request, or the answer may be to an
+		// earlier submission.
 		answer.Result = cell.Interrupted
 		answer.RetryAfter = 0
 	}
--- a/shared/process/dispatcher/held_jobs_test.go
+++ b/shared/process/dispatcher/held_jobs_test.go
@@ -181,3 +181,27 @@
 	assert.Equal(t, rest, loop.quarantine()-1300*time.Millisecond)
 	assert.Assert(t, rest > 500*time.Millisecond)
 }
+
+// Guards against a false "not run" for a caller that sends its job again to a process that
+// holds the job already: another scheduler may have run the request between the two.
+func TestJobOfTwoRequestsIsNotReportedAsNotRun(t *testing.T) {
+	loop := newEntryVMLoop(t)
+	answer := loop.acceptTestJob()
+	resent := make(chan cell.Answer, 1)
+	loop.acceptCallerJob(jobAccepted{
+		job: cell.Job{
+			ID:          "j",
+			TimeLeft:    time.Second,
+			ResentAfter: 1300 * time.Millisecond,
+		},
+		answer: resent,
+	})
+	loop.handleAnswer(schedulerAddress, cell.Answer{
+		ID:         "j",
+		Result:     cell.NotRun,
+		RetryAfter: time.Second,
+		Submission: loop.heldJobs["j"].submission,
+	})
+	assert.Equal(t, (<-answer).Result, cell.Interrupted)
+	assert.Equal(t, (<-resent).Result, cell.Interrupted)
+}
