Submissions of a restarted process have other numbers than those before

A caller could be told that its job has not run while the scheduler was about to start it: the reply to a submission of the process before, at the same address, counted as that to the present one. Cause: a process counted its submissions from 1, and replies name no incarnation. Change: the upper half of the number is from the incarnation. Found by reading.

--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -46,10 +46,10 @@
 	// leader is the address of the scheduler that this process submits jobs to;
 	// empty if none is known.
 	leader string
-	// heldJobs holds the jobs of this VM's callers by job ID, and lastSubmission is the number
-	// of the last submission of any of them.
-	heldJobs       map[string]*heldJob
-	lastSubmission uint64
+	// heldJobs holds the jobs of this VM's callers by job ID, and submissions counts the
+	// submissions to schedulers.
+	heldJobs    map[string]*heldJob
+	submissions uint64
 
 	// cell is nil while this process does not schedule.
 	cell *cell.Cell
--- a/shared/process/dispatcher/submissions.go
+++ b/shared/process/dispatcher/submissions.go
@@ -7,6 +7,11 @@
 	"tanagerfall/shared/request/cell"
 )
 
+// submissionBits is the number of bits in which a process counts its submissions. Those above
+// distinguish it from earlier processes at its address, whose submissions may still be
+// answered.
+const submissionBits = 32
+
 // Reasons for which a job is submitted again.
 const (
 	resubmitStreamReplaced = "stream replaced"
@@ -21,8 +26,8 @@
 // numberSubmission gives a submission to the job's scheduler the next number, and records
 // in the job what is known of the earlier submissions.
 func (loop *loop) numberSubmission(heldJob *heldJob) {
-	loop.lastSubmission++
-	heldJob.submission = loop.lastSubmission
+	loop.submissions++
+	heldJob.submission = loop.view.Self().Incarnation<<submissionBits + loop.submissions
 	if heldJob.scheduler != heldJob.lastScheduler || heldJob.settled {
 		if heldJob.lastScheduler != "" {
 			heldJob.settledBefore = heldJob.settledBefore && heldJob.settled
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -59,8 +59,8 @@
 	ResentAfter time.Duration `cbor:"20,keyasint,omitempty"`
 	// Domain is the failure domain of the entry VM that received the job.
 	Domain string `cbor:"21,keyasint,omitempty"`
-	// Submission is the number of the submission. An entry VM numbers its submissions of
-	// all jobs, from 1; 0 is that of a version without numbers.
+	// Submission is the number of the submission, which rises with each one of the process,
+	// whatever its job; 0 is that of a version without numbers.
 	Submission uint64 `cbor:"22,keyasint,omitempty"`
 	// FirstSubmission is the first of the submissions of the job to the receiver that no
 	// submission to another scheduler lies between.
