Link: drop messages of replaced processes, deliver a sender's in order

Submissions and replies could be handled after later ones of the same sender, which is one of the ways in which a refused job starts. Cause: an Inbox took a message of an earlier process at an address for that of a new one, without a delay, and its check of the stream was not one step with the delivery to the control loop. Change: an Inbox remembers the last processes at an address. A message that one of them sent before the present one was first heard is dropped; a process that still sends becomes the present one again, so none is ignored for good. The check and the delivery of a message hold the address's lock. Measured: both new tests fail before ('accepted is true: a message of the replaced process', delivered [2, 1] in place of [1, 2]) and pass now, with the race detector too. Found by reading.

--- a/shared/connection/link/receive.go
+++ b/shared/connection/link/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,11 +48,9 @@
 		if err := stream.MsgRecv(&message, peer.Encoding{}); err != nil {
 			return err
 		}
-		received, accepted := receiver.inbox.Accept(time.Now(), message)
-		if !accepted {
+		if !receiver.inbox.deliver(time.Now(), message, receiver.notify) {
 			return ErrReplaced
 		}
-		receiver.notify(received)
 	}
 }
 
@@ -65,20 +64,34 @@
 func NewInbox() *Inbox {
 	return &Inbox{
 		senders: senders{
-			byAddress: make(map[string]sender),
+			byAddress: make(map[string]*addressSenders),
 		},
 	}
 }
 
 // Accept returns the event for a message that arrives, or false if its sender has sent
-// one on a later stream.
+// one on a later stream, or if another process has replaced its sender.
 func (inbox *Inbox) Accept(now time.Time, message Message) (Received, bool) {
-	delay, accepted := inbox.senders.accept(now, message)
-	return Received{
-		Message:    message,
-		Delay:      delay,
-		ReceivedAt: now,
-	}, accepted
+	var event Received
+	accepted := inbox.deliver(now, message, func(received Event) { event = received.(Received) })
+	return event, accepted
+}
+
+// deliver passes the event for a message that arrives to notify, unless Accept returns
+// false for it. The events of an address are passed on in the order of their streams.
+func (inbox *Inbox) deliver(now time.Time, message Message, notify func(event Event)) bool {
+	atAddress := inbox.senders.at(message.From)
+	atAddress.mutex.Lock()
+	defer atAddress.mutex.Unlock()
+	delay, accepted := atAddress.accept(now, message)
+	if accepted {
+		notify(Received{
+			Message:    message,
+			Delay:      delay,
+			ReceivedAt: now,
+		})
+	}
+	return accepted
 }
 
 // senders detects outdated messages. Messages that a partition holds up arrive
@@ -88,9 +101,34 @@
 // was started for an entry VM that had since submitted it to another scheduler.
 type senders struct {
 	mutex     sync.Mutex
-	byAddress map[string]sender
+	byAddress map[string]*addressSenders
+}
+
+// at returns the senders at an address.
+func (senders *senders) at(address string) *addressSenders {
+	senders.mutex.Lock()
+	defer senders.mutex.Unlock()
+	atAddress, known := senders.byAddress[address]
+	if !known {
+		atAddress = &addressSenders{}
+		senders.byAddress[address] = atAddress
+	}
+	return atAddress
+}
+
+// addressSenders holds the processes that were heard at an address.
+type addressSenders struct {
+	mutex sync.Mutex
+	// processes holds the present process first, which is present since then.
+	processes    []*sender
+	presentSince time.Time
 }
 
+// maxProcesses is the number of processes that are remembered for an address. The
+// messages of more than one earlier process can wait in the sockets of a VM that stood
+// still.
+const maxProcesses = 4
+
 // sender is the state kept of one incarnation of a peer.
 type sender struct {
 	incarnation uint64
@@ -129,25 +167,40 @@
 }
 
 // accept returns the delay of a message, as defined by Received. It returns
-// false if a message of a later stream of the sender has been received before.
-func (senders *senders) accept(now time.Time, message Message) (time.Duration, bool) {
-	senders.mutex.Lock()
-	defer senders.mutex.Unlock()
-	senderState, ok := senders.byAddress[message.From]
+// false if a message of a later stream of the sender has been received before, or
+// if the message was sent before another process at the address was first heard.
+func (atAddress *addressSenders) accept(now time.Time, message Message) (time.Duration, bool) {
 	start := now.Add(-message.SenderUptime)
-	if !ok || senderState.incarnation != message.Incarnation {
-		senderState = sender{
+	index := slices.IndexFunc(atAddress.processes, func(other *sender) bool { return other.incarnation == message.Incarnation })
+	if index < 0 {
+		atAddress.setPresent(now, &sender{
 			incarnation:   message.Incarnation,
 			earliestStart: start,
 			previousStart: start,
 			windowStart:   now,
-		}
+		})
+		index = 0
 	}
-	if message.Stream < senderState.latestStream {
+	process := atAddress.processes[index]
+	if message.Stream < process.latestStream {
 		return 0, false
 	}
-	senderState.latestStream = message.Stream
-	delay := senderState.observe(now, start)
-	senders.byAddress[message.From] = senderState
+	delay := process.observe(now, start)
+	if index > 0 {
+		if now.Add(-delay).Before(atAddress.presentSince) {
+			return 0, false
+		}
+		// The process still sends, so the other one was heard late.
+		atAddress.processes = slices.Delete(atAddress.processes, index, index+1)
+		atAddress.setPresent(now, process)
+	}
+	process.latestStream = message.Stream
 	return delay, true
 }
+
+// setPresent makes a process the present one at the address.
+func (atAddress *addressSenders) setPresent(now time.Time, process *sender) {
+	atAddress.processes = slices.Insert(atAddress.processes, 0, process)
+	atAddress.processes = atAddress.processes[:min(len(atAddress.processes), maxProcesses)]
+	atAddress.presentSince = now
+}
--- a/shared/connection/link/receive_test.go
+++ b/shared/connection/link/receive_test.go
@@ -1,10 +1,13 @@
 package link
 
 import (
+	"io"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"storj.io/drpc"
 )
 
 // uptimeClock is the clock of a sender that started with the test. It may run slow, or
@@ -17,7 +20,7 @@
 
 // accept returns the delay of a message that was sent at one time and arrives at another.
 func (clock *uptimeClock) accept(senders *senders, sentAt, receivedAt time.Time) time.Duration {
-	delay, _ := senders.accept(receivedAt, Message{
+	delay, _ := senders.at("10.0.0.2:1").accept(receivedAt, Message{
 		From:         "10.0.0.2:1",
 		SenderUptime: time.Duration(clock.rate*float64(sentAt.Sub(clock.startedAt))) - clock.lost,
 	})
@@ -26,7 +29,7 @@
 
 func newSenders() *senders {
 	return &senders{
-		byAddress: make(map[string]sender),
+		byAddress: make(map[string]*addressSenders),
 	}
 }
 
@@ -86,3 +89,88 @@
 	}
 	assert.Equal(t, clock.accept(senders, end, end), time.Duration(0))
 }
+
+// Guards against acting on what an earlier process at an address has sent, read from a
+// socket after a message of the process that replaced it: with another incarnation the
+// message counted as the first of a new process, and so as not delayed.
+func TestMessagesOfAReplacedProcessAreDropped(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	inbox := NewInbox()
+	message := func(incarnation, stream uint64, uptime time.Duration) Message {
+		return Message{
+			From:         "10.0.0.2:1",
+			Incarnation:  incarnation,
+			Stream:       stream,
+			SenderUptime: uptime,
+		}
+	}
+	_, accepted := inbox.Accept(now, message(1, 5, time.Minute))
+	assert.Assert(t, accepted)
+	now = now.Add(2 * time.Second)
+	_, accepted = inbox.Accept(now, message(2, 1, time.Second))
+	assert.Assert(t, accepted)
+	_, accepted = inbox.Accept(now, message(1, 5, time.Minute))
+	assert.Assert(t, !accepted, "a message of the replaced process")
+	_, accepted = inbox.Accept(now, message(2, 1, time.Second))
+	assert.Assert(t, accepted, "a message of the present process")
+	now = now.Add(time.Second)
+	_, accepted = inbox.Accept(now, message(1, 5, time.Minute+3*time.Second))
+	assert.Assert(t, accepted, "a process that still sends was not replaced")
+}
+
+// messageStream is a stream that carries one message.
+type messageStream struct {
+	drpc.Stream
+	message *Message
+}
+
+// MsgRecv returns the message of the stream and then its end.
+func (stream *messageStream) MsgRecv(received drpc.Message, _ drpc.Encoding) error {
+	if stream.message == nil {
+		return io.EOF
+	}
+	*received.(*Message) = *stream.message
+	stream.message = nil
+	return nil
+}
+
+// Guards against a message of a replaced stream that is handled after those of the later
+// stream, because its goroutine had to wait between the check and the delivery: a job that
+// was submitted on the first stream was started after its refusal on the second.
+func TestMessagesOfASenderAreDeliveredInOrder(t *testing.T) {
+	var delivered []uint64
+	var mutex sync.Mutex
+	waiting := make(chan struct{})
+	release := make(chan struct{})
+	receiver := receiver{
+		inbox: NewInbox(),
+		notify: func(event Event) {
+			stream := event.(Received).Message.Stream
+			if stream == 1 {
+				close(waiting)
+				<-release
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			delivered = append(delivered, stream)
+		},
+	}
+	var streams sync.WaitGroup
+	receive := func(number uint64) {
+		streams.Go(func() {
+			_ = receiver.HandleRPC(&messageStream{
+				message: &Message{
+					From:   "10.0.0.2:1",
+					Stream: number,
+				},
+			}, rpcName)
+		})
+	}
+	receive(1)
+	<-waiting
+	receive(2)
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	streams.Wait()
+	assert.DeepEqual(t, delivered, []uint64{1, 2})
+}
