Log: dropped lines about refused jobs list the jobs

The users' record of the incident has no line that names the refused job at the process that refused it. Cause: of the lines about refusals in a burst those over the budget of 300 a second, and those that find the queue full, were only counted, so a job's ID led to no process. They are reported within a second even if no line follows; before, with the next line. Logging does not block and formats no dropped line.

--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -13,6 +13,8 @@
 	Level log.Level
 	// Text is the message of the line.
 	Text string
+	// ListsJobs is set if the report about dropped lines of the event lists their jobs.
+	ListsJobs bool
 }
 
 // The numbers of events are grouped by subject: 1xx process, 2xx fleet, 3xx plan,
@@ -271,10 +273,11 @@
 		Text:   "job completed",
 	}
 	JobGivenUp = Event{
-		Number: 713,
-		Name:   "job-given-up",
-		Level:  log.WarnLevel,
-		Text:   "job was not completed",
+		Number:    713,
+		Name:      "job-given-up",
+		Level:     log.WarnLevel,
+		Text:      "job was not completed",
+		ListsJobs: true,
 	}
 	JobWithdrawn = Event{
 		Number: 714,
@@ -295,10 +298,11 @@
 		Text:   "submitted job is not accepted because it was cancelled",
 	}
 	RequestRefused = Event{
-		Number: 715,
-		Name:   "request-refused",
-		Level:  log.InfoLevel,
-		Text:   "request refused before it became a job",
+		Number:    715,
+		Name:      "request-refused",
+		Level:     log.InfoLevel,
+		Text:      "request refused before it became a job",
+		ListsJobs: true,
 	}
 	JobLate = Event{
 		Number: 716,
@@ -373,10 +377,11 @@
 		Text:   "scheduler received a job that was submitted before",
 	}
 	JobRefusedEarly = Event{
-		Number: 761,
-		Name:   "job-refused-early",
-		Level:  log.InfoLevel,
-		Text:   "job refused by the admission state in the scheduler's last heartbeat",
+		Number:    761,
+		Name:      "job-refused-early",
+		Level:     log.InfoLevel,
+		Text:      "job refused by the admission state in the scheduler's last heartbeat",
+		ListsJobs: true,
 	}
 	OverloadBegan = Event{
 		Number: 762,
@@ -445,10 +450,11 @@
 		Text:   "failure domains that operators have evacuated changed",
 	}
 	IntakeRefused = Event{
-		Number: 791,
-		Name:   "intake-refused",
-		Level:  log.InfoLevel,
-		Text:   "client turned away at a limit of this process",
+		Number:    791,
+		Name:      "intake-refused",
+		Level:     log.InfoLevel,
+		Text:      "client turned away at a limit of this process",
+		ListsJobs: true,
 	}
 )
 
--- a/shared/process/logevent/logger.go
+++ b/shared/process/logevent/logger.go
@@ -16,6 +16,8 @@
 	// queue is nil if the caller of Log writes the lines itself.
 	queue   chan queuedLine
 	dropped atomic.Int64
+	// suppressed collects the lines that were dropped for any reason.
+	suppressed suppressedLines
 	// done is closed when the writing goroutine has ended.
 	done chan struct{}
 }
@@ -55,7 +57,8 @@
 
 // NewBounded returns a Logger for a process that must not wait for its log. A
 // separate goroutine formats and writes the lines; lines over the budget are
-// dropped and counted. Close writes the lines that are still queued.
+// dropped, counted, and reported with the jobs that were refused. Close writes the lines
+// that are still queued.
 func NewBounded(writer io.Writer, level log.Level, vm string, budget Budget) *Logger {
 	logger := New(writer, level, vm)
 	logger.queue = make(chan queuedLine, budget.QueueSize)
@@ -82,6 +85,7 @@
 	}:
 	default:
 		logger.dropped.Add(1)
+		logger.suppressed.add(event, pairs)
 	}
 }
 
@@ -115,39 +119,47 @@
 	logger.logger.Log(event.Level, event.Text, pairs...)
 }
 
+// reportDelay is the longest time until dropped lines are reported if no line follows.
+const reportDelay = time.Second
+
 // writeQueue writes queued lines until one has stop set. Lines of an event over
-// linesPerSecond are dropped; how many is logged when the first line of another
-// second is written, and at the end.
+// linesPerSecond are dropped. Dropped lines are reported when the first line of another
+// second is written, after reportDelay, and at the end.
 func (logger *Logger) writeQueue(linesPerSecond int) {
 	defer close(logger.done)
 	written := make(map[int]int)
-	suppressed := make(map[int]int)
 	var currentSecond int64
-	for queuedLine := range logger.queue {
-		if queuedLine.stop {
-			logger.reportSuppressed(suppressed)
-			return
-		}
-		if lineSecond := queuedLine.loggedAt.Unix(); lineSecond != currentSecond {
-			currentSecond = lineSecond
-			clear(written)
-			logger.reportSuppressed(suppressed)
-		}
-		number := queuedLine.event.Number
-		if linesPerSecond > 0 && written[number] >= linesPerSecond {
-			suppressed[number]++
+	timer := time.NewTimer(reportDelay)
+	timer.Stop()
+	defer timer.Stop()
+	isTimed := false
+	for {
+		select {
+		case <-timer.C:
+			isTimed = false
+			logger.reportSuppressed()
 			continue
+		case queuedLine := <-logger.queue:
+			if queuedLine.stop {
+				logger.reportSuppressed()
+				return
+			}
+			if lineSecond := queuedLine.loggedAt.Unix(); lineSecond != currentSecond {
+				currentSecond = lineSecond
+				clear(written)
+				logger.reportSuppressed()
+			}
+			number := queuedLine.event.Number
+			if linesPerSecond > 0 && written[number] >= linesPerSecond {
+				logger.suppressed.add(queuedLine.event, queuedLine.pairs)
+			} else {
+				written[number]++
+				logger.writeLine(queuedLine.loggedAt, queuedLine.event, queuedLine.pairs)
+			}
+		}
+		if !isTimed && logger.suppressed.isPending.Load() {
+			isTimed = true
+			timer.Reset(reportDelay)
 		}
-		written[number]++
-		logger.writeLine(queuedLine.loggedAt, queuedLine.event, queuedLine.pairs)
-	}
-}
-
-// reportSuppressed logs how many lines of each event were dropped and clears the
-// counts.
-func (logger *Logger) reportSuppressed(suppressed map[int]int) {
-	for number, count := range suppressed {
-		logger.writeLine(time.Now(), LinesSuppressed, []any{"of", fmt.Sprintf("E%03d", number), "count", count})
 	}
-	clear(suppressed)
 }
--- a/shared/process/logevent/logger_test.go
+++ b/shared/process/logevent/logger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -80,3 +81,42 @@
 	assert.Equal(t, strings.Count(text, "event=E711"), 0)
 	assert.Assert(t, strings.Contains(text, "of=E713"), text)
 }
+
+// Guards against a refused job that the log does not name: in a burst its line was over
+// the budget, or found the queue full.
+func TestJobsOfSuppressedRefusalsAreListed(t *testing.T) {
+	const jobs = 1000
+	for _, test := range []struct {
+		name   string
+		budget Budget
+	}{
+		{"lines over the budget", Budget{
+			QueueSize:      2 * jobs,
+			LinesPerSecond: 5,
+		}},
+		{"full queue", Budget{
+			QueueSize: 10,
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			output := &syncBuffer{}
+			output.mutex.Lock()
+			logger := NewBounded(output, log.InfoLevel, "vm", test.budget)
+			for number := range jobs {
+				logger.Log(JobGivenUp, "job", fmt.Sprintf("%016x", number), "reason", "overload")
+			}
+			output.mutex.Unlock()
+			logger.Close(time.Second)
+			text := output.String()
+			lines := strings.Count(text, "\n")
+			assert.Assert(t, lines <= 40, "%d lines", lines)
+			missing := 0
+			for number := range jobs {
+				if !strings.Contains(text, fmt.Sprintf("%016x", number)) {
+					missing++
+				}
+			}
+			assert.Equal(t, missing, 0, "refused jobs that no line names")
+		})
+	}
+}
