Cell: only a reply that refuses a start proves that the run did not start

A task could start twice, or its job be answered as not run, while processes run different versions. Cause: each outcome of a start that the scheduler does not name counted as a refusal. A relay of a later version may send one that it does not know. OutcomeStale says that a run of the task has ended at the upstream, and still left the job as never started. Change: refusals are named, all others count as unanswered; OutcomeStale marks the job. Found by reading.

--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -198,8 +198,8 @@
 	switch event.Reply.Outcome {
 	case OutcomeDone:
 		cell.confirmStart(run)
-	case OutcomeUnknown:
-		cell.startUnanswered(run)
+	case OutcomeNotSent, OutcomeFenced, OutcomeStale, OutcomeLate, OutcomeFull, OutcomeUnhealthy:
+		cell.startRefused(run, event.Reply.Outcome)
 	case OutcomeRestarted:
 		// Another worker answered, and it has not started the run.
 		cell.removeRun(run, "another worker at the address")
@@ -214,7 +214,8 @@
 			})
 		}
 	default:
-		cell.startRefused(run, event.Reply.Outcome)
+		// OutcomeUnknown, or an outcome of a later version of a relay.
+		cell.startUnanswered(run)
 	}
 }
 
@@ -262,6 +263,8 @@
 	case OutcomeUnhealthy:
 		cell.eject(upstream, limits.EjectUnhealthyFor, "refuses orders")
 	case OutcomeStale:
+		// A run of the task has ended at the upstream.
+		run.markMayHaveRun()
 		if run.task != nil {
 			run.task.runNumber += runsPerGeneration
 		}
