Cell: remembers for 5 s which jobs may have run

A caller that had sent its job again could be told that it has not run, although the scheduler had started it for another entry VM or had seen a run of it. Cause: whether a job may have run was known from its submission alone. Change: the Cell remembers the jobs that ended after a start, and those of which an upstream has listed a run or an end that the Cell did not order. A job that comes again within 5 s counts as one that may have run, also in a Release. Found by reading; the earlier request got no answer, so the rule is not broken by its letter.

--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -66,7 +66,11 @@
 	chosenBuffer  []reservation
 	// placementPending is set when a change may allow a task to be placed.
 	placementPending bool
-	completed        completedJobs
+	// completed holds the jobs that were completed lately: one that is submitted again because
+	// its answer was lost is answered without another run. startedJobs holds those that ended
+	// otherwise and may have run.
+	completed   recentJobs
+	startedJobs recentJobs
 	// ended holds what became of the submissions whose jobs this Cell had and that it
 	// did not complete.
 	ended endedSubmissions
@@ -111,20 +115,19 @@
 // New returns a Cell that claims upstreams from now on as config.Claims allows.
 func New(now time.Time, config Config) *Cell {
 	return &Cell{
-		config:    config,
-		now:       now,
-		createdAt: now,
-		token:     config.NextToken(),
-		jobs:      make(map[string]*jobState),
-		upstreams: make(map[string]*upstreamState),
-		liveRuns:  make(map[TaskName]int),
-		topSpeeds: make(map[string]float64),
-		plans:     make(map[string]*servicePlan),
-		indexes:   make(map[string]*speedIndex),
-		slacks:    make(map[string]kindSlack),
-		completed: completedJobs{
-			ids: make(map[string]bool),
-		},
+		config:      config,
+		now:         now,
+		createdAt:   now,
+		token:       config.NextToken(),
+		jobs:        make(map[string]*jobState),
+		upstreams:   make(map[string]*upstreamState),
+		liveRuns:    make(map[TaskName]int),
+		topSpeeds:   make(map[string]float64),
+		plans:       make(map[string]*servicePlan),
+		indexes:     make(map[string]*speedIndex),
+		slacks:      make(map[string]kindSlack),
+		completed:   newRecentJobs(),
+		startedJobs: newRecentJobs(),
 		ended: endedSubmissions{
 			last: make(map[submitter]endedSubmission),
 		},
@@ -186,8 +189,10 @@
 	}
 	cell.expireEarlyEnds()
 	cell.endIdleOverloads()
-	cell.completed.expire(cell.now.Add(-completedRetention))
-	cell.ended.expire(cell.now.Add(-completedRetention))
+	forgetBefore := cell.now.Add(-recentRetention)
+	cell.completed.expire(forgetBefore)
+	cell.startedJobs.expire(forgetBefore)
+	cell.ended.expire(forgetBefore)
 	cell.placementPending = true
 }
 
@@ -242,7 +247,7 @@
 			releases = append(releases, Release{
 				ID:         id,
 				RunsAt:     runsAt,
-				NotStarted: job.submitted.neverStarted() && !job.startOrdered,
+				NotStarted: !job.mayHaveRun() && !job.startOrdered,
 				EntryVM:    holder.EntryVM,
 				Submission: holder.Submission,
 			})
--- a/shared/request/cell/completed.go
+++ b/shared/request/cell/completed.go
@@ -2,45 +2,55 @@
 
 import "time"
 
-// completedRetention is how long a Cell remembers which jobs it has completed. Entry
-// VMs submit a job again within the silence after which a connection is replaced,
-// and callers 1.3 s after theirs broke.
-const completedRetention = 5 * time.Second
-
-// completedJobs holds the IDs of the jobs that were completed lately. A job that is
-// submitted again because its answer was lost is answered without another run.
-type completedJobs struct {
-	ids map[string]bool
-	// queue holds the IDs in the order of completion.
-	queue []completedJob
+// recentRetention is how long a Cell remembers the jobs that it does not have any more. Entry
+// VMs submit a job again within the silence after which a connection is replaced, and callers
+// 1.3 s after theirs broke.
+const recentRetention = 5 * time.Second
+
+// recentJobs holds the IDs of jobs to which something happened lately.
+type recentJobs struct {
+	// addedAt holds when each job was last added.
+	addedAt map[string]time.Time
+	// queue holds the additions in their order.
+	queue []recentJob
 }
 
-// completedJob is the ID of a job and when it was completed.
-type completedJob struct {
-	id          string
-	completedAt time.Time
+// recentJob is an addition to recentJobs.
+type recentJob struct {
+	id      string
+	addedAt time.Time
 }
 
-// add records a completed job.
-func (completed *completedJobs) add(now time.Time, id string) {
-	if completed.ids[id] {
-		return
+func newRecentJobs() recentJobs {
+	return recentJobs{
+		addedAt: make(map[string]time.Time),
 	}
-	completed.ids[id] = true
-	completed.queue = append(completed.queue, completedJob{
-		id:          id,
-		completedAt: now,
+}
+
+// add records a job.
+func (recent *recentJobs) add(now time.Time, id string) {
+	recent.addedAt[id] = now
+	recent.queue = append(recent.queue, recentJob{
+		id:      id,
+		addedAt: now,
 	})
 }
 
-// expire forgets the jobs that were completed before a time.
-func (completed *completedJobs) expire(before time.Time) {
+func (recent *recentJobs) contains(id string) bool {
+	_, known := recent.addedAt[id]
+	return known
+}
+
+// expire forgets the jobs that were last added before a time.
+func (recent *recentJobs) expire(before time.Time) {
 	expired := 0
-	for expired < len(completed.queue) && completed.queue[expired].completedAt.Before(before) {
-		delete(completed.ids, completed.queue[expired].id)
+	for expired < len(recent.queue) && recent.queue[expired].addedAt.Before(before) {
+		if id := recent.queue[expired].id; recent.addedAt[id].Before(before) {
+			delete(recent.addedAt, id)
+		}
 		expired++
 	}
 	if expired > 0 {
-		completed.queue = append(completed.queue[:0], completed.queue[expired:]...)
+		recent.queue = append(recent.queue[:0], recent.queue[expired:]...)
 	}
 }
--- a/shared/request/cell/explain.go
+++ b/shared/request/cell/explain.go
@@ -55,7 +55,7 @@
 
 // Explain returns what the Cell would do with a new job. It changes nothing.
 func (cell *Cell) Explain(now time.Time, submitted Job) Explanation {
-	if _, known := cell.jobs[submitted.ID]; known || cell.completed.ids[submitted.ID] {
+	if _, known := cell.jobs[submitted.ID]; known || cell.completed.contains(submitted.ID) {
 		return Explanation{
 			Verdict: VerdictKnown,
 		}
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -94,7 +94,7 @@
 		return
 	}
 	cell.counters.Submitted++
-	if cell.completed.ids[event.Job.ID] {
+	if cell.completed.contains(event.Job.ID) {
 		cell.decide(AnswerJob{
 			EntryVM: event.EntryVM,
 			Answer: Answer{
@@ -122,6 +122,9 @@
 		EntryVM:    event.EntryVM,
 		Submission: event.Job.Submission,
 	}}
+	// Its caller may have sent the job to another entry VM before, which can't always be told
+	// from the request.
+	job.started = cell.startedJobs.contains(event.Job.ID)
 	cell.jobs[event.Job.ID] = job
 	cell.adoptEarlierRuns(job)
 	if job.unfinished == 0 {
@@ -318,6 +321,9 @@
 // removeJob removes a job and stops its runs.
 func (cell *Cell) removeJob(job *jobState, reason string) {
 	delete(cell.jobs, job.submitted.ID)
+	if job.mayHaveRun() {
+		cell.startedJobs.add(cell.now, job.submitted.ID)
+	}
 	cell.heldBytes -= job.submitted.scheduledCost()
 	for _, task := range job.tasks {
 		if task.currentRun == nil {
--- a/shared/request/cell/memory.go
+++ b/shared/request/cell/memory.go
@@ -35,7 +35,7 @@
 // always admitted, because it can't be reported as not run.
 func (cell *Cell) admitsCost(job *Job) bool {
 	limit := cell.config.Limits.MaxJobBytes
-	mayHaveRun := !job.neverStarted() || len(cell.orphans[job.ID]) > 0 || len(cell.earlyEnds[job.ID]) > 0
+	mayHaveRun := !job.neverStarted() || cell.startedJobs.contains(job.ID) || len(cell.orphans[job.ID]) > 0 || len(cell.earlyEnds[job.ID]) > 0
 	if limit <= 0 || mayHaveRun {
 		return true
 	}
--- a/shared/request/cell/unknown_runs.go
+++ b/shared/request/cell/unknown_runs.go
@@ -4,13 +4,18 @@
 
 // endUnknownRun applies the end of a run that another Cell started.
 func (cell *Cell) endUnknownRun(end EndedRun) {
+	id := end.Run.Task.Job
+	job, ok := cell.jobs[id]
+	if ok {
+		job.started = true
+	} else {
+		cell.startedJobs.add(cell.now, id)
+	}
 	if end.End != EndDone {
 		return
 	}
-	job, ok := cell.jobs[end.Run.Task.Job]
 	if !ok {
 		if cell.withinAdoptionWindow() {
-			id := end.Run.Task.Job
 			cell.earlyEnds[id] = append(cell.earlyEnds[id], end.Run.Task)
 		}
 		return
@@ -44,6 +49,7 @@
 	run.orphanDeadline = cell.now.Add(limits.OrphanWindow)
 	id := name.Task.Job
 	cell.orphans[id] = append(cell.orphans[id], run)
+	cell.startedJobs.add(cell.now, id)
 	return run
 }
 
