Soak: callers send refused jobs again; judge all starts of such jobs

Cause: callers gave up at the first refusal, and the check of refused jobs looked only at tasks that had completed before the refusal or started after it. A job that was refused twice and started between the refusals passed. Change: callers send a refused job again as a new request, up to four in all; the checker is told of each attempt and of the last one, and reports each start, at any time, of a job of which every attempt was refused. A job that is refused after the recovery time is a violation at once, as before.

--- a/soak/check/checker.go
+++ b/soak/check/checker.go
@@ -15,8 +15,8 @@
 	keptJobs map[string]bool
 	// doneTasks holds the IDs of the tasks that ran to completion, by job ID.
 	doneTasks map[string]map[string]bool
-	// refusedJobs holds the IDs of the jobs that were reported as not run.
-	refusedJobs map[string]bool
+	// submissions holds, by job ID, what is known from the attempts to submit it.
+	submissions map[string]*submission
 	violations  []string
 	counts      map[string]int
 }
@@ -27,7 +27,7 @@
 		runs:        NewRuns(),
 		keptJobs:    make(map[string]bool),
 		doneTasks:   make(map[string]map[string]bool),
-		refusedJobs: make(map[string]bool),
+		submissions: make(map[string]*submission),
 		counts:      make(map[string]int),
 	}
 }
@@ -57,8 +57,8 @@
 }
 
 // RecordStart records that a worker started a task. It is a violation if it breaks a
-// Rule, if its job was refused before, or if the worker has been draining for longer
-// than the bound.
+// Rule, if every attempt to submit its job was or will be rejected, or if the worker has
+// been draining for longer than the bound.
 func (checker *Checker) RecordStart(run Run) {
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
@@ -70,9 +70,7 @@
 		checker.counts["starts-after-noted-"+outcome]++
 	}
 	checker.addFindings(checker.runs.Start(run))
-	if checker.refusedJobs[run.Job] {
-		checker.addViolation("task %s starts after its job was reported as not run: %s", run.Task, run)
-	}
+	checker.recordSubmissionStart(run)
 	if run.DrainedTooLong {
 		checker.addViolation("task %s starts on a worker that has drained for too long: %s", run.Task, run)
 	}
@@ -133,19 +131,6 @@
 	}
 }
 
-// RecordRefused records that every attempt to submit a job was reported to its
-// caller as not run. It is a violation if tasks of the job were completed or, later,
-// if one of them starts.
-func (checker *Checker) RecordRefused(job string) {
-	checker.mutex.Lock()
-	defer checker.mutex.Unlock()
-	checker.counts["refused"]++
-	checker.refusedJobs[job] = true
-	if len(checker.doneTasks[job]) > 0 {
-		checker.addViolation("job %s was reported as not run with %d tasks done", job, len(checker.doneTasks[job]))
-	}
-}
-
 // RecordConfigRollback records the violation that a process no longer serves a
 // version of the configuration that it served before.
 func (checker *Checker) RecordConfigRollback(process string, version int) {
--- a/soak/region/process.go
+++ b/soak/region/process.go
@@ -1,19 +1,13 @@
 package region
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"math"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -145,36 +139,3 @@
 		<-done
 	}
 }
-
-// attempt sends the job to a random process and returns the HTTP status and the
-// body. The status is 0 if there was no answer.
-func (caller *caller) attempt(timeLeft time.Duration) (int, string) {
-	processes := caller.region.processes
-	process := processes[caller.random.IntN(len(processes))]
-	timeout := timeLeft
-	if caller.leaveAfter > 0 {
-		timeout = min(timeout, caller.leaveAfter)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address(process.ip, callerPort)+"/q/"+caller.id,
-		strings.NewReader(caller.body))
-	if err != nil {
-		return 0, ""
-	}
-	request.Host = "h.example"
-	client, closeAfter := caller.region.callerClient()
-	request.Close = closeAfter
-	// A value below the route's timeout would mark a first request as one sent again.
-	request.Header.Set("Deadline-Ms", fmt.Sprint(int64(math.Ceil(timeLeft.Seconds()*1000))))
-	response, err := client.Do(request)
-	if err != nil {
-		return 0, ""
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return response.StatusCode, string(data)
-}
--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -70,8 +70,8 @@
 type Report struct {
 	Seed uint64
 	// Counts holds the numbers of task starts ("starts") and of jobs by outcome
-	// ("completed", "failed", "refused", "no answer"). A job is counted twice as
-	// refused if each of its attempts was refused.
+	// ("completed", "failed", "refused", "no answer"; "jobs-rejected" are those of which
+	// every attempt was refused).
 	Counts map[string]int
 	// Violations describes each violation of a guarantee.
 	Violations []string
@@ -322,6 +322,7 @@
 		caller := caller{
 			region:        region,
 			id:            fmt.Sprintf("%016x", random.Uint64()),
+			route:         defaultRoute,
 			tasks:         1 + random.IntN(3),
 			random:        rand.New(rand.NewPCG(random.Uint64(), 3)),
 			afterRecovery: recovered,
@@ -341,78 +342,3 @@
 	}
 	callers.Wait()
 }
-
-// caller submits one job, and submits it again after a lost connection as the
-// platform's callers do.
-type caller struct {
-	region *region
-	id     string
-	tasks  int
-	// body is the body of the request.
-	body   string
-	random *rand.Rand
-	// timeBudget is the time for which the caller waits for the answer. leaveAfter, if
-	// it is not 0, is the time after which the caller closes the connection.
-	timeBudget time.Duration
-	leaveAfter time.Duration
-	// afterRecovery means that the job is submitted after recoveryTime and must
-	// complete.
-	afterRecovery bool
-}
-
-const (
-	// callerTimeout is the time for which a caller waits for the answer.
-	callerTimeout = 4 * time.Second
-	// resendDelay is the time after which a caller sends a job again whose
-	// connection broke.
-	resendDelay = 1300 * time.Millisecond
-	// taskMilliCores is the processor capacity that a task takes: two run on a worker.
-	taskMilliCores = 7000
-	// defaultEstimateMs is the run time that callers declare in a soak without cuts.
-	defaultEstimateMs = 200
-)
-
-// submit sends the job until there is an answer or the time is up, and records the
-// outcome.
-func (caller *caller) submit() {
-	start := time.Now()
-	refused := true
-	for {
-		timeLeft := caller.timeBudget - time.Since(start)
-		if timeLeft <= 0 {
-			caller.finish("no answer")
-			return
-		}
-		status, body := caller.attempt(timeLeft)
-		switch {
-		case status == 0 && caller.leaveAfter > 0:
-			caller.finish("left")
-			return
-		case status == http.StatusOK && strings.Contains(body, "completed"):
-			caller.region.checker.RecordShownCompleted(caller.id, time.Now())
-			caller.region.checker.RecordCompleted(caller.id, caller.tasks)
-			return
-		case status == http.StatusOK:
-			caller.finish("failed")
-			return
-		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusNotFound:
-			if refused {
-				caller.region.checker.RecordRefused(caller.id)
-			}
-			caller.finish("refused")
-			return
-		}
-		// An attempt without an answer may have run.
-		refused = false
-		time.Sleep(resendDelay)
-	}
-}
-
-// finish counts a job that didn't complete. After the recovery time it is a
-// violation.
-func (caller *caller) finish(outcome string) {
-	caller.region.checker.Count(outcome)
-	if caller.afterRecovery {
-		caller.region.checker.AddViolation(fmt.Sprintf("job %s: %s after the recovery time", caller.id, outcome))
-	}
-}
