Soak: seeds with faults during bursts of four times the workers' room

Cause: the load of the earlier seeds stays below the workers' room, so no job is refused for overload while faults act. Callers give up after one to four requests.

--- a/soak/proxy/proxy.go
+++ b/soak/proxy/proxy.go
@@ -50,6 +50,8 @@
 	// apply while mode is Pass.
 	clientModes map[string]Mode
 	delay       time.Duration
+	// latency is the time from the arrival of a chunk to its forwarding.
+	latency time.Duration
 	// stallShare is the share of chunks that are stalled.
 	stallShare float64
 	conns      map[net.Conn]bool
@@ -116,6 +118,14 @@
 	proxy.signalChange()
 }
 
+// SetLatency sets the time from the arrival of a chunk to its forwarding. Unlike a delay it does
+// not add up over chunks that arrive together.
+func (proxy *Proxy) SetLatency(latency time.Duration) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.latency = latency
+}
+
 // SetStalls sets the share of forwarded chunks that are stalled for 0.2 to 1 s, as on a
 // link that loses packets.
 func (proxy *Proxy) SetStalls(share float64) {
@@ -231,7 +241,7 @@
 	defer close(stop)
 	chunks, ended := readChunks(from, stop)
 	for {
-		var chunk []byte
+		var chunk chunk
 		select {
 		case chunk = <-chunks:
 		case <-ended:
@@ -241,19 +251,36 @@
 				return
 			}
 		}
+		proxy.awaitLatency(chunk)
 		if !proxy.awaitPass(link, toSource, ended) {
 			return
 		}
-		if _, err := to.Write(chunk); err != nil {
+		if _, err := to.Write(chunk.bytes); err != nil {
 			return
 		}
 	}
 }
 
+// chunk is a piece of what arrives on a connection.
+type chunk struct {
+	bytes  []byte
+	readAt time.Time
+}
+
+// awaitLatency waits until the latency of a chunk has passed.
+func (proxy *Proxy) awaitLatency(chunk chunk) {
+	proxy.mutex.Lock()
+	latency := proxy.latency
+	proxy.mutex.Unlock()
+	if latency > 0 {
+		time.Sleep(latency - time.Since(chunk.readAt))
+	}
+}
+
 // readChunks reads from a connection until it ends or stop is closed. It closes ended
 // when the connection has ended and all that was read is in chunks.
-func readChunks(conn net.Conn, stop <-chan struct{}) (chunks <-chan []byte, ended <-chan struct{}) {
-	read := make(chan []byte, maxHeldChunks)
+func readChunks(conn net.Conn, stop <-chan struct{}) (chunks <-chan chunk, ended <-chan struct{}) {
+	read := make(chan chunk, maxHeldChunks)
 	readEnded := make(chan struct{})
 	go func() {
 		defer close(readEnded)
@@ -264,7 +291,10 @@
 				return
 			}
 			select {
-			case read <- buffer[:n]:
+			case read <- chunk{
+				bytes:  buffer[:n],
+				readAt: time.Now(),
+			}:
 			case <-stop:
 				return
 			}
--- a/soak/region/callers.go
+++ b/soak/region/callers.go
@@ -42,7 +42,7 @@
 	// resendDelay is the time after which a caller sends a job again whose
 	// connection broke.
 	resendDelay = 1300 * time.Millisecond
-	// maxRequests is the number of requests after which a caller whose job is refused
+	// maxRequests is the largest number of requests after which a caller whose job is refused
 	// gives up.
 	maxRequests = 4
 	// minRetryDelay is the shortest time after which a caller sends a refused job again.
@@ -72,6 +72,7 @@
 	defer caller.region.checker.RecordLastAttempt(caller.id)
 	start := time.Now()
 	process := caller.randomProcess()
+	patience := 1 + caller.random.IntN(maxRequests)
 	for requests := 1; ; {
 		timeLeft := caller.timeBudget - time.Since(start)
 		if timeLeft <= 0 {
@@ -91,7 +92,7 @@
 			caller.finish("failed")
 			return
 		case answer.isRefusal():
-			if caller.afterRecovery || requests == maxRequests {
+			if caller.afterRecovery || requests == patience {
 				caller.finish("refused")
 				return
 			}
--- a/soak/region/combined.go
+++ b/soak/region/combined.go
@@ -16,7 +16,9 @@
 const firstCombinedSeed = 3000
 
 // combinesFaults reports whether the seed is one with all disturbances at once.
-func (options Options) combinesFaults() bool { return options.Seed >= firstCombinedSeed }
+func (options Options) combinesFaults() bool {
+	return options.Seed >= firstCombinedSeed && !options.overloads()
+}
 
 const (
 	// spareWorkers is the number of workers that join during the faults.
--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -25,13 +25,16 @@
 	PlatformProgram string
 	// Seed determines the schedule of faults. Seeds from 1000 on have additional
 	// kinds of faults, those from 2000 on cuts between failure domains, those from 3000
-	// on all disturbances of rplar-breizh beside them.
+	// on all disturbances of rplar-breizh beside them, those from 4000 on faults during
+	// overload.
 	Seed uint64
 	// Processes and Workers are the numbers of platform processes and workers.
 	Processes int
 	Workers   int
 	// FaultDuration is the time during which faults are started.
 	FaultDuration time.Duration
+	// JobsPerSecond is the rate of jobs. It has no effect on seeds from 4000 on, whose rate
+	// follows from the number of workers.
 	JobsPerSecond float64
 	// Network selects the loopback addresses, from 0 to 6. It does not change the
 	// schedule.
@@ -119,6 +122,7 @@
 	mutex            sync.Mutex
 	configVersion    int
 	combinedState
+	overloadState
 }
 
 // Run runs the soak of one seed. Violations are in the Report; the error says why
@@ -187,6 +191,7 @@
 		region.workers = append(region.workers, worker)
 		region.workerAddresses = append(region.workerAddresses, address)
 	}
+	region.drawLatency()
 	region.publishConfig()
 	go region.reportWorkers(ctx)
 	for index := range options.Processes {
@@ -208,6 +213,7 @@
 		if err := region.proxyProcess(ctx, process, index); err != nil {
 			return Report{}, err
 		}
+		region.setLatency(index)
 		region.processes = append(region.processes, process)
 		process.start()
 		defer process.kill()
@@ -247,6 +253,9 @@
 	for version := 1; region.extended() && version <= region.configVersion; version++ {
 		routes = append(routes, fmt.Sprintf(route, fmt.Sprint("r", version), versionPath(version)))
 	}
+	if region.options.overloads() {
+		routes = append(routes, overloadRoutes()...)
+	}
 	region.store.Append("keyed.op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{}}`,
 		region.configVersion, strings.Join(routes, ",")))
 }
@@ -302,6 +311,8 @@
 	callerContext, endCallers := context.WithTimeout(ctx, 2*settleTime+region.options.FaultDuration+recoveryTime)
 	defer endCallers()
 	switch {
+	case region.options.overloads():
+		go region.injectOverload(faultContext)
 	case region.options.combinesFaults():
 		go region.injectCombined(faultContext)
 	case region.options.CutsDomains():
@@ -318,6 +329,7 @@
 	random := rand.New(rand.NewPCG(region.options.Seed, 2))
 	start := time.Now()
 	for jobCount := 0; callerContext.Err() == nil; jobCount++ {
+		faultsEnded := time.Since(start) > settleTime+region.options.FaultDuration
 		recovered := time.Since(start) > settleTime+region.options.FaultDuration+recoveryTime
 		caller := caller{
 			region:        region,
@@ -329,8 +341,11 @@
 			timeBudget:    callerTimeout,
 		}
 		switch {
+		case region.options.overloads():
+			caller.useOverloadClass(faultsEnded)
+			interval = region.overloadInterval(faultsEnded)
 		case region.options.combinesFaults():
-			caller.useClass(time.Since(start) > settleTime+region.options.FaultDuration)
+			caller.useClass(faultsEnded)
 		case region.options.CutsDomains():
 			caller.tasks = cutJobTasks
 			caller.body = jobBody("x", caller.tasks, taskMilliCores, cutEstimateMs)
