Soak: callers prefer paused processes; TestOverloadSeeds

Cause: a process that was paused breaks the rule on refused jobs if it finds many requests in its sockets; callers chose processes at random. Change: with seeds from 4000 on, a quarter of the callers choose a paused process, if there is one. A test runs seeds 4003 and 4004, which fail.

--- a/soak/region/callers.go
+++ b/soak/region/callers.go
@@ -109,9 +109,15 @@
 	}
 }
 
-// randomProcess returns one of the processes.
+// randomProcess returns one of the processes; in a soak with bursts more often one that is
+// paused, so that it finds many requests when it continues.
 func (caller *caller) randomProcess() *process {
 	processes := caller.region.processes
+	if caller.region.options.overloads() && caller.random.Float64() < pausedShare {
+		if paused := caller.region.pausedProcesses(); len(paused) > 0 {
+			processes = paused
+		}
+	}
 	return processes[caller.random.IntN(len(processes))]
 }
 
--- a/soak/region/faults.go
+++ b/soak/region/faults.go
@@ -84,6 +84,8 @@
 // pauseProcess suspends a process for the duration. It then continues from where it
 // was suspended.
 func pauseProcess(process *process, duration time.Duration) {
+	process.pauses.Add(1)
+	defer process.pauses.Add(-1)
 	process.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	process.signal(syscall.SIGCONT)
--- a/soak/region/overload.go
+++ b/soak/region/overload.go
@@ -71,6 +71,8 @@
 	usualLoad    = 0.7
 	burstLoad    = 4
 	recoveryLoad = 0.3
+	// pausedShare is the share of callers that choose a process that is paused, if one is.
+	pausedShare = 0.25
 	// minLatency and latencyRange bound the one-way latency between processes and workers.
 	minLatency   = 200 * time.Microsecond
 	latencyRange = 1500 * time.Microsecond
@@ -248,6 +250,17 @@
 	}
 }
 
+// pausedProcesses returns the processes that are paused.
+func (region *region) pausedProcesses() []*process {
+	var paused []*process
+	for _, process := range region.processes {
+		if process.pauses.Load() > 0 {
+			paused = append(paused, process)
+		}
+	}
+	return paused
+}
+
 // resetProcess resets the connections of a process's peers to it, and a share of those of
 // callers; a quarter of the times after it was paused or killed.
 func (region *region) resetProcess(step step) {
--- a/soak/region/process.go
+++ b/soak/region/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -28,6 +29,8 @@
 	startCount int
 	command    *exec.Cmd
 	done       chan struct{}
+	// pauses counts the pauses that have not ended.
+	pauses atomic.Int32
 }
 
 // The ports of every process. They are the same for all, because each process has
--- a/soak/region/region_test.go
+++ b/soak/region/region_test.go
@@ -35,6 +35,13 @@
 //	when two polls were lost.
 var combinedSeeds = []uint64{3001}
 
+// overloadSeeds are seeds with faults during bursts that once failed:
+//
+//	4003, 4004: a process that was paused submitted its callers' jobs again when its stream to
+//	the scheduler was replaced. The scheduler refused the first submission, which the
+//	callers were told, and started the second.
+var overloadSeeds = []uint64{4003, 4004}
+
 // TestSeeds checks that the guarantees hold under the faults of each seed: a task
 // doesn't run twice at the same time, a refused job has not run, a completed job
 // has run all its tasks, and jobs complete again after the faults have ended.
@@ -69,6 +76,16 @@
 	})
 }
 
+// TestOverloadSeeds checks the same guarantees when the scheduler and other processes are
+// disturbed during bursts in which jobs are refused.
+func TestOverloadSeeds(t *testing.T) {
+	runSeeds(t, overloadSeeds, region.Options{
+		Processes:     9,
+		Workers:       24,
+		FaultDuration: 30 * time.Second,
+	})
+}
+
 // runSeeds runs the soaks of some seeds at the same time.
 func runSeeds(t *testing.T, seeds []uint64, options region.Options) {
 	t.Helper()
