--- a/soak/region/overload.go
+++ b/soak/region/overload.go
@@ -27,8 +27,8 @@
 // overloadClass is a class of jobs of bankhane, on a route of its own.
 type overloadClass struct {
 	name string
-	// share is the part of all jobs that are of this class, in jobs of 140.65.
-	share       float64
+	// weight is the frequency of the class relative to the others.
+	weight      float64
 	tasks       int
 	taskTime    time.Duration
 	maxAttempts int
@@ -39,7 +39,7 @@
 var overloadClasses = []overloadClass{
 	{
 		name:        "price",
-		share:       34.4,
+		weight:      34.4,
 		tasks:       8,
 		taskTime:    60 * time.Millisecond,
 		maxAttempts: 3,
@@ -47,7 +47,7 @@
 	},
 	{
 		name:        "booking",
-		share:       6.25,
+		weight:      6.25,
 		tasks:       4,
 		taskTime:    900 * time.Millisecond,
 		maxAttempts: 2,
@@ -55,7 +55,7 @@
 	},
 	{
 		name:        "stock",
-		share:       100,
+		weight:      100,
 		tasks:       2,
 		taskTime:    200 * time.Millisecond,
 		maxAttempts: 3,
@@ -73,6 +73,8 @@
 	recoveryLoad = 0.3
 	// pausedShare is the share of callers that choose a process that is paused, if one is.
 	pausedShare = 0.25
+	// maxPausedProcesses is the largest number of processes that one fault pauses.
+	maxPausedProcesses = 3
 	// minLatency and latencyRange bound the one-way latency between processes and workers.
 	minLatency   = 200 * time.Microsecond
 	latencyRange = 1500 * time.Microsecond
@@ -82,19 +84,18 @@
 // start of a burst to its first fault, between two series, between two faults of a series, and
 // of a fault.
 const (
-	minCalm            = time.Second
-	calmRange          = 1500 * time.Millisecond
-	minBurst           = 7 * time.Second
-	burstRange         = 3 * time.Second
-	minOnset           = 1500 * time.Millisecond
-	onsetRange         = 1400 * time.Millisecond
-	minBurstSeries     = 2500 * time.Millisecond
-	burstSeriesRange   = 1800 * time.Millisecond
-	minBurstStep       = 50 * time.Millisecond
-	burstStepRange     = 550 * time.Millisecond
-	minBurstFault      = 700 * time.Millisecond
-	burstFaultRange    = 2300 * time.Millisecond
-	maxPausedProcesses = 3
+	minCalm          = time.Second
+	calmRange        = 1500 * time.Millisecond
+	minBurst         = 7 * time.Second
+	burstRange       = 3 * time.Second
+	minOnset         = 1500 * time.Millisecond
+	onsetRange       = 1400 * time.Millisecond
+	minBurstSeries   = 2500 * time.Millisecond
+	burstSeriesRange = 1800 * time.Millisecond
+	minBurstStep     = 50 * time.Millisecond
+	burstStepRange   = 550 * time.Millisecond
+	minBurstFault    = 700 * time.Millisecond
+	burstFaultRange  = 2300 * time.Millisecond
 )
 
 // overloadFaults are the faults of a soak with bursts. One that is listed several times is as
@@ -145,15 +146,15 @@
 	caller.timeBudget = classTimeBudget
 }
 
-// drawOverloadClass draws a class by the shares.
+// drawOverloadClass draws a class by the weights.
 func drawOverloadClass(random *rand.Rand) overloadClass {
 	total := 0.0
 	for _, class := range overloadClasses {
-		total += class.share
+		total += class.weight
 	}
 	drawn := total * random.Float64()
 	for _, class := range overloadClasses {
-		if drawn -= class.share; drawn < 0 {
+		if drawn -= class.weight; drawn < 0 {
 			return class
 		}
 	}
@@ -164,8 +165,8 @@
 func (region *region) overloadInterval(faultsEnded bool) time.Duration {
 	work, total := 0.0, 0.0
 	for _, class := range overloadClasses {
-		work += class.share * float64(class.tasks) * class.taskTime.Seconds()
-		total += class.share
+		work += class.weight * float64(class.tasks) * class.taskTime.Seconds()
+		total += class.weight
 	}
 	load := usualLoad
 	switch {
