Soak: count starts of a job between its rejected requests

Cause: a job that was refused and started is exempt from the rule once its caller's next request is accepted, so a fault of this kind could go unseen. Change: the checker is told when a request is sent, and counts starts after the last rejection and before the next request (starts-between-attempts). This is a count, not a violation. Measured: go test ./soak/check passes.

--- a/soak/check/attempts.go
+++ b/soak/check/attempts.go
@@ -28,6 +28,8 @@
 	attempts []Attempt
 	// accepted is set if an attempt was not rejected: the job may run.
 	accepted bool
+	// pending is set while an attempt has not ended.
+	pending bool
 	// over is set if no attempt will follow.
 	over bool
 	// starts holds the starts before the last attempt.
@@ -56,6 +58,9 @@
 	case submission.rejected():
 		checker.addRejectedStart(submission, run)
 	case !submission.accepted:
+		if !submission.pending && len(submission.attempts) > 0 {
+			checker.counts["starts-between-attempts"]++
+		}
 		submission.starts = append(submission.starts, run)
 	}
 }
@@ -71,11 +76,19 @@
 		strings.Join(attempts, ", "))
 }
 
+// RecordSent records that a caller is about to send an attempt.
+func (checker *Checker) RecordSent(job string) {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	checker.submission(job).pending = true
+}
+
 // RecordAttempt records an attempt that has ended, and counts it if it was rejected.
 func (checker *Checker) RecordAttempt(attempt Attempt) {
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
 	submission := checker.submission(attempt.Job)
+	submission.pending = false
 	if attempt.Rejected {
 		checker.counts["attempts-rejected"]++
 		submission.attempts = append(submission.attempts, attempt)
--- a/soak/check/attempts_test.go
+++ b/soak/check/attempts_test.go
@@ -56,3 +56,29 @@
 		assert.Equal(t, len(found), violations, "%s: %v", events, found)
 	}
 }
+
+// TestStartsBetweenAttempts guards against a start that is not counted while the caller of a
+// rejected job waits, and against one that is counted while an attempt is pending.
+func TestStartsBetweenAttempts(t *testing.T) {
+	checker := check.New()
+	start := func(number int) {
+		checker.RecordStart(check.Run{
+			Job:    "j",
+			Task:   "j.0.0.0",
+			Number: number,
+			IsOver: func(time.Time) bool { return true },
+		})
+	}
+	for number := range 2 {
+		checker.RecordSent("j")
+		start(3 * number)
+		checker.RecordAttempt(check.Attempt{
+			Job:      "j",
+			Rejected: number == 0,
+		})
+		start(3*number + 1)
+	}
+	counts, violations := checker.Result()
+	assert.Equal(t, counts["starts-between-attempts"], 1)
+	assert.Equal(t, len(violations), 0)
+}
--- a/soak/region/callers.go
+++ b/soak/region/callers.go
@@ -135,6 +135,7 @@
 
 // attempt sends the job to a process, and records and returns the answer.
 func (caller *caller) attempt(process *process, timeLeft time.Duration) answer {
+	caller.region.checker.RecordSent(caller.id)
 	sentAt := time.Now()
 	answer := caller.request(process, timeLeft)
 	caller.region.checker.RecordAttempt(check.Attempt{
