--- a/soak/region/region.go
+++ b/soak/region/region.go
@@ -25,13 +25,16 @@
 	PlatformProgram string
 	// Seed determines the schedule of faults. Seeds from 1000 on have additional
 	// kinds of faults, those from 2000 on cuts between failure domains, those from 3000
-	// on all disturbances of rplar-breizh beside them.
+	// on all disturbances of rplar-breizh beside them, those from 4000 on faults during
+	// overload.
 	Seed uint64
 	// Processes and Workers are the numbers of platform processes and workers.
 	Processes int
 	Workers   int
 	// FaultDuration is the time during which faults are started.
 	FaultDuration time.Duration
+	// JobsPerSecond is the rate of jobs. It has no effect on seeds from 4000 on, whose rate
+	// follows from the number of workers.
 	JobsPerSecond float64
 	// Network selects the loopback addresses, from 0 to 6. It does not change the
 	// schedule.
@@ -70,8 +73,8 @@
 type Report struct {
 	Seed uint64
 	// Counts holds the numbers of task starts ("starts") and of jobs by outcome
-	// ("completed", "failed", "refused", "no answer"). A job is counted twice as
-	// refused if each of its attempts was refused.
+	// ("completed", "failed", "refused", "no answer"; "jobs-rejected" are those of which
+	// every attempt was refused).
 	Counts map[string]int
 	// Violations describes each violation of a guarantee.
 	Violations []string
@@ -119,6 +122,7 @@
 	mutex            sync.Mutex
 	configVersion    int
 	combinedState
+	overloadState
 }
 
 // Run runs the soak of one seed. Violations are in the Report; the error says why
@@ -187,6 +191,7 @@
 		region.workers = append(region.workers, worker)
 		region.workerAddresses = append(region.workerAddresses, address)
 	}
+	region.drawLatency()
 	region.publishConfig()
 	go region.reportWorkers(ctx)
 	for index := range options.Processes {
@@ -208,6 +213,7 @@
 		if err := region.proxyProcess(ctx, process, index); err != nil {
 			return Report{}, err
 		}
+		region.setLatency(index)
 		region.processes = append(region.processes, process)
 		process.start()
 		defer process.kill()
@@ -247,6 +253,9 @@
 	for version := 1; region.extended() && version <= region.configVersion; version++ {
 		routes = append(routes, fmt.Sprintf(route, fmt.Sprint("r", version), versionPath(version)))
 	}
+	if region.options.overloads() {
+		routes = append(routes, overloadRoutes()...)
+	}
 	region.store.Append("keyed.op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{}}`,
 		region.configVersion, strings.Join(routes, ",")))
 }
@@ -302,6 +311,8 @@
 	callerContext, endCallers := context.WithTimeout(ctx, 2*settleTime+region.options.FaultDuration+recoveryTime)
 	defer endCallers()
 	switch {
+	case region.options.overloads():
+		go region.injectOverload(faultContext)
 	case region.options.combinesFaults():
 		go region.injectCombined(faultContext)
 	case region.options.CutsDomains():
@@ -318,18 +329,23 @@
 	random := rand.New(rand.NewPCG(region.options.Seed, 2))
 	start := time.Now()
 	for jobCount := 0; callerContext.Err() == nil; jobCount++ {
+		faultsEnded := time.Since(start) > settleTime+region.options.FaultDuration
 		recovered := time.Since(start) > settleTime+region.options.FaultDuration+recoveryTime
 		caller := caller{
 			region:        region,
 			id:            fmt.Sprintf("%016x", random.Uint64()),
+			route:         defaultRoute,
 			tasks:         1 + random.IntN(3),
 			random:        rand.New(rand.NewPCG(random.Uint64(), 3)),
 			afterRecovery: recovered,
 			timeBudget:    callerTimeout,
 		}
 		switch {
+		case region.options.overloads():
+			caller.useOverloadClass(faultsEnded)
+			interval = region.overloadInterval(faultsEnded)
 		case region.options.combinesFaults():
-			caller.useClass(time.Since(start) > settleTime+region.options.FaultDuration)
+			caller.useClass(faultsEnded)
 		case region.options.CutsDomains():
 			caller.tasks = cutJobTasks
 			caller.body = jobBody("x", caller.tasks, taskMilliCores, cutEstimateMs)
@@ -341,78 +357,3 @@
 	}
 	callers.Wait()
 }
-
-// caller submits one job, and submits it again after a lost connection as the
-// platform's callers do.
-type caller struct {
-	region *region
-	id     string
-	tasks  int
-	// body is the body of the request.
-	body   string
-	random *rand.Rand
-	// timeBudget is the time for which the caller waits for the answer. leaveAfter, if
-	// it is not 0, is the time after which the caller closes the connection.
-	timeBudget time.Duration
-	leaveAfter time.Duration
-	// afterRecovery means that the job is submitted after recoveryTime and must
-	// complete.
-	afterRecovery bool
-}
-
-const (
-	// callerTimeout is the time for which a caller waits for the answer.
-	callerTimeout = 4 * time.Second
-	// resendDelay is the time after which a caller sends a job again whose
-	// connection broke.
-	resendDelay = 1300 * time.Millisecond
-	// taskMilliCores is the processor capacity that a task takes: two run on a worker.
-	taskMilliCores = 7000
-	// defaultEstimateMs is the run time that callers declare in a soak without cuts.
-	defaultEstimateMs = 200
-)
-
-// submit sends the job until there is an answer or the time is up, and records the
-// outcome.
-func (caller *caller) submit() {
-	start := time.Now()
-	refused := true
-	for {
-		timeLeft := caller.timeBudget - time.Since(start)
-		if timeLeft <= 0 {
-			caller.finish("no answer")
-			return
-		}
-		status, body := caller.attempt(timeLeft)
-		switch {
-		case status == 0 && caller.leaveAfter > 0:
-			caller.finish("left")
-			return
-		case status == http.StatusOK && strings.Contains(body, "completed"):
-			caller.region.checker.RecordShownCompleted(caller.id, time.Now())
-			caller.region.checker.RecordCompleted(caller.id, caller.tasks)
-			return
-		case status == http.StatusOK:
-			caller.finish("failed")
-			return
-		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusNotFound:
-			if refused {
-				caller.region.checker.RecordRefused(caller.id)
-			}
-			caller.finish("refused")
-			return
-		}
-		// An attempt without an answer may have run.
-		refused = false
-		time.Sleep(resendDelay)
-	}
-}
-
-// finish counts a job that didn't complete. After the recovery time it is a
-// violation.
-func (caller *caller) finish(outcome string) {
-	caller.region.checker.Count(outcome)
-	if caller.afterRecovery {
-		caller.region.checker.AddViolation(fmt.Sprintf("job %s: %s after the recovery time", caller.id, outcome))
-	}
-}
