--- a/soak/simulate.go
+++ b/soak/simulate.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -21,7 +23,7 @@
 	traces := 1
 	command := &cobra.Command{
 		Use:          "simulate --seeds FROM-TO",
-		Short:        "Play hand-overs between schedulers in virtual time and check that no task runs twice at a time",
+		Short:        "Play hand-overs between schedulers in virtual time and check that no task runs twice at a time and that refused jobs don't start",
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 	}
@@ -52,8 +54,11 @@
 				simulation.WriteTrace(os.Stdout, options, result.Violations[0].Job)
 			}
 		}
-		fmt.Printf("series %d, starts %d, completed jobs %d, takeovers %d, failed series %d\n",
-			summary.Series, summary.Starts, summary.Completed, summary.Takeovers, len(summary.Failed))
+		fmt.Printf("series %d, starts %d, completed jobs %d, refused requests %d, takeovers %d, failed series %d\n",
+			summary.Series, summary.Starts, summary.Completed, summary.Refused, summary.Takeovers, len(summary.Failed))
+		for _, rule := range slices.Sorted(maps.Keys(summary.Violations)) {
+			fmt.Printf("violations of %q: %d\n", rule, summary.Violations[rule])
+		}
 		if len(summary.Failed) > 0 {
 			return eris.Errorf("%d series failed", len(summary.Failed))
 		}
--- a/soak/simulation/callers.go
+++ b/soak/simulation/callers.go
@@ -34,6 +34,18 @@
 	taskTime time.Duration
 	sends    int
 	finished bool
+	// refusals counts the requests that were answered as not run, the last at refusedAt.
+	refusals  int
+	refusedAt time.Duration
+	// lastTarget is the process that the job was last sent to.
+	lastTarget *process
+	// starts counts the starts of its tasks, the last at startedAt on lastWorker.
+	starts     int
+	startedAt  time.Duration
+	lastWorker string
+	// falselyRefused is set if it has started although all its requests so far were
+	// answered as not run.
+	falselyRefused bool
 }
 
 // connection is a caller's connection to a process, for one job.
@@ -60,7 +72,11 @@
 // submitJob sends a new job.
 func (callers *callers) submitJob(world *world) {
 	callers.lastJob++
-	taskTime := world.between(60*time.Millisecond, 900*time.Millisecond)
+	longest := 900 * time.Millisecond
+	if world.overload != nil {
+		longest = 400 * time.Millisecond
+	}
+	taskTime := world.between(60*time.Millisecond, longest)
 	steps := []cell.Step{{
 		Count: 2 + world.random.IntN(7),
 		Need: cell.Resources{
@@ -113,7 +129,13 @@
 		return
 	}
 	job.sends++
-	target := live[world.random.IntN(len(live))]
+	var target *process
+	if world.overload != nil {
+		target = world.overload.choose(job, live)
+	} else {
+		target = live[world.random.IntN(len(live))]
+	}
+	job.lastTarget = target
 	opened := &connection{
 		world:   world,
 		process: target,
@@ -122,10 +144,13 @@
 	}
 	target.callers = append(target.callers, opened)
 	submitted := job.job
-	if job.sends > 1 {
+	if job.sends-1 > job.refusals {
 		submitted.ResentAfter = resendDelay
 	}
 	submitted.TimeLeft = world.between(3*time.Second, 6*time.Second)
+	if world.overload != nil && world.chance(0.3) {
+		submitted.TimeLeft = world.between(500*time.Millisecond, 2*time.Second)
+	}
 	world.trace("caller sends %s to %s (%d)", submitted.ID, target.node.name, job.sends)
 	target.later(world.latency(), func() {
 		target.receive(func() { target.dispatcher.Accept(submitted, opened.answer) })
@@ -204,7 +229,10 @@
 		connection.job.finished = true
 	case cell.Interrupted:
 		world.after(resendDelay, func() { connection.job.send(world) })
-	case cell.Failed, cell.NotRun:
+	case cell.NotRun:
+		world.result.Refused++
+		connection.job.resendRefused(world)
+	case cell.Failed:
 		connection.job.finished = true
 	}
 }
--- a/soak/simulation/process.go
+++ b/soak/simulation/process.go
@@ -43,8 +43,10 @@
 	role       dispatcher.Role
 	streams    map[string]*stream
 	lastStream uint64
-	// backlog holds what arrives during a pause.
-	backlog   []func()
+	// backlog holds what arrives during a pause, and wakingUp is set while it is read
+	// afterwards.
+	backlog   []received
+	wakingUp  bool
 	directory directory
 	callers   []*connection
 	// lag is how long what arrives waits in the queue, and handledUntil when the queue is
@@ -66,11 +68,15 @@
 }
 
 func (process *process) member() region.Member {
+	weight := 1.0
+	if process.world.overload.isDivided() {
+		weight = weakProcess
+	}
 	return region.Member{
 		Address:     process.address,
 		Name:        process.node.name,
 		Domain:      domainName(process.node.domain),
-		Weight:      1,
+		Weight:      weight,
 		Incarnation: uint64(process.life)<<8 | uint64(process.node.name[1]-'0'),
 	}
 }
@@ -88,6 +94,7 @@
 	process.streams = make(map[string]*stream)
 	process.lastStream = 0
 	process.backlog = nil
+	process.wakingUp = false
 	process.lag = 0
 	process.handledUntil = 0
 	process.directory = directory{
@@ -116,7 +123,7 @@
 		Peers:        peers,
 		RelayFrom:    relayFrom,
 		Logger:       logger,
-		Limits:       cell.DefaultLimits(),
+		Limits:       world.overload.limits(),
 		OnRoleChange: process.changeRole,
 	}, process)
 	process.dispatcher.SetRoutes(world.routes)
@@ -152,14 +159,7 @@
 }
 
 // receive passes something from outside to the process, when it is not paused.
-func (process *process) receive(action func()) {
-	if process.paused {
-		process.backlog = append(process.backlog, action)
-		return
-	}
-	action()
-	process.handleQueued()
-}
+func (process *process) receive(action func()) { process.receiveFrom(nil, action) }
 
 // enqueue handles something that has been received, after what waits in the queue of a
 // process that lags.
@@ -201,16 +201,11 @@
 		if process.world.chance(0.5) {
 			process.tick()
 		}
-		backlog := process.backlog
-		process.backlog = nil
-		for _, action := range backlog {
-			action()
-			if process.world.chance(0.3) {
-				process.handleQueued()
-			}
+		if process.world.overload != nil {
+			process.readBacklog()
+			return
 		}
-		process.handleQueued()
-		process.tick()
+		process.handleBacklog()
 	})
 }
 
