Cancels of a restarted process have other numbers than those before

Cause: cancels were counted from 1 in each process, and replies name no incarnation. Change: the upper half of the number is from the incarnation, as in submissions. Measured: the test fails before ('1 (int) != 0 (int)') and passes now. Found by the search for the same cause elsewhere.

--- a/shared/process/dispatcher/cancellations.go
+++ b/shared/process/dispatcher/cancellations.go
@@ -57,9 +57,10 @@
 		event.jobKnown = nil
 	}
 	// A number of its own in each case: the answers must not count for another cancel.
-	loop.lastCancelNumber++
+	loop.cancels++
+	number := loop.processNumber(loop.cancels)
 	if event.jobKnown != nil {
-		loop.pendingCancels[loop.lastCancelNumber] = pendingCancel{
+		loop.pendingCancels[number] = pendingCancel{
 			jobKnown:   event.jobKnown,
 			held:       known,
 			unanswered: len(schedulers),
@@ -73,7 +74,7 @@
 		loop.send(scheduler, link.Message{
 			Cancel: &link.Cancel{
 				JobID:         event.id,
-				RequestNumber: loop.lastCancelNumber,
+				RequestNumber: number,
 			},
 		})
 	}
--- a/shared/process/dispatcher/cancellations_test.go
+++ b/shared/process/dispatcher/cancellations_test.go
@@ -11,6 +11,7 @@
 	"tanagerfall/shared/request/cancellation"
 	"tanagerfall/shared/request/cell"
 	"tanagerfall/shared/request/spill"
+	"tanagerfall/shared/version/region"
 )
 
 // sentMessages records the messages by address.
@@ -214,6 +215,34 @@
 	assert.Equal(t, len(unknown), 0, "nobody has answered this cancel")
 }
 
+// Guards against an answer to a cancel of the process before at this address that counts for
+// the first cancel of this one.
+func TestAnswerToACancelOfAnEarlierProcessIsIgnored(t *testing.T) {
+	var requests []uint64
+	for _, incarnation := range []uint64{1, 2} {
+		entryVM := newEntryVMLoop(t)
+		self := entryVM.view.Self()
+		self.Incarnation = incarnation
+		entryVM.view = region.New(entryVM.now, self)
+		sent := make(sentMessages)
+		entryVM.dispatcher.links = sent
+		jobKnown := entryVM.cancel()
+		for _, request := range requests {
+			entryVM.handleCancelResult(link.Cancelled{
+				RequestNumber: request,
+				Found:         true,
+			})
+		}
+		assert.Equal(t, len(jobKnown), 0)
+		for _, message := range sent[schedulerAddress] {
+			if message.Cancel != nil {
+				requests = append(requests, message.Cancel.RequestNumber)
+			}
+		}
+	}
+	assert.Equal(t, len(requests), 2)
+}
+
 // Guards against a cancel that only its own cell knows: the job may be with the scheduler
 // of another cell, or with an entry VM there that submits it later.
 func TestSchedulerTellsTheOtherCells(t *testing.T) {
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -101,9 +101,10 @@
 	// removedAt holds when upstreams left the list, by ID.
 	removedAt  map[string]time.Time
 	neighbours *neighbours
-	// pendingCancels holds the cancellations sent to the scheduler, by number.
-	pendingCancels   map[uint64]pendingCancel
-	lastCancelNumber uint64
+	// pendingCancels holds the cancellations sent to the scheduler, by number, and cancels
+	// counts those of this process.
+	pendingCancels map[uint64]pendingCancel
+	cancels        uint64
 	// cancellations holds the jobs that callers have cancelled lately, and
 	// cancellationsSent counts those that the peers were told of.
 	cancellations     *cancellation.Set
--- a/shared/process/dispatcher/submissions.go
+++ b/shared/process/dispatcher/submissions.go
@@ -7,10 +7,15 @@
 	"tanagerfall/shared/request/cell"
 )
 
-// submissionBits is the number of bits in which a process counts its submissions. Those above
-// distinguish it from earlier processes at its address, whose submissions may still be
-// answered.
-const submissionBits = 32
+// countBits is the number of bits in which a process counts what it sends.
+const countBits = 32
+
+// processNumber returns the number of a submission or request that peers name in their reply.
+// The upper bits distinguish the process from earlier ones at its address, which may still get
+// replies.
+func (loop *loop) processNumber(count uint64) uint64 {
+	return loop.view.Self().Incarnation<<countBits + count
+}
 
 // Reasons for which a job is submitted again.
 const (
@@ -27,7 +32,7 @@
 // in the job what is known of the earlier submissions.
 func (loop *loop) numberSubmission(heldJob *heldJob) {
 	loop.submissions++
-	heldJob.submission = loop.view.Self().Incarnation<<submissionBits + loop.submissions
+	heldJob.submission = loop.processNumber(loop.submissions)
 	if heldJob.scheduler != heldJob.lastScheduler || heldJob.settled {
 		if heldJob.lastScheduler != "" {
 			heldJob.settledBefore = heldJob.settledBefore && heldJob.settled
