Cell: a later end of a submission is not forgotten with an earlier one

A true refusal could be reported as unknown under a heavy overload. Cause: a job that ends twice has two entries in the queue of ended submissions, and the first one removed what is known of the second. With more than 2,000 ends a second the queue was shifted with each of them. Change: an entry names its submission; a full queue forgets an eighth at once. Found in the review of the entry VM's side.

--- a/shared/request/cell/submissions.go
+++ b/shared/request/cell/submissions.go
@@ -36,8 +36,15 @@
 // as one that may have run.
 type endedSubmissions struct {
 	last map[submitter]endedSubmission
-	// queue holds the submitters in the order of the ends.
-	queue []submitter
+	// queue holds the ends in their order.
+	queue []submissionEnd
+}
+
+// submissionEnd identifies an ended submission.
+type submissionEnd struct {
+	key     submitter
+	number  uint64
+	endedAt time.Time
 }
 
 func (ended *endedSubmissions) add(key submitter, submission endedSubmission) {
@@ -45,25 +52,31 @@
 		return
 	}
 	if len(ended.queue) >= maxEndedSubmissions {
-		ended.forgetFirst(1)
+		ended.forgetFirst(maxEndedSubmissions / 8)
 	}
 	ended.last[key] = submission
-	ended.queue = append(ended.queue, key)
+	ended.queue = append(ended.queue, submissionEnd{
+		key:     key,
+		number:  submission.number,
+		endedAt: submission.endedAt,
+	})
 }
 
 // expire forgets the submissions that ended before a time.
 func (ended *endedSubmissions) expire(before time.Time) {
 	expired := 0
-	for expired < len(ended.queue) && ended.last[ended.queue[expired]].endedAt.Before(before) {
+	for expired < len(ended.queue) && ended.queue[expired].endedAt.Before(before) {
 		expired++
 	}
 	ended.forgetFirst(expired)
 }
 
-// forgetFirst forgets the submitters at the head of the queue.
+// forgetFirst forgets the first ends of the queue.
 func (ended *endedSubmissions) forgetFirst(count int) {
-	for _, key := range ended.queue[:count] {
-		delete(ended.last, key)
+	for _, end := range ended.queue[:count] {
+		if ended.last[end.key].number == end.number {
+			delete(ended.last, end.key)
+		}
 	}
 	ended.queue = slices.Delete(ended.queue, 0, count)
 }
