Cell: a refusal is not repeated for a job that has been started since

A caller could be told that its job has not run, by the repeated answer of the scheduler, although it had sent the job to a second entry VM as well, for which it was started. Cause: an answer was repeated without a look at what became of the job since. Found by reading.

--- a/shared/request/cell/submissions.go
+++ b/shared/request/cell/submissions.go
@@ -132,6 +132,10 @@
 		return false
 	}
 	decision := *ended.answer
+	if decision.Answer.Result == NotRun && cell.startedJobs.contains(event.Job.ID) {
+		// The job has been started for another entry VM since.
+		return false
+	}
 	decision.Answer.Submission = event.Job.Submission
 	cell.rememberAnswer(decision)
 	cell.decide(decision)
--- a/shared/request/cell/submissions_test.go
+++ b/shared/request/cell/submissions_test.go
@@ -81,6 +81,27 @@
 	}
 }
 
+// Guards against a refusal that is repeated although the job has been started since, for
+// another entry VM to which its caller had sent it as well.
+func TestRefusalIsNotRepeatedForAStartedJob(t *testing.T) {
+	harness := newHarness(t)
+	harness.submit(numbered(testJob("j", 1), 7, 7))
+	_, decisions := harness.cell.Cancel(harness.now, "j")
+	assert.Equal(t, harness.onlyAnswer(decisions).Result, cell.NotRun)
+	harness.listUpstreams(nil, "u1")
+	other := cell.JobSubmitted{
+		EntryVM: "vm-2#b",
+		Job:     numbered(testJob("j", 1), 3, 3),
+	}
+	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.handle(other))), 1)
+	harness.handle(cell.EntryVMLost{
+		EntryVM: other.EntryVM,
+	})
+	harness.submit(numbered(testJob("j", 1), 7, 8))
+	_, decisions = harness.cell.Cancel(harness.now, "j")
+	assert.Equal(t, harness.onlyAnswer(decisions).Result, cell.Interrupted)
+}
+
 // Guards against a reply that the entry VM ignores: it names a submission before the last one
 // that the scheduler received.
 func TestAnswerNamesTheLastSubmission(t *testing.T) {
