Region: the age of a heartbeat includes the time of an own pause

A VM that wakes from a pause refused jobs by the state that the scheduler had reported before it, up to 2 s old, although a report older than 1 s is not to refuse anything. Cause: a pause moves the time of each last heartbeat, so that it does not count as silence of the others, and the age of their reports was computed from that. Change: the age includes the pause. Measured: the assertion fails before and passes now.

--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -120,9 +120,11 @@
 // peerState is what this process knows of another one.
 type peerState struct {
 	// heartbeat is the last one received. Until there is one, it holds the Member
-	// only. lastHeartbeatAt is when it was sent.
+	// only. lastHeartbeatAt is when it was sent, moved by the time for which this process
+	// was paused since.
 	heartbeat         Heartbeat
 	lastHeartbeatAt   time.Time
+	pausedSince       time.Duration
 	heartbeatReceived bool
 	// learnedAt is when this process first learned of the peer.
 	learnedAt time.Time
@@ -198,6 +200,7 @@
 	if paused > 0 {
 		for _, peer := range view.peers {
 			peer.lastHeartbeatAt = peer.lastHeartbeatAt.Add(paused)
+			peer.pausedSince += paused
 		}
 	}
 	view.updateLost()
@@ -271,6 +274,7 @@
 	view.recordReports(heartbeat)
 	if sentAt := view.now.Add(-delay); restarted || sentAt.After(sender.lastHeartbeatAt) {
 		sender.lastHeartbeatAt = sentAt
+		sender.pausedSince = 0
 	}
 	sender.refusedAt = time.Time{}
 	sender.lastRefusedAt = time.Time{}
@@ -444,7 +448,7 @@
 	if !ok || !peer.heartbeatReceived {
 		return math.MaxInt64
 	}
-	return view.now.Sub(peer.lastHeartbeatAt)
+	return view.now.Sub(peer.lastHeartbeatAt) + peer.pausedSince
 }
 
 // MaxToken returns the highest fencing token that any other process has
--- a/shared/version/region/view_test.go
+++ b/shared/version/region/view_test.go
@@ -251,6 +251,7 @@
 	now = now.Add(5 * time.Second)
 	view.Advance(now, 5*time.Second)
 	assert.Assert(t, view.Live(member(1).Address))
+	assert.Equal(t, view.HeartbeatAge(member(1).Address), 5*time.Second, "what it says is old")
 	view.Advance(now.Add(time.Second), 0)
 	assert.Assert(t, !view.Live(member(1).Address))
 }
