Link: a message of an unknown earlier process does not drop those of the present one

A caller's answer could be lost, so that its job was held until the deadline. Cause: the first message of a process makes it the present one at its address, also if it is of an earlier process that was not heard before. Messages that the present one had sent just before that were dropped and their stream was closed. Change: messages within 50 ms before are accepted; a process needs longer to start.

--- a/shared/connection/link/receive.go
+++ b/shared/connection/link/receive.go
@@ -129,6 +129,10 @@
 // still.
 const maxProcesses = 4
 
+// replacedMargin is less than the time that a process needs to start. The messages of a process
+// and of the one before may arrive in any order within it.
+const replacedMargin = 50 * time.Millisecond
+
 // sender is the state kept of one incarnation of a peer.
 type sender struct {
 	incarnation uint64
@@ -187,7 +191,7 @@
 	}
 	delay := process.observe(now, start)
 	if index > 0 {
-		if now.Add(-delay).Before(atAddress.presentSince) {
+		if now.Add(replacedMargin - delay).Before(atAddress.presentSince) {
 			return 0, false
 		}
 		// The process still sends, so the other one was heard late.
--- a/shared/connection/link/receive_test.go
+++ b/shared/connection/link/receive_test.go
@@ -174,3 +174,31 @@
 	streams.Wait()
 	assert.DeepEqual(t, delivered, []uint64{1, 2})
 }
+
+// Guards against an answer that is dropped although its sender has not been replaced: a
+// message of an earlier process at the address, which was never heard before, arrives late.
+func TestMessageOfAnUnknownEarlierProcessReplacesNobody(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	inbox := NewInbox()
+	present := func(uptime time.Duration) Message {
+		return Message{
+			From:         "10.0.0.2:1",
+			Incarnation:  2,
+			Stream:       1,
+			SenderUptime: uptime,
+		}
+	}
+	_, accepted := inbox.Accept(now, present(0))
+	assert.Assert(t, accepted)
+	_, accepted = inbox.Accept(now.Add(time.Second), present(time.Second))
+	assert.Assert(t, accepted)
+	inbox.Accept(now.Add(1500*time.Millisecond), Message{
+		From:         "10.0.0.2:1",
+		Incarnation:  1,
+		Stream:       9,
+		SenderUptime: time.Hour,
+	})
+	// This one was sent a moment before and arrives a moment after.
+	_, accepted = inbox.Accept(now.Add(1501*time.Millisecond), present(1499*time.Millisecond))
+	assert.Assert(t, accepted, "a message of the present process is dropped")
+}
