Cell: jobs that come again wait, are counted and are refused like others

Under overload a job that its caller sent again was not counted as pending and did not start whole; a true refusal was reported as unknown if one of two entry VMs was lost, or if the entry VM runs the version before. Cause: that a job may have run before was stored as a start here; what is known of a lost holder was kept for the last one only; each submission without a number counted as one after another scheduler. Change: a field of its own for earlier runs; the end is remembered for each holder; generations that follow each other are submissions to one scheduler.

--- a/shared/request/cell/admission.go
+++ b/shared/request/cell/admission.go
@@ -88,7 +88,7 @@
 
 // mayHaveRun reports whether a task of the job may have run, here or elsewhere.
 func (job *jobState) mayHaveRun() bool {
-	return job.started || job.activeTasks > 0 || !job.submitted.neverStarted()
+	return job.started || job.ranBefore || job.activeTasks > 0 || !job.submitted.neverStarted()
 }
 
 // uselessAt returns the time from which an answer is of no use: it has no value, or its
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -67,8 +67,8 @@
 	// placementPending is set when a change may allow a task to be placed.
 	placementPending bool
 	// completed holds the jobs that were completed lately: one that is submitted again because
-	// its answer was lost is answered without another run. startedJobs holds those that ended
-	// otherwise and may have run.
+	// its answer was lost is answered without another run. startedJobs holds those that the
+	// Cell does not have any more and that may have run.
 	completed   recentJobs
 	startedJobs recentJobs
 	// ended holds what became of the submissions whose jobs this Cell had and that it
--- a/shared/request/cell/evacuation.go
+++ b/shared/request/cell/evacuation.go
@@ -81,7 +81,7 @@
 // whether it did. Nobody can say when that ends. Tasks of jobs that may have started wait
 // until their deadline.
 func (cell *Cell) refuseUnserved(job *jobState) bool {
-	if len(cell.evacuatedDomains) == 0 || job.started || job.activeTasks > 0 || !job.submitted.neverStarted() ||
+	if len(cell.evacuatedDomains) == 0 || job.mayHaveRun() ||
 		!cell.unserved(job.submitted.Service) || !cell.mayStartTasks(job) {
 		return false
 	}
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -70,6 +70,8 @@
 	// have run.
 	startOrdered bool
 	started      bool
+	// ranBefore is set if a task may have run before the Cell received the job.
+	ranBefore bool
 	// unfinished counts the tasks that are not done, activeTasks those with a
 	// run, and waitingTasks those that wait for an upstream.
 	unfinished   int
@@ -121,10 +123,11 @@
 	job.holders = []Holder{{
 		EntryVM:    event.EntryVM,
 		Submission: event.Job.Submission,
+		Generation: event.Job.Generation,
 	}}
 	// Its caller may have sent the job to another entry VM before, which can't always be told
 	// from the request.
-	job.started = cell.startedJobs.contains(event.Job.ID)
+	job.ranBefore = cell.startedJobs.contains(event.Job.ID)
 	cell.jobs[event.Job.ID] = job
 	cell.adoptEarlierRuns(job)
 	if job.unfinished == 0 {
--- a/shared/request/cell/submissions.go
+++ b/shared/request/cell/submissions.go
@@ -11,8 +11,10 @@
 // Holder is an entry VM that holds a job for its callers.
 type Holder struct {
 	EntryVM string
-	// Submission is the last submission of the job that the Cell received from EntryVM.
+	// Submission is the last submission of the job that the Cell received from EntryVM, and
+	// Generation the Job.Generation of it.
 	Submission uint64
+	Generation int
 }
 
 // submitter identifies the submissions of a job by one entry VM.
@@ -158,15 +160,19 @@
 		job.holders = append(job.holders, Holder{
 			EntryVM:    event.EntryVM,
 			Submission: submitted.Submission,
+			Generation: submitted.Generation,
 		})
-		cell.addHistory(job, submitted)
+		if !submitted.NotStartedBefore || !cell.neverStartedHere(&event) {
+			cell.addHistory(job, submitted)
+		}
 	case submitted.Submission > 0 && submitted.Submission <= job.holders[index].Submission:
 		return
 	default:
-		if submitted.Submission == 0 || submitted.FirstSubmission > job.holders[index].Submission {
+		if !job.holders[index].isFollowedBy(submitted) {
 			cell.addHistory(job, submitted)
 		}
 		job.holders[index].Submission = submitted.Submission
+		job.holders[index].Generation = submitted.Generation
 	}
 	job.deadline = laterOf(job.deadline, cell.now.Add(submitted.TimeLeft))
 }
@@ -177,6 +183,15 @@
 	cell.verifyService(job.submitted.Service)
 }
 
+// isFollowedBy reports whether no submission to another scheduler lies between the last one of
+// the holder and this one. Earlier versions don't number their submissions, but count them.
+func (holder Holder) isFollowedBy(submitted *Job) bool {
+	if submitted.Submission == 0 {
+		return submitted.Generation <= holder.Generation+1 && submitted.ResentAfter == 0
+	}
+	return submitted.FirstSubmission <= holder.Submission
+}
+
 // addHistory adds what a submission says of other Cells to a job that this Cell has. They may
 // have runs of the job, unless it has been started here.
 func (cell *Cell) addHistory(job *jobState, submitted *Job) {
@@ -218,8 +233,8 @@
 	}
 	holder := job.holders[index]
 	job.holders = slices.Delete(job.holders, index, index+1)
+	cell.rememberUnanswered(job, holder)
 	if len(job.holders) == 0 {
-		cell.rememberUnanswered(job, holder)
 		cell.removeJob(job, "withdrawn")
 	}
 }
--- a/shared/request/cell/surplus.go
+++ b/shared/request/cell/surplus.go
@@ -18,7 +18,7 @@
 	var surplus []Surplus
 	allEvacuated := cell.allEvacuated()
 	for _, job := range slices.Backward(cell.waitingJobs) {
-		if job.startOrdered || job.started || !job.submitted.neverStarted() ||
+		if job.startOrdered || job.mayHaveRun() ||
 			!cell.handsOver(job, allEvacuated) {
 			continue
 		}
@@ -48,7 +48,7 @@
 // started or answered since.
 func (cell *Cell) HandOver(id string) []Holder {
 	job, ok := cell.jobs[id]
-	if !ok || job.startOrdered || job.started || !job.submitted.neverStarted() {
+	if !ok || job.startOrdered || job.mayHaveRun() {
 		return nil
 	}
 	cell.counters.HandedOver++
