Dispatcher: replies without a number, lost answers and completed jobs

Beside a scheduler of the version before, a refused job could still start. A job could be held until its deadline, or run again although it was completed. Cause: a hand-over without a number settled a later submission as well. A notice of dropped jobs named the submission of an earlier one although answers since were lost with the stream that both sides replace. The answer of a completed job was ignored if it was for an earlier submission. Change: a reply without a number settles only a first submission; a notice that is pending is renewed when the VM is lost again; a completed job is answered, and withdrawn, whatever the submission.

--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -250,7 +250,7 @@
 	loop.leaveScheduler(heldJob, resubmitReleased)
 	heldJob.released = true
 	heldJob.runsAt = release.RunsAt
-	heldJob.settled = release.NotStarted
+	heldJob.settled = release.NotStarted && heldJob.coveredBy(release.Submission)
 }
 
 // handleDecline schedules another submission of a job that the scheduler did not
@@ -264,10 +264,12 @@
 	heldJob.scheduler = ""
 	heldJob.foreignScheduler = ""
 	heldJob.resubmitReason = resubmitDeclined
-	// A scheduler that does not accept this submission may have accepted one before.
-	heldJob.settled = decline.Target != "" || heldJob.submission == heldJob.firstSubmission
+	// A scheduler that does not accept this submission may have accepted one before, unless it
+	// hands the job over.
+	heldJob.settled = heldJob.coveredBy(decline.Submission) &&
+		(decline.Target != "" || heldJob.submission == heldJob.firstSubmission)
 	if heldJob.neverStarted() && heldJob.job.ResentAfter == 0 {
-		// The next submission is as good as the first one.
+		// No scheduler has started the job, so the next submission needs no quarantine.
 		heldJob.submissions = 0
 		heldJob.quarantineEnd = time.Time{}
 		heldJob.earlierSets = nil
@@ -313,10 +315,18 @@
 // handleAnswer passes a scheduler's answer to the callers. An answer of a process
 // that does not have the job any more is ignored.
 func (loop *loop) handleAnswer(from string, answer cell.Answer) {
-	heldJob, known := loop.answeredJob(from, answer.ID, answer.Submission, string(answer.Result))
+	submission := answer.Submission
+	if answer.Result == cell.Completed {
+		// All tasks are done, whatever becomes of a later submission.
+		submission = 0
+	}
+	heldJob, known := loop.answeredJob(from, answer.ID, submission, string(answer.Result))
 	if !known {
 		return
 	}
+	if answer.Submission != heldJob.submission {
+		loop.withdrawFromScheduler(heldJob)
+	}
 	if answer.Result == cell.NotRun && (heldJob.job.ResentAfter > 0 || (answer.Submission == 0 && heldJob.submissions > 1)) {
 		// The scheduler does not know of the earlier request, or the answer may be to an
 		// earlier submission.
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -314,7 +314,8 @@
 			loop.log(logevent.MemberLost, "member", address)
 			loop.dispatcher.links.Reset(address)
 		}
-		if loop.cell.HoldsJobsOf(entryVM) {
+		// Answers to submissions since an earlier notice may have been lost with their stream.
+		if _, pending := loop.droppedEntryVMs[address]; pending || loop.cell.HoldsJobsOf(entryVM) {
 			loop.droppedEntryVMs[address] = droppedEntryVM{
 				name:    entryVM,
 				through: loop.receivedSubmissions[entryVM],
--- a/shared/process/dispatcher/submissions.go
+++ b/shared/process/dispatcher/submissions.go
@@ -60,9 +60,14 @@
 	heldJob.resubmitReason = ""
 }
 
+// coveredBy reports whether a reply to a submission, 0 if it does not name one, is about all
+// submissions to its sender. Earlier versions don't name the submission.
+func (heldJob *heldJob) coveredBy(submission uint64) bool {
+	return submission != 0 || heldJob.submission == heldJob.firstSubmission
+}
+
 // answeredJob returns the held job that a scheduler's reply is about. A reply to an earlier
-// submission is ignored, because the last one may be accepted. Earlier versions don't name
-// the submission.
+// submission is ignored, because the last one may be accepted.
 func (loop *loop) answeredJob(from, id string, submission uint64, reply string) (*heldJob, bool) {
 	heldJob, known := loop.heldJobs[id]
 	if !known {
