Simulation: "not run" is checked after earlier requests of any end

Cause: a job with a request that broke was exempt from "not run", so that a refusal after its task had run was not seen.

A refusal after any start, and a start between a refusal and the next request, now break the rule; a caller's request and its end keep their order.

--- a/soak/simulation/callers.go
+++ b/soak/simulation/callers.go
@@ -43,8 +43,9 @@
 	starts     int
 	startedAt  time.Duration
 	lastWorker string
-	// falselyRefused is set if it has started although all its requests so far were
-	// answered as not run.
+	// toldNotRun is set while the last request was answered as not run, and falselyRefused if
+	// a task had started then.
+	toldNotRun     bool
 	falselyRefused bool
 }
 
@@ -129,6 +130,7 @@
 		return
 	}
 	job.sends++
+	job.toldNotRun = false
 	var target *process
 	if world.overload != nil {
 		target = world.overload.choose(job, live)
@@ -153,7 +155,7 @@
 	}
 	world.trace("caller sends %s to %s (%d)", submitted.ID, target.node.name, job.sends)
 	target.later(world.latency(), func() {
-		target.receive(func() { target.dispatcher.Accept(submitted, opened.answer) })
+		target.receiveFrom(opened, func() { target.dispatcher.Accept(submitted, opened.answer) })
 	})
 	if world.chance(0.1) {
 		target.later(world.between(20*time.Millisecond, 1500*time.Millisecond), func() { opened.leave(0) })
@@ -198,7 +200,7 @@
 func (connection *connection) noticed(after time.Duration) {
 	process := connection.process
 	process.later(after, func() {
-		process.receive(func() { process.dispatcher.CallerLeft(connection.job.job.ID, connection.answer) })
+		process.receiveFrom(connection, func() { process.dispatcher.CallerLeft(connection.job.job.ID, connection.answer) })
 	})
 }
 
--- a/soak/simulation/overload.go
+++ b/soak/simulation/overload.go
@@ -32,8 +32,8 @@
 	// RuleRefused is broken by a job with a start all of whose requests were answered as
 	// not run.
 	RuleRefused Rule = "refused"
-	// RuleNotRun is broken by a start of a job all of whose requests so far were answered
-	// as not run, and by such an answer after a start. A later request ended otherwise.
+	// RuleNotRun is broken by an answer as not run after a start of the job, and by a start
+	// after such an answer and before the next request. Some request ended otherwise.
 	RuleNotRun Rule = "not run"
 )
 
@@ -152,6 +152,7 @@
 func (job *callerJob) resendRefused(world *world) {
 	job.refusals++
 	job.refusedAt = world.now
+	job.toldNotRun = true
 	job.checkNotRun()
 	if world.overload == nil || job.refusals >= maxRefusedSends {
 		job.finished = true
@@ -160,10 +161,10 @@
 	world.after(world.between(50*time.Millisecond, 1500*time.Millisecond), func() { job.send(world) })
 }
 
-// checkNotRun notes that all requests of a job so far were answered as not run, although it
-// has started.
+// checkNotRun notes that the last request of a job was answered as not run, although it has
+// started.
 func (job *callerJob) checkNotRun() {
-	if job.refusals == job.sends && job.starts > 0 {
+	if job.toldNotRun && job.starts > 0 {
 		job.falselyRefused = true
 	}
 }
