--- a/shared/process/dispatcher/earlier_reply_test.go
+++ b/shared/process/dispatcher/earlier_reply_test.go
@@ -50,14 +50,7 @@
 			loop.handleMessage(test.reply, 0)
 			heldJob.foreignScheduler = foreignAddress
 			loop.submit(heldJob)
-			submissions := sent[foreignAddress]
-			var next *cell.Job
-			for _, message := range submissions {
-				if message.Submit != nil {
-					next = message.Submit
-				}
-			}
-			assert.Assert(t, next != nil)
+			next := sent.submitted(t, foreignAddress).Submit
 			assert.Assert(t, next.Generation > 0 && !next.NotStarted,
 				"the next scheduler may refuse the job as not run, and the one before may start it")
 			assert.Equal(t, len(answer), 0)
--- a/shared/process/dispatcher/refused_job_test.go
+++ b/shared/process/dispatcher/refused_job_test.go
@@ -66,25 +66,27 @@
 	}
 }
 
-// deliverReplies passes the answers of the scheduler to the entry VM.
+// deliverReplies passes the replies of the scheduler to the entry VM.
 func (exchange *exchange) deliverReplies() {
-	messages := exchange.toEntryVM[entryVMAddress]
-	exchange.toEntryVM[entryVMAddress] = nil
-	for _, message := range messages {
-		if message.Answer != nil {
-			message.From = schedulerAddress
-			exchange.entryVM.handleMessage(message, 0)
-		}
-	}
+	exchange.deliver(func(message link.Message) bool { return message.Answer != nil || message.Decline != nil })
 }
 
 // deliverDropped passes the notices of dropped jobs to the entry VM.
 func (exchange *exchange) deliverDropped() {
-	for _, message := range exchange.toEntryVM[entryVMAddress] {
-		if message.Dropped != nil {
-			message.From = schedulerAddress
-			exchange.entryVM.handleMessage(message, 0)
+	exchange.deliver(func(message link.Message) bool { return message.Dropped != nil })
+}
+
+// deliver passes the messages of the scheduler for which a condition holds to the entry VM.
+func (exchange *exchange) deliver(condition func(message link.Message) bool) {
+	messages := exchange.toEntryVM[entryVMAddress]
+	exchange.toEntryVM[entryVMAddress] = nil
+	for _, message := range messages {
+		if !condition(message) {
+			exchange.toEntryVM[entryVMAddress] = append(exchange.toEntryVM[entryVMAddress], message)
+			continue
 		}
+		message.From = schedulerAddress
+		exchange.entryVM.handleMessage(message, 0)
 	}
 }
 
--- a/shared/process/dispatcher/repeated_request_test.go
+++ b/shared/process/dispatcher/repeated_request_test.go
@@ -11,11 +11,11 @@
 	"tanagerfall/shared/version/region"
 )
 
-// submitted returns the last submission of an entry VM to the scheduler.
-func (sent sentMessages) submitted(t *testing.T) link.Message {
+// submitted returns the last submission of an entry VM to a scheduler.
+func (sent sentMessages) submitted(t *testing.T, scheduler string) link.Message {
 	t.Helper()
 	var submission link.Message
-	for _, message := range sent[schedulerAddress] {
+	for _, message := range sent[scheduler] {
 		if message.Submit != nil {
 			submission = message
 		}
@@ -24,18 +24,6 @@
 	return submission
 }
 
-// deliverAll passes all answers and declines of the scheduler to a process.
-func (exchange *exchange) deliverAll(entryVM *loop) {
-	messages := exchange.toEntryVM[entryVMAddress]
-	exchange.toEntryVM[entryVMAddress] = nil
-	for _, message := range messages {
-		if message.Answer != nil || message.Decline != nil {
-			message.From = schedulerAddress
-			entryVM.handleMessage(message, 0)
-		}
-	}
-}
-
 // Guards against a job that starts although its caller was told that it has not run: the
 // reply to an earlier request for it, which its caller had left, or which the process
 // before at this address had taken, counts as the reply to the present one.
@@ -54,7 +42,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			exchange := newExchange(t)
 			first := exchange.entryVM.acceptTestJob()
-			exchange.scheduler.receiveDelayed(test.delay, exchange.fromEntryVM.submitted(t))
+			exchange.scheduler.receiveDelayed(test.delay, exchange.fromEntryVM.submitted(t, schedulerAddress))
 			entryVM := exchange.entryVM
 			if test.restarted {
 				self := entryVM.view.Self()
@@ -70,12 +58,13 @@
 			}
 			exchange.releaseMemory()
 			second := entryVM.acceptTestJob()
-			submission := exchange.fromEntryVM.submitted(t)
+			submission := exchange.fromEntryVM.submitted(t, schedulerAddress)
 			submission.From = entryVMAddress
 			submission.Incarnation = entryVM.view.Self().Incarnation + 1
 			exchange.scheduler.handleMessage(submission, 0)
 			assert.Assert(t, exchange.scheduler.cell.HasJob("j"))
-			exchange.deliverAll(entryVM)
+			exchange.entryVM = entryVM
+			exchange.deliverReplies()
 			entryVM.leader = ""
 			entryVM.advance(3 * time.Second)
 			assert.Equal(t, (<-second).Result, cell.Interrupted, "the job starts although its caller was told that it has not run")
@@ -94,7 +83,7 @@
 		assert.Equal(t, (<-first).Result, cell.NotRun)
 		exchange.releaseMemory()
 		exchange.entryVM.acceptTestJob()
-		submission := exchange.fromEntryVM.submitted(t)
+		submission := exchange.fromEntryVM.submitted(t, schedulerAddress)
 		submission.From = address
 		submission.Incarnation = 2
 		exchange.scheduler.handleMessage(submission, 0)
--- a/shared/request/cell/earlier_run_test.go
+++ b/shared/request/cell/earlier_run_test.go
@@ -57,6 +57,19 @@
 			})
 			assert.Equal(t, len(harness.submit(testJob("j", 1))), 0)
 		}},
+		// The caller waits for longer than the route's time budget, so the second entry VM can't
+		// tell that the job was sent before.
+		{"started for a lost entry VM", func(harness *harness) {
+			harness.confirm(harness.submit(testJob("j", 1))[0])
+			harness.handle(cell.EntryVMLost{
+				EntryVM: entryVM,
+			})
+			starts := decisionsOf[cell.StartRun](harness.handle(cell.JobSubmitted{
+				EntryVM: "vm-2#b",
+				Job:     testJob("j", 1),
+			}))
+			assert.Equal(t, len(starts), 0, "its run has not stopped")
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			harness := newHarness(t)
