--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -64,7 +64,8 @@
 // Dropped is sent by a scheduler to an entry VM that was silent, when its heartbeats
 // arrive again: the scheduler has withdrawn all its jobs.
 type Dropped struct {
-	// Through is the last submission that the scheduler had received by then; 0 means all.
+	// Through is the last submission that the scheduler had received by then. Earlier versions
+	// send 0, which means all.
 	Through uint64 `cbor:"1,keyasint,omitempty"`
 }
 
--- a/shared/process/dispatcher/cancellations.go
+++ b/shared/process/dispatcher/cancellations.go
@@ -57,8 +57,8 @@
 		event.jobKnown = nil
 	}
 	// A number of its own in each case: the answers must not count for another cancel.
-	loop.cancels++
-	number := loop.processNumber(loop.cancels)
+	loop.cancelCount++
+	number := loop.processNumber(loop.cancelCount)
 	if event.jobKnown != nil {
 		loop.pendingCancels[number] = pendingCancel{
 			jobKnown:   event.jobKnown,
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -46,10 +46,10 @@
 	// leader is the address of the scheduler that this process submits jobs to;
 	// empty if none is known.
 	leader string
-	// heldJobs holds the jobs of this VM's callers by job ID, and submissions counts the
+	// heldJobs holds the jobs of this VM's callers by job ID, and submissionCount counts the
 	// submissions to schedulers.
-	heldJobs    map[string]*heldJob
-	submissions uint64
+	heldJobs        map[string]*heldJob
+	submissionCount uint64
 
 	// cell is nil while this process does not schedule.
 	cell *cell.Cell
@@ -101,10 +101,10 @@
 	// removedAt holds when upstreams left the list, by ID.
 	removedAt  map[string]time.Time
 	neighbours *neighbours
-	// pendingCancels holds the cancellations sent to the scheduler, by number, and cancels
+	// pendingCancels holds the cancellations sent to the scheduler, by number, and cancelCount
 	// counts those of this process.
 	pendingCancels map[uint64]pendingCancel
-	cancels        uint64
+	cancelCount    uint64
 	// cancellations holds the jobs that callers have cancelled lately, and
 	// cancellationsSent counts those that the peers were told of.
 	cancellations     *cancellation.Set
--- a/shared/process/dispatcher/submissions.go
+++ b/shared/process/dispatcher/submissions.go
@@ -31,8 +31,8 @@
 // numberSubmission gives a submission to the job's scheduler the next number, and records
 // in the job what is known of the earlier submissions.
 func (loop *loop) numberSubmission(heldJob *heldJob) {
-	loop.submissions++
-	heldJob.submission = loop.processNumber(loop.submissions)
+	loop.submissionCount++
+	heldJob.submission = loop.processNumber(loop.submissionCount)
 	if heldJob.scheduler != heldJob.lastScheduler || heldJob.settled {
 		if heldJob.lastScheduler != "" {
 			heldJob.settledBefore = heldJob.settledBefore && heldJob.settled
