--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -66,7 +66,14 @@
 	chosenBuffer  []reservation
 	// placementPending is set when a change may allow a task to be placed.
 	placementPending bool
-	completed        completedJobs
+	// completed holds the jobs that were completed lately: one that is submitted again because
+	// its answer was lost is answered without another run. startedJobs holds those that ended
+	// otherwise and may have run.
+	completed   recentJobs
+	startedJobs recentJobs
+	// ended holds what became of the submissions whose jobs this Cell had and that it
+	// did not complete.
+	ended endedSubmissions
 	// slacks holds the average slack by kind.
 	slacks map[string]kindSlack
 	// averageNeed is the moving average of the cores of a task, in thousandths.
@@ -108,19 +115,21 @@
 // New returns a Cell that claims upstreams from now on as config.Claims allows.
 func New(now time.Time, config Config) *Cell {
 	return &Cell{
-		config:    config,
-		now:       now,
-		createdAt: now,
-		token:     config.NextToken(),
-		jobs:      make(map[string]*jobState),
-		upstreams: make(map[string]*upstreamState),
-		liveRuns:  make(map[TaskName]int),
-		topSpeeds: make(map[string]float64),
-		plans:     make(map[string]*servicePlan),
-		indexes:   make(map[string]*speedIndex),
-		slacks:    make(map[string]kindSlack),
-		completed: completedJobs{
-			ids: make(map[string]bool),
+		config:      config,
+		now:         now,
+		createdAt:   now,
+		token:       config.NextToken(),
+		jobs:        make(map[string]*jobState),
+		upstreams:   make(map[string]*upstreamState),
+		liveRuns:    make(map[TaskName]int),
+		topSpeeds:   make(map[string]float64),
+		plans:       make(map[string]*servicePlan),
+		indexes:     make(map[string]*speedIndex),
+		slacks:      make(map[string]kindSlack),
+		completed:   newRecentJobs(),
+		startedJobs: newRecentJobs(),
+		ended: endedSubmissions{
+			last: make(map[submitter]endedSubmission),
 		},
 		orphans:   make(map[string][]*runState),
 		earlyEnds: make(map[string][]TaskName),
@@ -180,7 +189,10 @@
 	}
 	cell.expireEarlyEnds()
 	cell.endIdleOverloads()
-	cell.completed.expire(cell.now.Add(-completedRetention))
+	forgetBefore := cell.now.Add(-recentRetention)
+	cell.completed.expire(forgetBefore)
+	cell.startedJobs.expire(forgetBefore)
+	cell.ended.expire(forgetBefore)
 	cell.placementPending = true
 }
 
@@ -231,12 +243,13 @@
 				}
 			}
 		}
-		for _, entryVM := range job.entryVMs {
+		for _, holder := range job.holders {
 			releases = append(releases, Release{
 				ID:         id,
 				RunsAt:     runsAt,
-				NotStarted: job.submitted.neverStarted() && !job.startOrdered,
-				EntryVM:    entryVM,
+				NotStarted: !job.mayHaveRun() && !job.startOrdered,
+				EntryVM:    holder.EntryVM,
+				Submission: holder.Submission,
 			})
 		}
 	}
--- a/shared/request/cell/memory.go
+++ b/shared/request/cell/memory.go
@@ -35,7 +35,7 @@
 // always admitted, because it can't be reported as not run.
 func (cell *Cell) admitsCost(job *Job) bool {
 	limit := cell.config.Limits.MaxJobBytes
-	mayHaveRun := !job.neverStarted() || len(cell.orphans[job.ID]) > 0 || len(cell.earlyEnds[job.ID]) > 0
+	mayHaveRun := !job.neverStarted() || cell.startedJobs.contains(job.ID) || len(cell.orphans[job.ID]) > 0 || len(cell.earlyEnds[job.ID]) > 0
 	if limit <= 0 || mayHaveRun {
 		return true
 	}
@@ -49,13 +49,16 @@
 // refuseForMemory answers a job for which there is no memory as not run.
 func (cell *Cell) refuseForMemory(event JobSubmitted) {
 	cell.counters.NotRun++
-	cell.decide(AnswerJob{
+	decision := AnswerJob{
 		EntryVM: event.EntryVM,
 		Answer: Answer{
 			ID:         event.Job.ID,
 			Result:     NotRun,
 			Reason:     "memory",
 			RetryAfter: cell.servicePlan(event.Job.Service).planner.RetryAfter(event.Job.ID),
+			Submission: event.Job.Submission,
 		},
-	})
+	}
+	cell.rememberAnswer(decision)
+	cell.decide(decision)
 }
