--- a/shared/process/dispatcher/held_jobs_test.go
+++ b/shared/process/dispatcher/held_jobs_test.go
@@ -54,6 +54,14 @@
 	return answer
 }
 
+// declineTestJob handles a decline of the last submission of the job "j".
+func (loop *loop) declineTestJob() {
+	loop.handleDecline(schedulerAddress, link.Decline{
+		JobID:      "j",
+		Submission: loop.heldJobs["j"].submission,
+	})
+}
+
 // Guards against a job that runs although its caller got the answer that it did
 // not run. It happened when a submission was repeated after its connection broke
 // and was counted as not sent. An entry VM reports "not run" only for a job that no
@@ -68,13 +76,13 @@
 			delete(loop.heldJobs, "j")
 			loop.leader = ""
 		}, cell.NotRun},
-		{"declined", func(loop *loop) { loop.handleDecline(schedulerAddress, "j", "") }, cell.NotRun},
+		{"declined", func(loop *loop) { loop.declineTestJob() }, cell.NotRun},
 		{"sent", func(*loop) {}, cell.Interrupted},
 		{"connection broke, then declined", func(loop *loop) {
 			loop.handleLinkEvent(link.Up{
 				Address: schedulerAddress,
 			})
-			loop.handleDecline(schedulerAddress, "j", "")
+			loop.declineTestJob()
 		}, cell.Interrupted},
 		{"released without a start", func(loop *loop) {
 			loop.handleRelease(schedulerAddress, cell.Release{
@@ -173,3 +181,27 @@
 	assert.Equal(t, rest, loop.quarantine()-1300*time.Millisecond)
 	assert.Assert(t, rest > 500*time.Millisecond)
 }
+
+// Guards against a false "not run" for a caller that sends its job again to a process that
+// holds the job already: another scheduler may have run the request between the two.
+func TestJobOfTwoRequestsIsNotReportedAsNotRun(t *testing.T) {
+	loop := newEntryVMLoop(t)
+	answer := loop.acceptTestJob()
+	resent := make(chan cell.Answer, 1)
+	loop.acceptCallerJob(jobAccepted{
+		job: cell.Job{
+			ID:          "j",
+			TimeLeft:    time.Second,
+			ResentAfter: 1300 * time.Millisecond,
+		},
+		answer: resent,
+	})
+	loop.handleAnswer(schedulerAddress, cell.Answer{
+		ID:         "j",
+		Result:     cell.NotRun,
+		RetryAfter: time.Second,
+		Submission: loop.heldJobs["j"].submission,
+	})
+	assert.Equal(t, (<-answer).Result, cell.Interrupted)
+	assert.Equal(t, (<-resent).Result, cell.Interrupted)
+}
