--- a/shared/process/dispatcher/submissions.go
+++ b/shared/process/dispatcher/submissions.go
@@ -7,10 +7,15 @@
 	"tanagerfall/shared/request/cell"
 )
 
-// submissionBits is the number of bits in which a process counts its submissions. Those above
-// distinguish it from earlier processes at its address, whose submissions may still be
-// answered.
-const submissionBits = 32
+// countBits is the number of bits in which a process counts what it sends.
+const countBits = 32
+
+// processNumber returns the number of a submission or request that peers name in their reply.
+// The upper bits distinguish the process from earlier ones at its address, which may still get
+// replies.
+func (loop *loop) processNumber(count uint64) uint64 {
+	return loop.view.Self().Incarnation<<countBits + count
+}
 
 // Reasons for which a job is submitted again.
 const (
@@ -27,7 +32,7 @@
 // in the job what is known of the earlier submissions.
 func (loop *loop) numberSubmission(heldJob *heldJob) {
 	loop.submissions++
-	heldJob.submission = loop.view.Self().Incarnation<<submissionBits + loop.submissions
+	heldJob.submission = loop.processNumber(loop.submissions)
 	if heldJob.scheduler != heldJob.lastScheduler || heldJob.settled {
 		if heldJob.lastScheduler != "" {
 			heldJob.settledBefore = heldJob.settledBefore && heldJob.settled
@@ -55,9 +60,14 @@
 	heldJob.resubmitReason = ""
 }
 
+// coveredBy reports whether a reply to a submission, 0 if it does not name one, is about all
+// submissions to its sender. Earlier versions don't name the submission.
+func (heldJob *heldJob) coveredBy(submission uint64) bool {
+	return submission != 0 || heldJob.submission == heldJob.firstSubmission
+}
+
 // answeredJob returns the held job that a scheduler's reply is about. A reply to an earlier
-// submission is ignored, because the last one may be accepted. Earlier versions don't name
-// the submission.
+// submission is ignored, because the last one may be accepted.
 func (loop *loop) answeredJob(from, id string, submission uint64, reply string) (*heldJob, bool) {
 	heldJob, known := loop.heldJobs[id]
 	if !known {
--- a/shared/request/cell/submissions.go
+++ b/shared/request/cell/submissions.go
@@ -11,8 +11,10 @@
 // Holder is an entry VM that holds a job for its callers.
 type Holder struct {
 	EntryVM string
-	// Submission is the last submission of the job that the Cell received from EntryVM.
+	// Submission is the last submission of the job that the Cell received from EntryVM, and
+	// Generation the Job.Generation of it.
 	Submission uint64
+	Generation int
 }
 
 // submitter identifies the submissions of a job by one entry VM.
@@ -36,8 +38,15 @@
 // as one that may have run.
 type endedSubmissions struct {
 	last map[submitter]endedSubmission
-	// queue holds the submitters in the order of the ends.
-	queue []submitter
+	// queue holds the ends in their order.
+	queue []submissionEnd
+}
+
+// submissionEnd identifies an ended submission.
+type submissionEnd struct {
+	key     submitter
+	number  uint64
+	endedAt time.Time
 }
 
 func (ended *endedSubmissions) add(key submitter, submission endedSubmission) {
@@ -45,25 +54,31 @@
 		return
 	}
 	if len(ended.queue) >= maxEndedSubmissions {
-		ended.forgetFirst(1)
+		ended.forgetFirst(maxEndedSubmissions / 8)
 	}
 	ended.last[key] = submission
-	ended.queue = append(ended.queue, key)
+	ended.queue = append(ended.queue, submissionEnd{
+		key:     key,
+		number:  submission.number,
+		endedAt: submission.endedAt,
+	})
 }
 
 // expire forgets the submissions that ended before a time.
 func (ended *endedSubmissions) expire(before time.Time) {
 	expired := 0
-	for expired < len(ended.queue) && ended.last[ended.queue[expired]].endedAt.Before(before) {
+	for expired < len(ended.queue) && ended.queue[expired].endedAt.Before(before) {
 		expired++
 	}
 	ended.forgetFirst(expired)
 }
 
-// forgetFirst forgets the submitters at the head of the queue.
+// forgetFirst forgets the first ends of the queue.
 func (ended *endedSubmissions) forgetFirst(count int) {
-	for _, key := range ended.queue[:count] {
-		delete(ended.last, key)
+	for _, end := range ended.queue[:count] {
+		if ended.last[end.key].number == end.number {
+			delete(ended.last, end.key)
+		}
 	}
 	ended.queue = slices.Delete(ended.queue, 0, count)
 }
@@ -119,6 +134,10 @@
 		return false
 	}
 	decision := *ended.answer
+	if decision.Answer.Result == NotRun && cell.startedJobs.contains(event.Job.ID) {
+		// The job has been started for another entry VM since.
+		return false
+	}
 	decision.Answer.Submission = event.Job.Submission
 	cell.rememberAnswer(decision)
 	cell.decide(decision)
@@ -141,15 +160,19 @@
 		job.holders = append(job.holders, Holder{
 			EntryVM:    event.EntryVM,
 			Submission: submitted.Submission,
+			Generation: submitted.Generation,
 		})
-		cell.addHistory(job, submitted)
+		if !submitted.NotStartedBefore || !cell.neverStartedHere(&event) {
+			cell.addHistory(job, submitted)
+		}
 	case submitted.Submission > 0 && submitted.Submission <= job.holders[index].Submission:
 		return
 	default:
-		if submitted.Submission == 0 || submitted.FirstSubmission > job.holders[index].Submission {
+		if !job.holders[index].isFollowedBy(submitted) {
 			cell.addHistory(job, submitted)
 		}
 		job.holders[index].Submission = submitted.Submission
+		job.holders[index].Generation = submitted.Generation
 	}
 	job.deadline = laterOf(job.deadline, cell.now.Add(submitted.TimeLeft))
 }
@@ -160,6 +183,15 @@
 	cell.verifyService(job.submitted.Service)
 }
 
+// isFollowedBy reports whether no submission to another scheduler lies between the last one of
+// the holder and this one. Earlier versions don't number their submissions, but count them.
+func (holder Holder) isFollowedBy(submitted *Job) bool {
+	if submitted.Submission == 0 {
+		return submitted.Generation <= holder.Generation+1 && submitted.ResentAfter == 0
+	}
+	return submitted.FirstSubmission <= holder.Submission
+}
+
 // addHistory adds what a submission says of other Cells to a job that this Cell has. They may
 // have runs of the job, unless it has been started here.
 func (cell *Cell) addHistory(job *jobState, submitted *Job) {
@@ -201,8 +233,8 @@
 	}
 	holder := job.holders[index]
 	job.holders = slices.Delete(job.holders, index, index+1)
+	cell.rememberUnanswered(job, holder)
 	if len(job.holders) == 0 {
-		cell.rememberUnanswered(job, holder)
 		cell.removeJob(job, "withdrawn")
 	}
 }
