--- a/soak/region/callers.go
+++ b/soak/region/callers.go
@@ -32,6 +32,8 @@
 	// afterRecovery means that the job is submitted after recoveryTime and must
 	// complete, without a refusal.
 	afterRecovery bool
+	// lastAttempt describes the last request and its answer.
+	lastAttempt string
 }
 
 const (
@@ -138,6 +140,7 @@
 	caller.region.checker.RecordSent(caller.id)
 	sentAt := time.Now()
 	answer := caller.request(process, timeLeft)
+	caller.lastAttempt = fmt.Sprintf("%s at %s: %d %s", process.name, sentAt.Format(time.RFC3339Nano), answer.status, answer.body)
 	caller.region.checker.RecordAttempt(check.Attempt{
 		Job:      caller.id,
 		Process:  process.name,
@@ -188,6 +191,6 @@
 func (caller *caller) finish(outcome string) {
 	caller.region.checker.Count(outcome)
 	if caller.afterRecovery {
-		caller.region.checker.AddViolation(fmt.Sprintf("job %s: %s after the recovery time", caller.id, outcome))
+		caller.region.checker.AddViolation(fmt.Sprintf("job %s: %s after the recovery time; %s", caller.id, outcome, caller.lastAttempt))
 	}
 }
