--- a/review/lab/drained.go
+++ b/review/lab/drained.go
@@ -66,7 +66,7 @@
 		}
 		time.Sleep(4350 * time.Millisecond)
 		if scheduler != nil && options.trouble {
-			scheduler.signal(syscall.SIGKILL, restartDelay)
+			scheduler.signal(syscall.SIGKILL, 500*time.Millisecond)
 		}
 		clients.Wait()
 		time.Sleep(2 * time.Second)
