--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -45,6 +45,8 @@
 	reportedAt time.Time
 	// cutUntil is when the worker reaches the store again; zero if it does.
 	cutUntil time.Time
+	// exited is set once the worker has left.
+	exited bool
 }
 
 // run is a run that exists on a worker.
@@ -104,8 +106,11 @@
 	for {
 		worker.mutex.Lock()
 		isCut := time.Now().Before(worker.cutUntil)
-		reportedAt := worker.reportedAt
+		reportedAt, exited := worker.reportedAt, worker.exited
 		worker.mutex.Unlock()
+		if exited {
+			return
+		}
 		switch {
 		case !isCut && (!listed || time.Since(reportedAt) >= entryInterval):
 			store.append("keyed.servers", worker.id, worker.entry())
@@ -127,6 +132,19 @@
 	worker.record.add("cut", "worker=%s from the store for %v", worker.id, length)
 }
 
+// exit ends the worker. What runs on it is terminated, and its entry is removed.
+func (worker *worker) exit(store *store) {
+	now := time.Now()
+	worker.mutex.Lock()
+	worker.exited = true
+	for task := range worker.runs {
+		worker.end(task, "terminated", now)
+	}
+	worker.mutex.Unlock()
+	store.append("keyed.servers", worker.id, "")
+	worker.record.add("exit", "worker=%s", worker.id)
+}
+
 // running returns the number of runs.
 func (worker *worker) running() int {
 	worker.mutex.Lock()
@@ -183,6 +201,12 @@
 
 // ServeHTTP executes an order.
 func (worker *worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	worker.mutex.Lock()
+	exited := worker.exited
+	worker.mutex.Unlock()
+	if exited {
+		panic(http.ErrAbortHandler)
+	}
 	var order order
 	if err := json.NewDecoder(request.Body).Decode(&order); err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
