--- a/shared/connection/link/messages.go
+++ b/shared/connection/link/messages.go
@@ -119,6 +119,9 @@
 // job that it has submitted.
 type Withdraw struct {
 	JobID string `cbor:"1,keyasint"`
+	// Through is the last submission that is withdrawn; those after it stay. Earlier versions
+	// send 0, which means all.
+	Through uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Released is sent by a scheduler that steps down to an entry VM. It reports the
--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -146,6 +146,7 @@
 		view:                region.New(now, options.Self),
 		estimator:           estimate.New(),
 		heldJobs:            make(map[string]*heldJob),
+		withdrawals:         make(map[string][]withdrawal),
 		shedding:            make(map[string]*admission.Planner),
 		entryVMs:            make(map[string]string),
 		droppedEntryVMs:     make(map[string]droppedEntryVM),
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -374,21 +374,16 @@
 	}
 	delete(loop.heldJobs, event.id)
 	loop.dispatcher.instruments.increment(metricWithdrawn)
-	loop.log(logevent.JobWithdrawn, "job", event.id, "kind", heldJob.job.Kind, "after", loop.now.Sub(heldJob.receivedAt))
-	switch heldJob.scheduler {
-	case "":
-	case loop.view.Self().Address:
+	loop.log(logevent.JobWithdrawn, "job", event.id, "kind", heldJob.job.Kind, "after", loop.now.Sub(heldJob.receivedAt),
+		"scheduler", heldJob.scheduler, "submission", heldJob.submission)
+	if heldJob.scheduler == loop.view.Self().Address {
 		loop.notifyCell(cell.JobWithdrawn{
 			EntryVM: loop.selfName(),
 			ID:      event.id,
 		})
-	default:
-		loop.send(heldJob.scheduler, link.Message{
-			Withdraw: &link.Withdraw{
-				JobID: event.id,
-			},
-		})
+		return
 	}
+	loop.withdrawFromScheduler(heldJob)
 }
 
 // updateHeldJobs submits the jobs that wait for a scheduler and abandons those
@@ -432,14 +427,3 @@
 	loop.withdrawFromScheduler(heldJob)
 	loop.answerCallers(heldJob, answer)
 }
-
-// withdrawFromScheduler withdraws a job from the peer that schedules it, if any.
-func (loop *loop) withdrawFromScheduler(heldJob *heldJob) {
-	if heldJob.scheduler != "" && heldJob.scheduler != loop.view.Self().Address {
-		loop.send(heldJob.scheduler, link.Message{
-			Withdraw: &link.Withdraw{
-				JobID: heldJob.job.ID,
-			},
-		})
-	}
-}
--- a/shared/process/dispatcher/held_jobs_test.go
+++ b/shared/process/dispatcher/held_jobs_test.go
@@ -36,6 +36,9 @@
 	return loop
 }
 
+// testJobTime is the time until the deadline of the job "j".
+const testJobTime = 2 * time.Second
+
 // acceptTestJob accepts a job with the ID "j" and returns its answer channel.
 func (loop *loop) acceptTestJob() chan cell.Answer {
 	answer := make(chan cell.Answer, 1)
@@ -47,7 +50,7 @@
 				Estimate: 100 * time.Millisecond,
 			}},
 			Stretch:  1.6,
-			TimeLeft: 2 * time.Second,
+			TimeLeft: testJobTime,
 		},
 		answer: answer,
 	})
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -50,6 +50,9 @@
 	// submissions to schedulers.
 	heldJobs        map[string]*heldJob
 	submissionCount uint64
+	// withdrawals holds, by the address of the scheduler, the withdrawals that it may not
+	// have received.
+	withdrawals map[string][]withdrawal
 
 	// cell is nil while this process does not schedule.
 	cell *cell.Cell
@@ -224,6 +227,7 @@
 	loop.sendDueHeartbeats()
 	loop.updateHeldJobs()
 	loop.updateCancellations()
+	loop.expireWithdrawals()
 	loop.yield()
 	if loop.cell != nil {
 		loop.loadMonitor.slack = loop.cell.TightestSlack()
@@ -313,6 +317,7 @@
 	case link.Up:
 		loop.sendHeartbeat(event.Address, true)
 		loop.sendKnownCancellations(event.Address)
+		loop.repeatWithdrawals(event.Address)
 		if event.Address == loop.leader {
 			loop.resubmitAll()
 		} else if !loop.view.InCell(event.Address) {
@@ -341,6 +346,7 @@
 		loop.notifyCell(cell.JobWithdrawn{
 			EntryVM: entryVMName(message.From, message.Incarnation),
 			ID:      message.Withdraw.JobID,
+			Through: message.Withdraw.Through,
 		})
 	case message.Answer != nil:
 		loop.handleAnswer(message.From, *message.Answer)
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -370,6 +370,12 @@
 		Level:  log.InfoLevel,
 		Text:   "reply about a job is not from its last submission and is ignored",
 	}
+	WithdrawalsRepeated = Event{
+		Number: 734,
+		Name:   "withdrawals-repeated",
+		Level:  log.InfoLevel,
+		Text:   "withdrawals are sent again on a new stream; the one before may have lost them",
+	}
 	EarlierJobReceived = Event{
 		Number: 717,
 		Name:   "earlier-job-received",
@@ -470,7 +476,7 @@
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate, EarlierJobReceived, CancelApplied, CancelledSubmission,
 		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset, JobResubmitted, ReplyIgnored,
-		StoreUnreachable, StoreReachable, RecordInvalid, SettingsReloaded, SettingsRejected, LinesSuppressed,
+		StoreUnreachable, StoreReachable, RecordInvalid, WithdrawalsRepeated, SettingsReloaded, SettingsRejected, LinesSuppressed,
 		JobRefusedEarly, OverloadBegan, OverloadEnded, EstimatesInherited, EstimatesIgnored, EvacuationsChanged, IntakeRefused,
 	}
 }
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -159,7 +159,7 @@
 	case JobSubmitted:
 		cell.submit(event)
 	case JobWithdrawn:
-		cell.withdraw(event.EntryVM, event.ID)
+		cell.withdraw(event)
 	case EntryVMLost:
 		cell.withdrawEntryVM(event.EntryVM)
 	case StartReplied:
--- a/shared/request/cell/holders.go
+++ b/shared/request/cell/holders.go
@@ -82,16 +82,20 @@
 	cell.awaitQuarantine(job)
 }
 
-func (cell *Cell) withdraw(entryVM, id string) {
-	job, ok := cell.jobs[id]
+func (cell *Cell) withdraw(event JobWithdrawn) {
+	job, ok := cell.jobs[event.ID]
 	if !ok {
 		return
 	}
-	index := job.holderIndex(entryVM)
+	index := job.holderIndex(event.EntryVM)
 	if index < 0 {
 		return
 	}
 	holder := job.holders[index]
+	if event.Through != 0 && holder.Submission > event.Through {
+		// The entry VM has submitted the job again since.
+		return
+	}
 	job.holders = slices.Delete(job.holders, index, index+1)
 	cell.rememberUnanswered(job, holder)
 	if len(job.holders) == 0 {
@@ -117,7 +121,10 @@
 
 func (cell *Cell) withdrawEntryVM(entryVM string) {
 	for _, id := range cell.jobIDs() {
-		cell.withdraw(entryVM, id)
+		cell.withdraw(JobWithdrawn{
+			EntryVM: entryVM,
+			ID:      id,
+		})
 	}
 }
 
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -303,10 +303,12 @@
 		EntryVM string
 		Job     Job
 	}
-	// JobWithdrawn reports that an entry VM no longer waits for a job.
+	// JobWithdrawn reports that an entry VM no longer waits for the submissions of a job up
+	// to Through; 0 means all.
 	JobWithdrawn struct {
 		EntryVM string
 		ID      string
+		Through uint64
 	}
 	// EntryVMLost reports that an entry VM was lost. Its jobs are withdrawn.
 	EntryVMLost struct {
