--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -55,7 +55,8 @@
 	// accepted, even if no answer came.
 	submissions int
 	// quarantineEnd is when no earlier scheduler acts on the job any more, and
-	// earlierSets identifies the sets of upstreams that those before knew.
+	// earlierSets identifies the sets of upstreams on which those before may have started it;
+	// unknownSet stands for any upstreams.
 	quarantineEnd time.Time
 	earlierSets   []uint64
 	// retryAt is the earliest time of the next submission.
@@ -117,9 +118,14 @@
 		return
 	}
 	heldJob.job.ResentAfter = max(heldJob.job.ResentAfter, resentAfter)
-	if quarantineEnd := loop.now.Add(loop.quarantine() - resentAfter); quarantineEnd.After(heldJob.quarantineEnd) {
+	quarantineEnd := loop.now.Add(loop.quarantine() - resentAfter)
+	if !quarantineEnd.After(loop.now) {
+		return
+	}
+	if quarantineEnd.After(heldJob.quarantineEnd) {
 		heldJob.quarantineEnd = quarantineEnd
 	}
+	heldJob.addEarlierSets(loop.setsOfEarlierRequest()...)
 }
 
 // shedShare returns the share of new jobs that the scheduler wants shed.
@@ -220,6 +226,7 @@
 		loop.dispatcher.links.Reset(loop.leader)
 	}
 	previousLeader := loop.leader
+	loop.recordFormerSet(previousLeader)
 	loop.leader = leader
 	loop.view.Follow(leader)
 	for _, heldJob := range inOrder(loop.heldJobs) {
@@ -300,14 +307,7 @@
 // act on it until the end of a quarantine.
 func (loop *loop) suspend(heldJob *heldJob, reason string) {
 	heldJob.resubmitReason = reason
-	set := loop.knownUpstreams.current
-	if heldJob.scheduler != loop.view.Self().Address {
-		heartbeat, _ := loop.view.LastHeartbeat(heldJob.scheduler)
-		set = heartbeat.UpstreamSet
-	}
-	if !slices.Contains(heldJob.earlierSets, set) {
-		heldJob.earlierSets = append(heldJob.earlierSets, set)
-	}
+	heldJob.addEarlierSets(loop.setOf(heldJob.scheduler))
 	heldJob.scheduler = ""
 	heldJob.quarantineEnd = loop.now.Add(loop.quarantine())
 }
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -92,6 +92,8 @@
 	passedMayHandOver bool
 	upstreams         []cell.Upstream
 	knownUpstreams    upstreamSets
+	// formerSets holds the sets of the schedulers that this process followed lately.
+	formerSets []formerSet
 	// listReadAt is when the list of upstreams was read; zero before the first.
 	listReadAt time.Time
 	// shedding holds, by service, the planner that ranks the jobs of this VM's callers.
--- a/shared/process/dispatcher/upstream_sets.go
+++ b/shared/process/dispatcher/upstream_sets.go
@@ -1,11 +1,13 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"tanagerfall/shared/request/cell"
+	"tanagerfall/shared/version/region"
 )
 
 const (
@@ -15,6 +17,8 @@
 	// coveredTime is how long a replaced set counts as known at most. It exceeds the time
 	// between two reads of the list by a standby.
 	coveredTime = removedRetention - setRetention
+	// unknownSet identifies a set that is not known. No process covers it.
+	unknownSet = cell.AnyUpstreams
 )
 
 // upstreamSets identifies the sets of upstreams that this process knows: those on its
@@ -85,14 +89,70 @@
 	return xxhash.Sum64String(upstream.ID)
 }
 
-// covers reports whether this process knows all members of other sets. An unknown set,
-// 0, is not covered.
+// covers reports whether this process knows all members of other sets.
 func (sets *upstreamSets) covers(now time.Time, others []uint64) bool {
 	for _, other := range others {
 		knownUntil := sets.knownUntil[other]
-		if other == 0 || (other != sets.current && now.After(knownUntil)) {
+		if other == unknownSet || (other != sets.current && now.After(knownUntil)) {
 			return false
 		}
 	}
 	return len(others) > 0
 }
+
+// formerSet is the set of a scheduler that this process has followed.
+type formerSet struct {
+	set    uint64
+	leftAt time.Time
+}
+
+// setOf returns the set of upstreams on which a scheduler may have started tasks, as far as
+// this process has heard.
+func (loop *loop) setOf(scheduler string) uint64 {
+	if scheduler == loop.view.Self().Address {
+		return loop.knownUpstreams.current
+	}
+	heartbeat, _ := loop.view.LastHeartbeat(scheduler)
+	return heartbeat.UpstreamSet
+}
+
+// recordFormerSet records the set of a scheduler that this process stops following.
+func (loop *loop) recordFormerSet(scheduler string) {
+	loop.formerSets = slices.DeleteFunc(loop.formerSets, func(former formerSet) bool {
+		return loop.now.Sub(former.leftAt) > loop.quarantine()
+	})
+	if scheduler != "" {
+		loop.formerSets = append(loop.formerSets, formerSet{
+			set:    loop.setOf(scheduler),
+			leftAt: loop.now,
+		})
+	}
+}
+
+// setsOfEarlierRequest returns the sets of upstreams on which an earlier request of a caller,
+// perhaps to another entry VM, may have been started. In a region with one scheduler those are
+// the sets of the schedulers that this process follows or has followed lately. In a divided
+// region any cell may have started it.
+func (loop *loop) setsOfEarlierRequest() []uint64 {
+	if loop.view.Division() == region.DividedByDomain {
+		return []uint64{unknownSet}
+	}
+	loop.recordFormerSet("")
+	var sets []uint64
+	for _, former := range loop.formerSets {
+		sets = append(sets, former.set)
+	}
+	if loop.leader != "" || len(sets) == 0 {
+		sets = append(sets, loop.setOf(loop.leader))
+	}
+	return sets
+}
+
+// addEarlierSets adds sets of upstreams on which a job may have been started.
+func (heldJob *heldJob) addEarlierSets(sets ...uint64) {
+	for _, set := range sets {
+		if !slices.Contains(heldJob.earlierSets, set) {
+			heldJob.earlierSets = append(heldJob.earlierSets, set)
+		}
+	}
+}
--- a/shared/process/dispatcher/upstream_sets_test.go
+++ b/shared/process/dispatcher/upstream_sets_test.go
@@ -140,3 +140,44 @@
 	})
 	assert.Equal(t, scheduler.upstreams[1].UsableAt, usableAt, "the next list changes nothing")
 }
+
+// Guards against a second run of a job that its caller has sent again to another entry VM: the
+// submission did not say which upstreams the earlier scheduler may have used.
+func TestResentJobNamesWhereItMayRun(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		events func(loop *loop)
+		want   []uint64
+	}{
+		{"one scheduler", func(*loop) {}, []uint64{17}},
+		{"another scheduler", func(loop *loop) {
+			loop.now = loop.now.Add(time.Second)
+			loop.view.Advance(loop.now, 0)
+			loop.receiveSchedulerHeartbeat("10.0.0.8:1", time.Second, 18)
+		}, []uint64{17, 18}},
+		{"another scheduler for long", func(loop *loop) {
+			loop.now = loop.now.Add(time.Second)
+			loop.view.Advance(loop.now, 0)
+			loop.receiveSchedulerHeartbeat("10.0.0.8:1", time.Second, 18)
+			loop.now = loop.now.Add(2 * loop.quarantine())
+		}, []uint64{18}},
+		{"divided region", func(loop *loop) {
+			loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
+		}, []uint64{unknownSet}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newEntryVMLoop(t)
+			loop.leader = ""
+			loop.receiveSchedulerHeartbeat(schedulerAddress, time.Second, 17)
+			test.events(loop)
+			loop.acceptCallerJob(jobAccepted{
+				job: cell.Job{
+					ID:          "j",
+					TimeLeft:    10 * time.Second,
+					ResentAfter: 1300 * time.Millisecond,
+				},
+			})
+			assert.DeepEqual(t, loop.heldJobs["j"].earlierSets, test.want)
+		})
+	}
+}
--- a/shared/request/cell/jobs.go
+++ b/shared/request/cell/jobs.go
@@ -381,7 +381,7 @@
 	}
 	fastest := job.predictRunTime(job.unstartedChain(), speed)
 	surely := time.Duration(float64(fastest) * math.Exp(-cell.config.Estimator.LogStdDev(job.submitted.Kind)))
-	if cell.now.Add(surely).After(cell.uselessAt(job)) {
+	if cell.earliestStart(job).Add(surely).After(cell.uselessAt(job)) {
 		cell.abandon(job, admission.ReasonOverload, cell.servicePlan(job.submitted.Service).planner.RetryAfter(job.submitted.ID))
 	}
 }
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -51,7 +51,8 @@
 	// cell, so that only the end of the quarantine shows that they are over.
 	RunsElsewhere bool `cbor:"18,keyasint,omitempty"`
 	// EarlierSets identifies the sets of upstreams that earlier schedulers knew which
-	// may still act on the job. Runs of the job may exist on any upstream in them.
+	// may still act on the job. Runs of the job may exist on any upstream in them; AnyUpstreams
+	// stands for those of the whole region.
 	EarlierSets []uint64 `cbor:"19,keyasint,omitempty"`
 	// ResentAfter is set if the caller has sent the job before, perhaps to another entry VM,
 	// so that an earlier Cell may have had it although Generation is 0. It is the shortest
@@ -70,6 +71,9 @@
 	NotStartedBefore bool `cbor:"24,keyasint,omitempty"`
 }
 
+// AnyUpstreams is the value in Job.EarlierSets that stands for any upstreams of the region.
+const AnyUpstreams uint64 = 0
+
 // ErrInvalidJob is wrapped by the errors of Validate.
 var ErrInvalidJob = eris.New("invalid job")
 
--- a/shared/request/cell/takeover.go
+++ b/shared/request/cell/takeover.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // claim takes over an upstream if this process's claim allows it.
 func (cell *Cell) claim(upstream *upstreamState) {
@@ -107,9 +110,8 @@
 		return false
 	}
 	if !job.submitted.Released {
-		// The earlier Cell of a job that was resent to another entry VM is not known.
-		setsKnown := job.submitted.Generation == 0 || cell.config.KnowsUpstreams(job.submitted.EarlierSets)
-		return setsKnown && cell.serviceVerifiedSince(job.submitted.Service, job.submittedAt)
+		return cell.config.KnowsUpstreams(job.submitted.EarlierSets) &&
+			cell.serviceVerifiedSince(job.submitted.Service, job.submittedAt)
 	}
 	for _, id := range job.submitted.RunsAt {
 		upstream, ok := cell.upstreams[id]
@@ -120,6 +122,17 @@
 	return true
 }
 
+// earliestStart returns the earliest time at which a waiting task of a job can start. If
+// another cell may have runs of the job, no poll shortens the quarantine once the upstreams of
+// this one have shown that they have none.
+func (cell *Cell) earliestStart(job *jobState) time.Time {
+	if job.startsAllowed || !slices.Contains(job.submitted.EarlierSets, AnyUpstreams) ||
+		!cell.serviceVerifiedSince(job.submitted.Service, job.submittedAt) {
+		return cell.now
+	}
+	return laterOf(cell.now, job.quarantineEnd)
+}
+
 // runsKnownSince reports whether an upstream listed its runs in answer to an
 // order that was sent after a time. A run that a previous process has stopped
 // goes on for the grace period without being listed, so the order must have
--- a/soak/simulation/overload.go
+++ b/soak/simulation/overload.go
@@ -13,6 +13,9 @@
 	// FirstOverloadSeed is the first seed whose series have bursts of jobs that exceed the
 	// workers' capacity, and callers that send refused jobs again.
 	FirstOverloadSeed = 300_000
+	// FirstDividedSeed is the first seed whose series, which have bursts as well, are all in
+	// a region divided by failure domains.
+	FirstDividedSeed = 400_000
 	// settleTime is how long a series with bursts goes on after its last job.
 	settleTime = 2 * time.Second
 	// maxRefusedSends bounds how often a caller sends a job that is refused.
@@ -72,7 +75,7 @@
 
 // isDivided reports whether the region is divided by failure domains.
 func (overload *overload) isDivided() bool {
-	return overload != nil && overload.world.options.Seed%8 == 5
+	return overload != nil && (overload.world.options.Seed >= FirstDividedSeed || overload.world.options.Seed%8 == 5)
 }
 
 // fewestWorkers returns the least number of workers in the series.
