--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -257,7 +257,7 @@
 	loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
 	heldJob := loop.heldJobs["j"]
 	assert.Equal(t, heldJob.scheduler, "")
-	assert.Assert(t, heldJob.runsElsewhere)
+	assert.Assert(t, !loop.knownUpstreams.covers(loop.now, heldJob.earlierSets), "runs may be on upstreams of other cells")
 	assert.Equal(t, heldJob.quarantineEnd, loop.now.Add(loop.quarantine()))
 }
 
--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -48,9 +48,6 @@
 	// no start, and settledBefore if the same is known of all before firstSubmission.
 	settled       bool
 	settledBefore bool
-	// runsElsewhere is set if a scheduler of another cell than that of the next
-	// submission may have started the job.
-	runsElsewhere bool
 	// submissions counts the submissions to schedulers. Each may have been
 	// accepted, even if no answer came.
 	submissions int
@@ -170,8 +167,6 @@
 	loop.numberSubmission(heldJob)
 	job := heldJob.job
 	isForeign := scheduler == heldJob.foreignScheduler
-	// Runs of an earlier scheduler of the own cell are elsewhere for a foreign one.
-	job.RunsElsewhere = heldJob.runsElsewhere || (isForeign && job.Generation > 0)
 	job.Age = loop.now.Sub(heldJob.receivedAt)
 	job.TimeLeft = heldJob.deadline.Sub(loop.now)
 	job.Quarantine = max(heldJob.quarantineEnd.Sub(loop.now), 0)
@@ -268,19 +263,26 @@
 	if !known {
 		return
 	}
-	heldJob.scheduler = ""
-	heldJob.foreignScheduler = ""
-	heldJob.resubmitReason = resubmitDeclined
 	// A scheduler that does not accept this submission may have accepted one before, unless it
 	// hands the job over.
 	heldJob.settled = heldJob.coveredBy(decline.Submission) &&
 		(decline.Target != "" || heldJob.submission == heldJob.firstSubmission)
+	if !heldJob.settled {
+		heldJob.quarantineEnd = loop.now.Add(loop.quarantine())
+		if heldJob.foreignScheduler != "" {
+			// The next submission goes to another scheduler, and this one may have the job: a
+			// submission that arrives late is declined by a scheduler as well.
+			loop.withdrawFromScheduler(heldJob)
+		}
+	}
+	heldJob.scheduler = ""
+	heldJob.foreignScheduler = ""
+	heldJob.resubmitReason = resubmitDeclined
 	if heldJob.neverStarted() && heldJob.job.ResentAfter == 0 {
 		// No scheduler has started the job, so the next submission needs no quarantine.
 		heldJob.submissions = 0
 		heldJob.quarantineEnd = time.Time{}
 		heldJob.earlierSets = nil
-		heldJob.runsElsewhere = false
 	}
 	if decline.Target != "" {
 		heldJob.assignForeign(decline.Target)
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -282,7 +282,6 @@
 		}
 		loop.withdrawFromScheduler(heldJob)
 		loop.leaveScheduler(heldJob, resubmitDivided)
-		heldJob.runsElsewhere = true
 	}
 	for address, entryVM := range inOrder(loop.entryVMs) {
 		if !loop.view.InCell(address) {
--- a/shared/process/dispatcher/neighbours.go
+++ b/shared/process/dispatcher/neighbours.go
@@ -345,7 +345,6 @@
 
 // leaveScheduler suspends a job and makes its next destination that of a new job.
 func (loop *loop) leaveScheduler(heldJob *heldJob, reason string) {
-	heldJob.runsElsewhere = heldJob.runsElsewhere || heldJob.foreignScheduler != ""
 	loop.suspend(heldJob, reason)
 	heldJob.foreignScheduler = ""
 }
--- a/shared/process/dispatcher/platform_lists.go
+++ b/shared/process/dispatcher/platform_lists.go
@@ -37,7 +37,6 @@
 	}
 	loop.listReadAt = readAt
 	loop.upstreams = loop.markLeaving(loop.retainRemoved(setColdUntil(readAt, upstreams)))
-	loop.updateKnownUpstreams()
 	loop.passUpstreams()
 }
 
@@ -56,7 +55,11 @@
 // liveness timeout and names the set of the last heartbeat to the next scheduler. This
 // process may start its jobs for one more timeout, until it withdraws them.
 func (loop *loop) updateKnownUpstreams() {
-	loop.knownUpstreams.update(loop.now, loop.upstreams, loop.removedAt)
+	cellUpstreams := loop.view.Upstreams(loop.upstreams)
+	if loop.knownUpstreams.anyLeftCell(loop.upstreams, cellUpstreams) {
+		loop.knownUpstreams.leaveCell(loop.now, loop.cell != nil)
+	}
+	loop.knownUpstreams.update(loop.now, cellUpstreams, loop.removedAt)
 	announcementTime := 2 * (loop.view.LivenessTimeout() + tickInterval)
 	for i := range loop.upstreams {
 		upstream := &loop.upstreams[i]
@@ -69,6 +72,7 @@
 // passUpstreams passes the upstreams of this process's cell to the Cell and the
 // relays, if this process schedules.
 func (loop *loop) passUpstreams() {
+	loop.updateKnownUpstreams()
 	if loop.cell == nil {
 		return
 	}
@@ -145,7 +149,6 @@
 			upstream.Leaving = true
 		}
 	}
-	loop.updateKnownUpstreams()
 	loop.passUpstreams()
 }
 
--- a/shared/process/dispatcher/upstream_sets.go
+++ b/shared/process/dispatcher/upstream_sets.go
@@ -21,10 +21,10 @@
 	unknownSet = cell.AnyUpstreams
 )
 
-// upstreamSets identifies the sets of upstreams that this process knows: those on its
+// upstreamSets identifies the sets of upstreams of the cell of this process: those on its
 // list and those that left it within setRetention. A scheduler reports its set to the
-// entry VMs, and they pass it on to the next scheduler of their jobs. That one can find
-// all runs of the jobs only if it knows these upstreams.
+// entry VMs, and they pass it on to the next scheduler of their jobs, perhaps in another cell.
+// That one can find all runs of the jobs only if it schedules these upstreams.
 type upstreamSets struct {
 	// current identifies the present set; 0 if no list was read.
 	current uint64
@@ -36,6 +36,9 @@
 	// joinedAt holds when the members of the present set joined it, by ID; zero for those
 	// of the first set.
 	joinedAt map[string]time.Time
+	// unknownUntil is the time until which a scheduler may have runs on upstreams that
+	// belong to another cell by now.
+	unknownUntil time.Time
 }
 
 // update replaces the present set. removedAt holds when upstreams left the list.
@@ -54,7 +57,7 @@
 		// The order of the upstreams does not matter.
 		current ^= memberHash(upstream)
 		joined, isMember := sets.joinedAt[upstream.ID]
-		if !isMember && sets.current != 0 {
+		if !isMember && len(sets.joinedAt) > 0 {
 			joined = now
 		}
 		joinedAt[upstream.ID] = joined
@@ -68,7 +71,7 @@
 			delete(sets.knownUntil, set)
 		}
 	}
-	if current != sets.current {
+	if current != sets.current && sets.current != unknownSet {
 		knownUntil := now.Add(coveredTime)
 		if !sets.currentUntil.IsZero() && sets.currentUntil.Before(knownUntil) {
 			knownUntil = sets.currentUntil
@@ -79,6 +82,40 @@
 	sets.currentUntil = currentUntil
 }
 
+// anyLeftCell reports whether a member of the present set is on the region's list and not in
+// the cell any more: the region was divided, or a failure domain got processes of its own.
+func (sets *upstreamSets) anyLeftCell(list, cellUpstreams []cell.Upstream) bool {
+	if len(list) == len(cellUpstreams) {
+		return false
+	}
+	inCell := make(map[string]bool, len(cellUpstreams))
+	for i := range cellUpstreams {
+		inCell[cellUpstreams[i].ID] = true
+	}
+	return slices.ContainsFunc(list, func(upstream cell.Upstream) bool {
+		_, isMember := sets.joinedAt[upstream.ID]
+		return isMember && !inCell[upstream.ID]
+	})
+}
+
+// leaveCell records that members of the present set have left the cell, so that this process
+// can't find runs on them. schedules is set if it may have started some.
+func (sets *upstreamSets) leaveCell(now time.Time, schedules bool) {
+	clear(sets.knownUntil)
+	sets.current = unknownSet
+	if schedules {
+		sets.unknownUntil = now.Add(setRetention)
+	}
+}
+
+// reported returns the set that a scheduler reports.
+func (sets *upstreamSets) reported(now time.Time) uint64 {
+	if now.Before(sets.unknownUntil) {
+		return unknownSet
+	}
+	return sets.current
+}
+
 // memberHash returns the hash of one member of a set. An upstream that leaves counts as
 // another member, because a process assumes that it has no runs when it has left the
 // list. A scheduler that does not know that it leaves may still start tasks there.
@@ -110,7 +147,7 @@
 // this process has heard.
 func (loop *loop) setOf(scheduler string) uint64 {
 	if scheduler == loop.view.Self().Address {
-		return loop.knownUpstreams.current
+		return loop.knownUpstreams.reported(loop.now)
 	}
 	heartbeat, _ := loop.view.LastHeartbeat(scheduler)
 	return heartbeat.UpstreamSet
--- a/shared/process/dispatcher/upstream_sets_test.go
+++ b/shared/process/dispatcher/upstream_sets_test.go
@@ -181,3 +181,160 @@
 		})
 	}
 }
+
+// newDividedEntryVMLoop returns the loop of an entry VM of domain "a" in a divided region,
+// which has held the job "j" since the scheduler of domain "b" at foreignAddress got it.
+func newDividedEntryVMLoop(t *testing.T) *loop {
+	t.Helper()
+	loop := newEntryVMLoop(t)
+	loop.view = region.New(loop.now, region.Member{
+		Address:     entryVMAddress,
+		Domain:      "a",
+		Incarnation: 1,
+	})
+	loop.dispatcher.links = make(sentMessages)
+	foreign := newForeignLoop(t)
+	for _, heartbeat := range []region.Heartbeat{
+		{
+			Member: region.Member{
+				Address: schedulerAddress,
+				Domain:  "a",
+				Weight:  1,
+			},
+			Division: region.DividedByDomain,
+		},
+		foreign.heartbeatTo(entryVMAddress),
+	} {
+		heartbeat.ActiveFor = time.Second
+		heartbeat.Interval = region.MinHeartbeatInterval
+		loop.handleHeartbeat(heartbeat, 0)
+	}
+	loop.adoptUpstreams(dividedUpstreams(), 0)
+	loop.acceptTestJob()
+	loop.handleDecline(schedulerAddress, link.Decline{
+		JobID:      "j",
+		Target:     foreignAddress,
+		Submission: loop.heldJobs["j"].submission,
+	})
+	assert.Equal(t, loop.heldJobs["j"].scheduler, foreignAddress)
+	return loop
+}
+
+// newForeignLoop returns the loop of the scheduler of domain "b" in a divided region.
+func newForeignLoop(t *testing.T) *loop {
+	t.Helper()
+	loop := newSchedulerLoop(t)
+	loop.dispatcher.links = make(sentMessages)
+	loop.view = region.New(loop.now, region.Member{
+		Address:     foreignAddress,
+		Domain:      "b",
+		Incarnation: 1,
+	})
+	loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
+	loop.view.HandleHeartbeat(region.Heartbeat{
+		Member: region.Member{
+			Address: schedulerAddress,
+			Domain:  "a",
+		},
+	}, 0)
+	loop.startScheduling()
+	loop.adoptUpstreams(dividedUpstreams(), 0)
+	return loop
+}
+
+// heartbeatTo returns the heartbeat that a process sends to another one.
+func (loop *loop) heartbeatTo(address string) region.Heartbeat {
+	sent := make(sentMessages)
+	loop.dispatcher.links = sent
+	loop.sendHeartbeat(address, false)
+	return *sent[address][0].Heartbeat
+}
+
+// dividedUpstreams returns one upstream in each of the domains "a" and "b".
+func dividedUpstreams() []cell.Upstream {
+	return []cell.Upstream{
+		{
+			ID:      "u1",
+			Service: "orders",
+			Domain:  "a",
+		},
+		{
+			ID:      "u2",
+			Service: "orders",
+			Domain:  "b",
+		},
+	}
+}
+
+// Guards against a second run of a job that was handed over to another cell: however it leaves
+// the scheduler there, the own scheduler must not take polls of its own upstreams for proof
+// that no run goes on.
+func TestJobThatWasHandedOverMayRunInTheOtherCell(t *testing.T) {
+	streamReplaced := func(loop *loop) {
+		loop.neighbours.brokenAt[foreignAddress] = loop.now
+		loop.handleLinkEvent(link.Up{
+			Address: foreignAddress,
+		})
+	}
+	for _, test := range []struct {
+		name  string
+		leave func(loop *loop)
+	}{
+		{"declined by the next process at the address", func(loop *loop) {
+			streamReplaced(loop)
+			loop.handleDecline(foreignAddress, link.Decline{
+				JobID:      "j",
+				Submission: loop.heldJobs["j"].submission,
+			})
+		}},
+		{"scheduler lost", func(loop *loop) {
+			loop.now = loop.now.Add(foreignSilence)
+			loop.view.Advance(loop.now, 0)
+			loop.checkForeignJobs()
+		}},
+		{"dropped, then declined", func(loop *loop) {
+			loop.handleDropped(foreignAddress, 0)
+			loop.handleDecline(foreignAddress, link.Decline{
+				JobID:      "j",
+				Submission: loop.heldJobs["j"].submission,
+			})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newDividedEntryVMLoop(t)
+			test.leave(loop)
+			heldJob := loop.heldJobs["j"]
+			heldJob.retryAt = loop.now
+			loop.submit(heldJob)
+			submitted := loop.dispatcher.links.(sentMessages).submitted(t, schedulerAddress).Submit
+			assert.Assert(t, submitted.Quarantine > 0)
+			assert.Assert(t, submitted.RunsElsewhere || !loop.knownUpstreams.covers(loop.now, submitted.EarlierSets),
+				"the scheduler of the own cell can't find the runs")
+		})
+	}
+}
+
+// Guards against a second run of a task on an upstream that has moved to another cell: the
+// scheduler that has started it there is lost, and the next one polls its own upstreams only.
+func TestSetsOfACellThatLosesUpstreamsAreNotKnown(t *testing.T) {
+	loop := newSchedulerLoop(t)
+	loop.view = region.New(loop.now, region.Member{
+		Address:     schedulerAddress,
+		Domain:      "a",
+		Incarnation: 1,
+	})
+	loop.adoptUpstreams(dividedUpstreams(), 0)
+	whole := loop.setOf(schedulerAddress)
+	assert.Assert(t, loop.knownUpstreams.covers(loop.now, []uint64{whole}))
+	loop.view.HandleHeartbeat(region.Heartbeat{
+		Member: region.Member{
+			Address: foreignAddress,
+			Domain:  "b",
+		},
+	}, 0)
+	loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
+	assert.Assert(t, !loop.knownUpstreams.covers(loop.now, []uint64{whole}), "u2 belongs to another cell")
+	assert.Equal(t, loop.setOf(schedulerAddress), unknownSet, "runs may go on at u2")
+	loop.now = loop.now.Add(setRetention)
+	assert.Assert(t, loop.knownUpstreams.covers(loop.now, []uint64{loop.setOf(schedulerAddress)}))
+}
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -47,8 +47,9 @@
 	// Spilled is set if another cell has handed the job over, or should have had
 	// it. It is not handed over again.
 	Spilled bool `cbor:"17,keyasint,omitempty"`
-	// RunsElsewhere is set if runs of the job may exist on upstreams of another
-	// cell, so that only the end of the quarantine shows that they are over.
+	// RunsElsewhere is set by earlier versions if runs of the job may exist on upstreams of
+	// another cell, so that only the end of the quarantine shows that they are over. Now
+	// EarlierSets shows it.
 	RunsElsewhere bool `cbor:"18,keyasint,omitempty"`
 	// EarlierSets identifies the sets of upstreams that earlier schedulers knew which
 	// may still act on the job. Runs of the job may exist on any upstream in them; AnyUpstreams
