--- a/shared/process/dispatcher/held_jobs.go
+++ b/shared/process/dispatcher/held_jobs.go
@@ -220,15 +220,12 @@
 	if loop.leader != "" && loop.leader != loop.view.Self().Address && !loop.view.Live(loop.leader) {
 		loop.dispatcher.links.Reset(loop.leader)
 	}
-	previousLeader := loop.leader
-	loop.recordFormerSet(previousLeader)
+	loop.recordFormerSet(loop.leader)
 	loop.leader = leader
 	loop.view.Follow(leader)
 	for _, heldJob := range inOrder(loop.heldJobs) {
 		if heldJob.scheduler != "" && heldJob.foreignScheduler == "" {
-			if previousLeader != loop.view.Self().Address {
-				loop.withdrawFromScheduler(heldJob)
-			}
+			loop.withdrawFromScheduler(heldJob)
 			loop.suspend(heldJob, resubmitFollows)
 		}
 	}
@@ -378,13 +375,6 @@
 	loop.dispatcher.instruments.increment(metricWithdrawn)
 	loop.log(logevent.JobWithdrawn, "job", event.id, "kind", heldJob.job.Kind, "after", loop.now.Sub(heldJob.receivedAt),
 		"scheduler", heldJob.scheduler, "submission", heldJob.submission)
-	if heldJob.scheduler == loop.view.Self().Address {
-		loop.notifyCell(cell.JobWithdrawn{
-			EntryVM: loop.selfName(),
-			ID:      event.id,
-		})
-		return
-	}
 	loop.withdrawFromScheduler(heldJob)
 }
 
--- a/shared/process/dispatcher/withdrawals.go
+++ b/shared/process/dispatcher/withdrawals.go
@@ -6,6 +6,7 @@
 
 	"tanagerfall/shared/connection/link"
 	"tanagerfall/shared/process/logevent"
+	"tanagerfall/shared/request/cell"
 )
 
 // maxWithdrawals bounds the withdrawals that are kept for one scheduler. It is below the
@@ -19,12 +20,20 @@
 	expiresAt time.Time
 }
 
-// withdrawFromScheduler withdraws a job from the peer that schedules it, if any. A run of the
-// job must not go on because the stream broke that carried the message, so it is sent again on
-// each later stream to that peer until the job's deadline.
+// withdrawFromScheduler withdraws a job from its scheduler, if it has one. A run of the
+// job must not go on because the stream broke that carried the message to a peer, so it is sent
+// again on each later stream to that peer until the job's deadline.
 func (loop *loop) withdrawFromScheduler(heldJob *heldJob) {
 	scheduler := heldJob.scheduler
-	if scheduler == "" || scheduler == loop.view.Self().Address {
+	switch scheduler {
+	case "":
+		return
+	case loop.view.Self().Address:
+		loop.notifyCell(cell.JobWithdrawn{
+			EntryVM: loop.selfName(),
+			ID:      heldJob.job.ID,
+			Through: heldJob.submission,
+		})
 		return
 	}
 	message := link.Withdraw{
--- a/shared/process/dispatcher/withdrawals_test.go
+++ b/shared/process/dispatcher/withdrawals_test.go
@@ -78,3 +78,14 @@
 	loop.expireWithdrawals()
 	assert.Equal(t, len(loop.withdrawals), 0)
 }
+
+// Guards against tasks that a process goes on scheduling, until it ends, after it has told their
+// callers that it stops: the callers send the jobs again to other cells.
+func TestJobGivenUpByItsSchedulerIsWithdrawn(t *testing.T) {
+	loop := newSchedulerLoop(t)
+	answer := loop.acceptTestJob()
+	assert.Assert(t, loop.cell.HasJob("j"))
+	loop.handle(loop.now, abandonRequested{})
+	assert.Equal(t, len(answer), 1)
+	assert.Assert(t, !loop.cell.HasJob("j"))
+}
