--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -34,6 +34,8 @@
 	waitingJobs []*jobState
 	// quarantinedUntil is when the last quarantine of a job ends.
 	quarantinedUntil time.Time
+	// fencedAt is when an upstream last showed that another process has taken it over.
+	fencedAt time.Time
 	// evacuatedDomains holds the evacuated failure domains, unservedServices the services
 	// without upstreams elsewhere.
 	evacuatedDomains map[string]bool
--- a/shared/request/cell/lease.go
+++ b/shared/request/cell/lease.go
@@ -40,7 +40,7 @@
 // expireRuns removes the runs of an upstream whose lease is certain to have
 // expired, and whose start orders can't take effect any more.
 func (cell *Cell) expireRuns(upstream *upstreamState) {
-	if len(upstream.runs) == 0 || cell.now.Before(cell.leaseExpiry(upstream, upstream.leaseEnd)) {
+	if len(upstream.runs) == 0 || cell.now.Before(cell.leaseExpiry(upstream, upstream.leaseEnd)) || cell.mayBeRenewed(upstream) {
 		return
 	}
 	expired := upstream.runsWhere(func(run *runState) bool { return !cell.now.Before(run.mayStartUntil) })
@@ -61,6 +61,13 @@
 	})
 }
 
+// mayBeRenewed reports whether another process may renew the lease of an upstream that this one
+// can't reach. A process that has taken over one upstream may have taken over others, and it runs
+// the jobs of entry VMs that this one still counts as its own for a while.
+func (cell *Cell) mayBeRenewed(upstream *upstreamState) bool {
+	return upstream.clockAt.Before(cell.fencedAt) && cell.now.Before(cell.fencedAt.Add(cell.config.Limits.YieldGrace))
+}
+
 // leaseExpiry returns when the upstream's clock is certain to have passed a
 // lease end.
 func (cell *Cell) leaseExpiry(upstream *upstreamState, leaseEnd int64) time.Time {
--- a/shared/request/cell/takeover.go
+++ b/shared/request/cell/takeover.go
@@ -40,6 +40,7 @@
 // runs may go on there until that process has stopped them.
 func (cell *Cell) yieldUpstream(upstream *upstreamState) {
 	cell.counters.Fenced++
+	cell.fencedAt = cell.now
 	cell.setStatus(upstream, upstreamOwnedElsewhere, "fenced")
 	upstream.reclaimAt = cell.now.Add(cell.config.Limits.FirmReclaimDelay)
 	if upstream.hasAnswered() {
--- a/soak/simulation/simulation_test.go
+++ b/soak/simulation/simulation_test.go
@@ -126,6 +126,7 @@
 var longTaskSeeds = map[uint64]string{
 	400013: "a drained worker whose entry had expired was taken for gone",
 	400194: "a withdrawal was lost with its stream, and the caller sent the job to another cell",
+	401137: "a scheduler that was fenced took a lease for expired that the next one renewed",
 	400644: "a process that stopped gave a job up and went on scheduling it",
 }
 
