--- a/shared/request/cell/lease.go
+++ b/shared/request/cell/lease.go
@@ -21,7 +21,7 @@
 		Address:  upstream.listing.Address,
 		Token:    max(cell.token, upstream.fenceToken),
 	}
-	if renew && upstream.clock > 0 && upstream.orphanCount == 0 {
+	if renew && upstream.clock > 0 && upstream.orphanCount == 0 && !cell.stopOverdue(upstream) {
 		order.LeaseEnd = cell.minClock(upstream) + cell.config.Limits.Lease.Milliseconds()
 		upstream.leaseEnd = max(upstream.leaseEnd, order.LeaseEnd)
 		upstream.renewedAt = cell.now
@@ -30,6 +30,18 @@
 	return order
 }
 
+// stopOverdue reports whether an upstream has not confirmed a stop for long, while it answers
+// other orders or after another process had it. A caller that has left sends its job again, and
+// the next scheduler relies on the end of the lease, so it is not renewed for the other runs there.
+func (cell *Cell) stopOverdue(upstream *upstreamState) bool {
+	for _, run := range upstream.runs {
+		if run.stopReason != "" && run.stopConfirmedAt.IsZero() && cell.now.Sub(run.stopOrderedAt) >= cell.config.Limits.RenewAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // renewalDue reports whether the lease of an upstream with runs has not been renewed
 // for long. The pending long poll of an upstream that was idle when it was sent may
 // return too late for that, and one that is lost does not return at all.
--- a/shared/request/cell/runs.go
+++ b/shared/request/cell/runs.go
@@ -61,8 +61,9 @@
 	percent int
 	// progressedAt is when percent last rose.
 	progressedAt time.Time
-	// stopReason says why the run is being stopped; empty if it is not.
-	stopReason string
+	// stopReason says why the run is being stopped, since stopOrderedAt; empty if it is not.
+	stopReason    string
+	stopOrderedAt time.Time
 	// unlistedAt is when the first answer arrived that shows neither the confirmed run
 	// nor its end; zero if the run has been listed since then.
 	unlistedAt time.Time
@@ -285,6 +286,7 @@
 	}
 	if run.stopReason == "" {
 		run.stopReason = reason
+		run.stopOrderedAt = cell.now
 	}
 	cell.sendStop(run)
 }
--- a/soak/simulation/simulation_test.go
+++ b/soak/simulation/simulation_test.go
@@ -127,6 +127,7 @@
 	400013: "a drained worker whose entry had expired was taken for gone",
 	400194: "a withdrawal was lost with its stream, and the caller sent the job to another cell",
 	401137: "a scheduler that was fenced took a lease for expired that the next one renewed",
+	401739: "a run whose stop was not carried out went on under a lease that was renewed for others",
 	400644: "a process that stopped gave a job up and went on scheduling it",
 }
 
