--- a/shared/process/dispatcher/held_jobs_test.go
+++ b/shared/process/dispatcher/held_jobs_test.go
@@ -58,9 +58,13 @@
 }
 
 // declineTestJob handles a decline of the last submission of the job "j".
-func (loop *loop) declineTestJob() {
-	loop.handleDecline(schedulerAddress, link.Decline{
+func (loop *loop) declineTestJob() { loop.declineFrom(schedulerAddress, "") }
+
+// declineFrom handles a decline of the last submission of the job "j" by a scheduler.
+func (loop *loop) declineFrom(scheduler, target string) {
+	loop.handleDecline(scheduler, link.Decline{
 		JobID:      "j",
+		Target:     target,
 		Submission: loop.heldJobs["j"].submission,
 	})
 }
--- a/shared/process/dispatcher/upstream_sets_test.go
+++ b/shared/process/dispatcher/upstream_sets_test.go
@@ -15,10 +15,15 @@
 // receiveSchedulerHeartbeat handles a heartbeat of a scheduler in the domain of this
 // process.
 func (loop *loop) receiveSchedulerHeartbeat(address string, activeFor time.Duration, set uint64) {
+	loop.receiveHeartbeatFrom("a", address, activeFor, set)
+}
+
+// receiveHeartbeatFrom handles a heartbeat of a scheduler in a domain.
+func (loop *loop) receiveHeartbeatFrom(domain, address string, activeFor time.Duration, set uint64) {
 	loop.handleHeartbeat(region.Heartbeat{
 		Member: region.Member{
 			Address:     address,
-			Domain:      "a",
+			Domain:      domain,
 			Weight:      1,
 			Incarnation: 3,
 		},
@@ -26,7 +31,7 @@
 		Follows:     address,
 		Interval:    region.MinHeartbeatInterval,
 		Eligible:    true,
-		Division:    region.Undivided,
+		Division:    max(region.Undivided, loop.view.Division()),
 		UpstreamSet: set,
 	}, 0)
 }
@@ -145,171 +150,99 @@
 // submission did not say which upstreams the earlier scheduler may have used.
 func TestResentJobNamesWhereItMayRun(t *testing.T) {
 	for _, test := range []struct {
-		name   string
-		events func(loop *loop)
-		want   []uint64
+		name      string
+		scheduler string
+		waited    time.Duration
+		divided   bool
+		want      []uint64
 	}{
-		{"one scheduler", func(*loop) {}, []uint64{17}},
-		{"another scheduler", func(loop *loop) {
-			loop.now = loop.now.Add(time.Second)
-			loop.view.Advance(loop.now, 0)
-			loop.receiveSchedulerHeartbeat("10.0.0.8:1", time.Second, 18)
-		}, []uint64{17, 18}},
-		{"another scheduler for long", func(loop *loop) {
-			loop.now = loop.now.Add(time.Second)
-			loop.view.Advance(loop.now, 0)
-			loop.receiveSchedulerHeartbeat("10.0.0.8:1", time.Second, 18)
-			loop.now = loop.now.Add(2 * loop.quarantine())
-		}, []uint64{18}},
-		{"divided region", func(loop *loop) {
-			loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
-		}, []uint64{unknownSet}},
+		{"one scheduler", schedulerAddress, 0, false, []uint64{17}},
+		{"another scheduler", foreignAddress, 0, false, []uint64{17, 18}},
+		{"another scheduler for long", foreignAddress, 5 * time.Second, false, []uint64{18}},
+		{"divided region", schedulerAddress, 0, true, []uint64{unknownSet}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			loop := newEntryVMLoop(t)
 			loop.leader = ""
 			loop.receiveSchedulerHeartbeat(schedulerAddress, time.Second, 17)
-			test.events(loop)
+			if test.scheduler != schedulerAddress {
+				loop.now = loop.now.Add(time.Second)
+				loop.view.Advance(loop.now, 0)
+				loop.receiveSchedulerHeartbeat(test.scheduler, time.Second, 18)
+			}
+			if test.divided {
+				loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
+			}
+			loop.now = loop.now.Add(test.waited)
+			job := testFaultJob("j")
+			job.ResentAfter = 1300 * time.Millisecond
 			loop.acceptCallerJob(jobAccepted{
-				job: cell.Job{
-					ID:          "j",
-					TimeLeft:    10 * time.Second,
-					ResentAfter: 1300 * time.Millisecond,
-				},
+				job: job,
 			})
 			assert.DeepEqual(t, loop.heldJobs["j"].earlierSets, test.want)
 		})
 	}
 }
 
-// newDividedEntryVMLoop returns the loop of an entry VM of domain "a" in a divided region,
-// which has held the job "j" since the scheduler of domain "b" at foreignAddress got it.
-func newDividedEntryVMLoop(t *testing.T) *loop {
-	t.Helper()
-	loop := newEntryVMLoop(t)
-	loop.view = region.New(loop.now, region.Member{
-		Address:     entryVMAddress,
-		Domain:      "a",
-		Incarnation: 1,
-	})
-	loop.dispatcher.links = make(sentMessages)
-	foreign := newForeignLoop(t)
-	for _, heartbeat := range []region.Heartbeat{
-		{
-			Member: region.Member{
-				Address: schedulerAddress,
-				Domain:  "a",
-				Weight:  1,
-			},
-			Division: region.DividedByDomain,
-		},
-		foreign.heartbeatTo(entryVMAddress),
-	} {
-		heartbeat.ActiveFor = time.Second
-		heartbeat.Interval = region.MinHeartbeatInterval
-		loop.handleHeartbeat(heartbeat, 0)
-	}
-	loop.adoptUpstreams(dividedUpstreams(), 0)
-	loop.acceptTestJob()
-	loop.handleDecline(schedulerAddress, link.Decline{
-		JobID:      "j",
-		Target:     foreignAddress,
-		Submission: loop.heldJobs["j"].submission,
-	})
-	assert.Equal(t, loop.heldJobs["j"].scheduler, foreignAddress)
-	return loop
-}
-
-// newForeignLoop returns the loop of the scheduler of domain "b" in a divided region.
-func newForeignLoop(t *testing.T) *loop {
-	t.Helper()
-	loop := newSchedulerLoop(t)
-	loop.dispatcher.links = make(sentMessages)
-	loop.view = region.New(loop.now, region.Member{
-		Address:     foreignAddress,
-		Domain:      "b",
-		Incarnation: 1,
-	})
+// enterDividedRegion puts a process into a domain of a region that is divided into "a" and "b",
+// each of which has one upstream.
+func (loop *loop) enterDividedRegion(domain string) {
+	self := loop.view.Self()
+	self.Domain = domain
+	loop.view = region.New(loop.now, self)
 	loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
-	loop.view.HandleHeartbeat(region.Heartbeat{
-		Member: region.Member{
-			Address: schedulerAddress,
-			Domain:  "a",
-		},
-	}, 0)
-	loop.startScheduling()
+	loop.receiveHeartbeatFrom("a", schedulerAddress, time.Second, 17)
+	loop.receiveHeartbeatFrom("b", foreignAddress, time.Second, 18)
 	loop.adoptUpstreams(dividedUpstreams(), 0)
-	return loop
-}
-
-// heartbeatTo returns the heartbeat that a process sends to another one.
-func (loop *loop) heartbeatTo(address string) region.Heartbeat {
-	sent := make(sentMessages)
-	loop.dispatcher.links = sent
-	loop.sendHeartbeat(address, false)
-	return *sent[address][0].Heartbeat
 }
 
-// dividedUpstreams returns one upstream in each of the domains "a" and "b".
 func dividedUpstreams() []cell.Upstream {
-	return []cell.Upstream{
-		{
-			ID:      "u1",
-			Service: "orders",
-			Domain:  "a",
-		},
-		{
-			ID:      "u2",
-			Service: "orders",
-			Domain:  "b",
-		},
+	list := make([]cell.Upstream, 2)
+	for i, domain := range []string{"a", "b"} {
+		list[i].ID = domain + "-1"
+		list[i].Domain = domain
 	}
+	return list
 }
 
 // Guards against a second run of a job that was handed over to another cell: however it leaves
 // the scheduler there, the own scheduler must not take polls of its own upstreams for proof
 // that no run goes on.
 func TestJobThatWasHandedOverMayRunInTheOtherCell(t *testing.T) {
-	streamReplaced := func(loop *loop) {
-		loop.neighbours.brokenAt[foreignAddress] = loop.now
-		loop.handleLinkEvent(link.Up{
-			Address: foreignAddress,
-		})
-	}
-	for _, test := range []struct {
-		name  string
-		leave func(loop *loop)
-	}{
-		{"declined by the next process at the address", func(loop *loop) {
-			streamReplaced(loop)
-			loop.handleDecline(foreignAddress, link.Decline{
-				JobID:      "j",
-				Submission: loop.heldJobs["j"].submission,
-			})
-		}},
-		{"scheduler lost", func(loop *loop) {
+	for name, leave := range map[string]func(loop *loop){
+		"declined after a replaced stream": func(loop *loop) {
+			loop.neighbours.brokenAt[foreignAddress] = loop.now
+			loop.resubmitForeignJobs(foreignAddress)
+			loop.declineFrom(foreignAddress, "")
+		},
+		"declined after a drop": func(loop *loop) {
+			loop.handleDropped(foreignAddress, 0)
+			loop.declineFrom(foreignAddress, "")
+		},
+		"scheduler lost": func(loop *loop) {
 			loop.now = loop.now.Add(foreignSilence)
 			loop.view.Advance(loop.now, 0)
 			loop.checkForeignJobs()
-		}},
-		{"dropped, then declined", func(loop *loop) {
-			loop.handleDropped(foreignAddress, 0)
-			loop.handleDecline(foreignAddress, link.Decline{
-				JobID:      "j",
-				Submission: loop.heldJobs["j"].submission,
-			})
-		}},
+		},
 	} {
-		t.Run(test.name, func(t *testing.T) {
-			loop := newDividedEntryVMLoop(t)
-			test.leave(loop)
+		t.Run(name, func(t *testing.T) {
+			foreign := newEntryVMLoop(t)
+			foreign.enterDividedRegion("b")
+			loop := newEntryVMLoop(t)
+			sent := make(sentMessages)
+			loop.dispatcher.links = sent
+			loop.enterDividedRegion("a")
+			loop.receiveHeartbeatFrom("b", foreignAddress, time.Second, foreign.knownUpstreams.current)
+			loop.acceptTestJob()
+			loop.declineFrom(schedulerAddress, foreignAddress)
 			heldJob := loop.heldJobs["j"]
+			assert.Equal(t, heldJob.scheduler, foreignAddress)
+			leave(loop)
 			heldJob.retryAt = loop.now
 			loop.submit(heldJob)
-			submitted := loop.dispatcher.links.(sentMessages).submitted(t, schedulerAddress).Submit
+			submitted := sent.submitted(t, schedulerAddress).Submit
 			assert.Assert(t, submitted.Quarantine > 0)
-			assert.Assert(t, submitted.RunsElsewhere || !loop.knownUpstreams.covers(loop.now, submitted.EarlierSets),
-				"the scheduler of the own cell can't find the runs")
+			assert.Assert(t, !loop.knownUpstreams.covers(loop.now, submitted.EarlierSets))
 		})
 	}
 }
@@ -317,24 +250,13 @@
 // Guards against a second run of a task on an upstream that has moved to another cell: the
 // scheduler that has started it there is lost, and the next one polls its own upstreams only.
 func TestSetsOfACellThatLosesUpstreamsAreNotKnown(t *testing.T) {
-	loop := newSchedulerLoop(t)
-	loop.view = region.New(loop.now, region.Member{
-		Address:     schedulerAddress,
-		Domain:      "a",
-		Incarnation: 1,
-	})
+	loop := newEntryVMLoop(t)
 	loop.adoptUpstreams(dividedUpstreams(), 0)
-	whole := loop.setOf(schedulerAddress)
+	whole := loop.knownUpstreams.current
 	assert.Assert(t, loop.knownUpstreams.covers(loop.now, []uint64{whole}))
-	loop.view.HandleHeartbeat(region.Heartbeat{
-		Member: region.Member{
-			Address: foreignAddress,
-			Domain:  "b",
-		},
-	}, 0)
-	loop.applyDivision(loop.view.AdoptDivision(region.DividedByDomain))
-	assert.Assert(t, !loop.knownUpstreams.covers(loop.now, []uint64{whole}), "u2 belongs to another cell")
-	assert.Assert(t, loop.knownUpstreams.covers(loop.now, []uint64{loop.setOf(schedulerAddress)}))
+	loop.enterDividedRegion("a")
+	assert.Assert(t, !loop.knownUpstreams.covers(loop.now, []uint64{whole}), "an upstream belongs to another cell")
+	assert.Assert(t, loop.knownUpstreams.covers(loop.now, []uint64{loop.knownUpstreams.current}))
 }
 
 // Guards against a second run of a task on an upstream that has left the set of its scheduler,
@@ -342,31 +264,25 @@
 // upstreams of the set that the lost one reported.
 func TestSetIsNotReportedWhileRunsGoOnOutsideIt(t *testing.T) {
 	loop := newSchedulerLoop(t)
-	self := loop.view.Self().Address
-	loop.notifyCell(cell.PollReplied{
-		Reply: cell.Reply{
-			Order: cell.Order{
-				Upstream: "u1",
-				Token:    loop.token,
-			},
-			Clock:      1000,
-			SentAt:     loop.now,
-			ReceivedAt: loop.now,
-		},
-		Immediate:   true,
-		Incarnation: 1,
-		Running: []cell.RunningRun{{
-			Run: cell.RunName{
-				Task: cell.TaskName{
-					Job: "j",
-				},
-				Number: 1,
-			},
-		}},
-	})
-	loop.adoptUpstreams(dividedUpstreams()[1:], 0)
-	assert.Assert(t, loop.setOf(self) != unknownSet, "u1 is still a member")
-	loop.now = loop.now.Add(setRetention + time.Second)
-	loop.adoptUpstreams(dividedUpstreams()[1:], 0)
-	assert.Equal(t, loop.setOf(self), unknownSet, "u1 has a run")
+	run := cell.RunningRun{}
+	run.Run.Task.Job = "j"
+	replied := cell.PollReplied{
+		Immediate: true,
+		Running:   []cell.RunningRun{run},
+	}
+	replied.Reply.Order.Upstream = "u1"
+	replied.Reply.Order.Token = loop.token
+	replied.Reply.ReceivedAt = loop.now
+	loop.notifyCell(replied)
+	for _, test := range []struct {
+		waited time.Duration
+		known  bool
+	}{
+		{0, true},
+		{setRetention + time.Second, false},
+	} {
+		loop.now = loop.now.Add(test.waited)
+		loop.adoptUpstreams(dividedUpstreams(), 0)
+		assert.Equal(t, loop.setOf(loop.view.Self().Address) != unknownSet, test.known, "u1 left the list %v before", test.waited)
+	}
 }
--- a/shared/request/cell/lease_test.go
+++ b/shared/request/cell/lease_test.go
@@ -61,41 +61,33 @@
 // Guards against a second run of a task on an upstream that this process can't reach, while the
 // process that has fenced it elsewhere renews the lease there.
 func TestLeaseMayBeRenewedByTheProcessThatFenced(t *testing.T) {
-	for _, isFenced := range []bool{false, true} {
+	limits := cell.DefaultLimits()
+	for isFenced, earliest := range map[bool]time.Duration{false: limits.Lease, true: limits.YieldGrace} {
 		harness := newHarness(t)
 		harness.listUpstreams(nil, "u1", "u2", "u3")
 		harness.passStopGrace(nil, "u1", "u2", "u3")
 		job := testJob("j", 1)
 		job.TimeLeft = 10 * time.Second
 		job.Stretch = 100
-		start := harness.submit(job)[0]
-		harness.confirm(start)
-		others := slices.DeleteFunc([]string{"u1", "u2", "u3"}, func(id string) bool { return id == start.Order.Upstream })
-		lose := func(id string, outcome cell.Outcome) {
-			harness.handle(cell.PollReplied{
-				Reply: harness.reply(cell.Order{
-					Upstream: id,
-					Token:    harness.token,
-				}, outcome),
-			})
-		}
-		for range 2 {
-			lose(start.Order.Upstream, cell.OutcomeUnknown)
+		lost := harness.submit(job)[0].Order.Upstream
+		others := slices.DeleteFunc([]string{"u1", "u2", "u3"}, func(id string) bool { return id == lost })
+		reply := func(id string, outcome cell.Outcome) {
+			replied := cell.PollReplied{}
+			replied.Reply.Order.Upstream = id
+			replied.Reply.Order.Token = harness.token
+			replied.Reply.Outcome = outcome
+			harness.handle(replied)
 		}
+		reply(lost, cell.OutcomeUnknown)
+		reply(lost, cell.OutcomeUnknown)
 		if isFenced {
-			lose(others[0], cell.OutcomeFenced)
+			reply(others[0], cell.OutcomeFenced)
 		}
-		startedAfter := time.Duration(0)
-		for waited := time.Duration(0); startedAfter == 0 && waited < 5*time.Second; waited += 50 * time.Millisecond {
+		starts, waited := 0, time.Duration(0)
+		for ; starts == 0 && waited < 5*time.Second; waited += 50 * time.Millisecond {
 			decisions := harness.advance(50 * time.Millisecond)
-			decisions = append(decisions, harness.answerPoll(others[1], nil)...)
-			if len(decisionsOf[cell.StartRun](decisions)) > 0 {
-				startedAfter = waited
-			}
+			starts = len(decisionsOf[cell.StartRun](append(decisions, harness.answerPoll(others[1], nil)...)))
 		}
-		limits := cell.DefaultLimits()
-		assert.Assert(t, startedAfter > 0, "fenced: %v", isFenced)
-		assert.Equal(t, startedAfter >= limits.YieldGrace-100*time.Millisecond, isFenced, "started after %v", startedAfter)
-		assert.Assert(t, startedAfter >= limits.Lease)
+		assert.Assert(t, waited >= earliest && waited < earliest+500*time.Millisecond, "fenced: %v, started after %v", isFenced, waited)
 	}
 }
--- a/shared/request/cell/resent_job_test.go
+++ b/shared/request/cell/resent_job_test.go
@@ -55,39 +55,29 @@
 }
 
 // Guards against two runs of a job that its caller has sent again into another cell of a
-// divided region: the polls of this cell's upstreams don't show the first run.
+// divided region, as the polls of this cell's upstreams don't show the first run, and against
+// callers that wait for an answer that is certain once these polls are answered.
 func TestResentJobWaitsIfAnotherCellMayRunIt(t *testing.T) {
-	harness := newHarness(t)
-	harness.listUpstreams(nil, "u1")
-	harness.passStopGrace(nil, "u1")
-	harness.unknownUpstreams = true
-	job := testJob("j", 1)
-	job.ResentAfter = 1300 * time.Millisecond
-	job.Quarantine = 600 * time.Millisecond
-	job.EarlierSets = []uint64{cell.AnyUpstreams}
-	job.Stretch = 20
-	assert.Equal(t, len(harness.submit(job)), 0)
-	harness.now = harness.now.Add(100 * time.Millisecond)
-	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.answerPoll("u1", nil))), 0, "u1 does not run it")
-	assert.Equal(t, len(decisionsOf[cell.StartRun](harness.advance(600*time.Millisecond))), 1)
-}
-
-// Guards against callers that wait for an answer that is already certain: the job may start
-// only at the end of its quarantine, which is too late for it.
-func TestResentJobIsGivenUpIfItsQuarantineEndsTooLate(t *testing.T) {
-	harness := newHarness(t)
-	harness.listUpstreams(nil, "u1")
-	harness.passStopGrace(nil, "u1")
-	harness.unknownUpstreams = true
-	job := testJob("j", 1)
-	job.ResentAfter = 1300 * time.Millisecond
-	job.Quarantine = 600 * time.Millisecond
-	job.EarlierSets = []uint64{cell.AnyUpstreams}
-	job.Stretch = 20
-	job.TimeLeft = 700 * time.Millisecond
-	harness.submit(job)
-	assert.Equal(t, len(decisionsOf[cell.AnswerJob](harness.advance(20*time.Millisecond))), 0, "u1 may run it")
-	harness.answerPoll("u1", nil)
-	answer := harness.onlyAnswer(harness.advance(20 * time.Millisecond))
-	assert.Equal(t, answer.Result, cell.Interrupted)
+	for _, isTooLate := range []bool{false, true} {
+		harness := newHarness(t)
+		harness.listUpstreams(nil, "u1")
+		harness.passStopGrace(nil, "u1")
+		harness.unknownUpstreams = true
+		job := testJob("j", 1)
+		job.ResentAfter = 1300 * time.Millisecond
+		job.Quarantine = 600 * time.Millisecond
+		job.EarlierSets = []uint64{cell.AnyUpstreams}
+		job.Stretch = 20
+		if isTooLate {
+			job.TimeLeft = 700 * time.Millisecond
+		}
+		assert.Equal(t, len(harness.submit(job)), 0)
+		assert.Equal(t, len(decisionsOf[cell.AnswerJob](harness.advance(20*time.Millisecond))), 0, "u1 may run it")
+		assert.Equal(t, len(decisionsOf[cell.StartRun](harness.answerPoll("u1", nil))), 0, "u1 does not run it")
+		if isTooLate {
+			assert.Equal(t, harness.onlyAnswer(harness.advance(20*time.Millisecond)).Result, cell.Interrupted)
+			continue
+		}
+		assert.Equal(t, len(decisionsOf[cell.StartRun](harness.advance(600*time.Millisecond))), 1)
+	}
 }
--- a/soak/simulation/simulation_test.go
+++ b/soak/simulation/simulation_test.go
@@ -10,6 +10,28 @@
 	"tanagerfall/soak/simulation"
 )
 
+// reportFailed reports the violations of the series that failed.
+func reportFailed(t *testing.T, summary simulation.Summary) {
+	t.Helper()
+	for _, result := range summary.Failed {
+		for _, violation := range result.Violations {
+			t.Error(violation.Text)
+		}
+	}
+}
+
+// checkRegressions plays seeds that once failed, with the cause.
+func checkRegressions(t *testing.T, causes map[uint64]string) {
+	t.Helper()
+	for seed, cause := range causes {
+		for _, violation := range simulation.Run(simulation.Options{
+			Seed: seed,
+		}).Violations {
+			t.Errorf("%s (once: %s)", violation.Text, cause)
+		}
+	}
+}
+
 // regressionSeeds are seeds that once failed, with the cause.
 var regressionSeeds = map[uint64]string{
 	1:    "a run that is being stopped, and therefore not listed, counted as over",
@@ -40,11 +62,7 @@
 // beside it need the processor; soak simulate plays more.
 func TestHandOverSeeds(t *testing.T) {
 	summary := simulation.RunSeeds(1, 20, 1, simulation.Options{})
-	for _, result := range summary.Failed {
-		for _, violation := range result.Violations {
-			t.Error(violation.Text)
-		}
-	}
+	reportFailed(t, summary)
 	assert.Assert(t, summary.Takeovers > summary.Series, "takeovers: %d", summary.Takeovers)
 	assert.Assert(t, summary.Completed > 20*summary.Series, "completed jobs: %d", summary.Completed)
 }
@@ -93,18 +111,8 @@
 func TestRefusedJobsDoNotStart(t *testing.T) {
 	summary := simulation.RunSeeds(simulation.FirstOverloadSeed, simulation.FirstOverloadSeed+29, 2, simulation.Options{})
 	assert.Assert(t, summary.Refused > 10*summary.Series, "refused requests: %d", summary.Refused)
-	for _, result := range summary.Failed {
-		for _, violation := range result.Violations {
-			t.Error(violation.Text)
-		}
-	}
-	for seed, cause := range refusedSeeds {
-		for _, violation := range simulation.Run(simulation.Options{
-			Seed: seed,
-		}).Violations {
-			t.Errorf("%s (once: %s)", violation.Text, cause)
-		}
-	}
+	reportFailed(t, summary)
+	checkRegressions(t, refusedSeeds)
 }
 
 // Guards against series that can't be repeated, because the product or the model
@@ -137,16 +145,6 @@
 	summary := simulation.RunSeeds(simulation.FirstLongTaskSeed, simulation.FirstLongTaskSeed+19, 2, simulation.Options{})
 	assert.Assert(t, summary.Takeovers > summary.Series, "takeovers: %d", summary.Takeovers)
 	assert.Assert(t, summary.Completed > 20*summary.Series, "completed jobs: %d", summary.Completed)
-	for _, result := range summary.Failed {
-		for _, violation := range result.Violations {
-			t.Error(violation.Text)
-		}
-	}
-	for seed, cause := range longTaskSeeds {
-		for _, violation := range simulation.Run(simulation.Options{
-			Seed: seed,
-		}).Violations {
-			t.Errorf("%s (once: %s)", violation.Text, cause)
-		}
-	}
+	reportFailed(t, summary)
+	checkRegressions(t, longTaskSeeds)
 }
