--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"time"
 )
 
 var scenarios = map[string]func(world *World, seed uint64, trouble bool) error{
 	"cancel": cancelAcrossCut,
+	"limit":  limitAfterCut,
 }
 
 func (world *World) setZones(zones ...string) {
@@ -30,7 +33,7 @@
 // platform, the workers or its clients. The job is cancelled at another one.
 func cancelAcrossCut(world *World, _ uint64, trouble bool) error {
 	world.setZones("z-a", "z-a", "z-b", "z-b", "z-c", "z-c")
-	world.timeoutMs = 30_000
+	world.timeoutMs = 25_000
 	world.targetMs = 5000
 	for i := range 12 {
 		zone := []string{"z-a", "z-b", "z-c"}[i%3]
@@ -85,3 +88,77 @@
 	}
 	return nil
 }
+
+// limitAfterCut: a zone is cut off for a while. Its machines choose a scheduler of their own, which
+// steps down when the cut ends. The workers don't guard their capacity.
+func limitAfterCut(world *World, _ uint64, trouble bool) error {
+	world.setZones("z-a", "z-b", "z-c", "z-a", "z-b", "z-c", "z-a", "z-b", "z-c")
+	world.enforces = false
+	world.timeoutMs, world.targetMs = 12_000, 4000
+	for i := range 18 {
+		if _, err := world.addWorker([]string{"z-a", "z-b", "z-c"}[i%3], resources{16000, 32768, 0}, false, "a"); err != nil {
+			return err
+		}
+	}
+	if err := world.startAll(); err != nil {
+		return err
+	}
+	end := time.Now().Add(22 * time.Second)
+	var group sync.WaitGroup
+	group.Add(1)
+	go func() {
+		defer group.Done()
+		for time.Now().Before(end) {
+			time.Sleep(time.Duration(rand.ExpFloat64() / 17 * float64(time.Second)))
+			job := newJob("2000", Step{Count: 1 + rand.IntN(4), CPU: 4000, Mem: 64, EstimateMs: 2000})
+			at := rand.IntN(len(world.procs))
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				world.submit(job, at, 12*time.Second, 3)
+			}()
+		}
+	}()
+	time.Sleep(contactTime + 2*time.Second)
+	scheduler := world.scheduler()
+	if scheduler < 0 {
+		return fmt.Errorf("no process schedules")
+	}
+	zone := "z-a"
+	if world.procs[scheduler].zone == zone {
+		zone = "z-b"
+	}
+	if trouble {
+		world.record("%s is cut off from the other zones", zone)
+		world.cutZone(zone, true)
+	}
+	time.Sleep(5500 * time.Millisecond)
+	if trouble {
+		world.record("the cut ends")
+		world.cutZone(zone, false)
+	}
+	group.Wait()
+	return nil
+}
+
+// cutZone cuts the processes and workers of a zone off from those of the others, or ends the cut.
+func (world *World) cutZone(zone string, isCut bool) {
+	var inside, outside, insideWorkers, outsideWorkers []int
+	for i, proc := range world.procs {
+		if proc.zone == zone {
+			inside = append(inside, i)
+		} else {
+			outside = append(outside, i)
+		}
+	}
+	for i, worker := range world.workers {
+		if worker.zone == zone {
+			insideWorkers = append(insideWorkers, i)
+		} else {
+			outsideWorkers = append(outsideWorkers, i)
+		}
+	}
+	world.cutProcs(inside, outside, isCut)
+	world.cutWorkers(inside, outsideWorkers, isCut)
+	world.cutWorkers(outside, insideWorkers, isCut)
+}
--- a/review/rig3/checker.go
+++ b/review/rig3/checker.go
@@ -220,7 +220,10 @@
 	world.checker.add(job)
 	began := time.Now()
 	for attempt := 0; ; attempt++ {
-		left := budget - time.Since(began)
+		left := budget
+		if attempt > 0 {
+			left -= time.Since(began)
+		}
 		if left < 10*time.Millisecond {
 			return
 		}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -63,6 +63,10 @@
 		return 2
 	}
 	breaks := world.checker.result()
+	if world.starved.Load() {
+		fmt.Println("the machine was too busy for the stand-ins")
+		return 2
+	}
 	for _, text := range breaks {
 		fmt.Println(text)
 	}
--- a/review/rig3/net.go
+++ b/review/rig3/net.go
@@ -15,44 +15,64 @@
 type owners struct {
 	world *World
 	mutex sync.Mutex
-	cache map[string]int
+	// inodes holds the sockets by their two ends, procs the processes by socket, as of readAt.
+	inodes map[string]string
+	procs  map[string]int
+	readAt time.Time
 }
 
+// maxTableAge is the age from which on the tables are read again for a socket that they lack.
+const maxTableAge = 5 * time.Millisecond
+
 // of returns the index of the process that opened a connection from remote, or -1.
 func (owners *owners) of(remote net.Addr, local net.Addr) int {
-	key := remote.String() + ">" + local.String()
-	owners.mutex.Lock()
-	if owner, known := owners.cache[key]; known {
+	key := hexAddress(remote.(*net.TCPAddr)) + " " + hexAddress(local.(*net.TCPAddr))
+	for range 3 {
+		owners.mutex.Lock()
+		inode, known := owners.inodes[key]
+		proc, held := owners.procs[inode]
+		if (!known || !held) && time.Since(owners.readAt) > maxTableAge {
+			owners.read()
+			inode = owners.inodes[key]
+			proc, held = owners.procs[inode]
+		}
 		owners.mutex.Unlock()
-		return owner
-	}
-	owners.mutex.Unlock()
-	owner := -1
-	if inode := socketInode(remote.(*net.TCPAddr), local.(*net.TCPAddr)); inode != "" {
-		for i, proc := range owners.world.procs {
-			if pid := proc.pid(); pid > 0 && holdsSocket(pid, inode) {
-				owner = i
-				break
-			}
+		if inode != "" && held {
+			return proc
 		}
+		time.Sleep(maxTableAge + time.Millisecond)
 	}
-	return owner
+	return -1
 }
 
-// socketInode returns the inode of the socket whose local end is remote.
-func socketInode(remote, local *net.TCPAddr) string {
+// read reads the tables of sockets and of the descriptors of the started processes.
+func (owners *owners) read() {
+	owners.inodes = make(map[string]string)
+	owners.procs = make(map[string]int)
 	data, err := os.ReadFile("/proc/self/net/tcp")
 	if err != nil {
-		return ""
+		return
 	}
-	want := hexAddress(remote) + " " + hexAddress(local)
 	for _, line := range strings.Split(string(data), "\n") {
-		fields := strings.Fields(line)
-		if len(fields) > 9 && fields[1]+" "+fields[2] == want {
-			return fields[9]
+		if fields := strings.Fields(line); len(fields) > 9 && fields[9] != "0" {
+			owners.inodes[fields[1]+" "+fields[2]] = fields[9]
 		}
 	}
-	return ""
+	for i, proc := range owners.world.procs {
+		pid := proc.pid()
+		if pid == 0 {
+			continue
+		}
+		directory := "/proc/" + strconv.Itoa(pid) + "/fd"
+		entries, _ := os.ReadDir(directory)
+		for _, entry := range entries {
+			target, err := os.Readlink(filepath.Join(directory, entry.Name()))
+			if inode, isSocket := strings.CutPrefix(target, "socket:["); err == nil && isSocket {
+				owners.procs[strings.TrimSuffix(inode, "]")] = i
+			}
+		}
+	}
+	owners.readAt = time.Now()
 }
 
 func hexAddress(address *net.TCPAddr) string {
@@ -60,20 +80,6 @@
 	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], address.Port)
 }
 
-func holdsSocket(pid int, inode string) bool {
-	directory := "/proc/" + strconv.Itoa(pid) + "/fd"
-	entries, err := os.ReadDir(directory)
-	if err != nil {
-		return false
-	}
-	for _, entry := range entries {
-		if target, err := os.Readlink(filepath.Join(directory, entry.Name())); err == nil && target == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
-}
-
 // peerProxy stands between the peer address of a process and its peers.
 type peerProxy struct {
 	world  *World
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -34,9 +34,17 @@
 	return store.topics[topic]
 }
 
+// isCut reports whether the process that sent a request is cut off from the store.
+func (store *Store) isCut(request *http.Request) bool {
+	store.world.mutex.Lock()
+	none := len(store.world.storeCuts) == 0
+	store.world.mutex.Unlock()
+	return !none && store.world.storeCut(callerOf(request))
+}
+
 func (store *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	body, _ := io.ReadAll(request.Body)
-	if store.world.storeCut(callerOf(request)) {
+	if store.isCut(request) {
 		<-request.Context().Done()
 		return
 	}
@@ -80,7 +88,7 @@
 					out = append(out, byte(len(record.key)))
 					out = append(append(out, record.key...), record.value...)
 				}
-				if store.world.storeCut(callerOf(request)) {
+				if store.isCut(request) {
 					<-request.Context().Done()
 					return
 				}
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -33,23 +33,22 @@
 	// stopTime draws how long a stop takes.
 	stopTime func() time.Duration
 
-	mutex      sync.Mutex
-	born       time.Time
-	down       bool
-	token      int64
-	leaseEnd   int64
-	running    map[string]*workerRun
-	endedRun   map[string]int
-	finished   [][]any
-	seq        int
-	state      string
-	drainedAt  time.Time
-	entryGone  bool
-	heldStops  bool
-	changed    chan struct{}
-	lastToken  int64
-	clockRate  float64
-	registered bool
+	mutex     sync.Mutex
+	born      time.Time
+	down      bool
+	token     int64
+	leaseEnd  int64
+	running   map[string]*workerRun
+	endedRun  map[string]int
+	finished  [][]any
+	seq       int
+	state     string
+	drainedAt time.Time
+	entryGone bool
+	changed   chan struct{}
+	clockRate float64
+	lateShare float64
+	lostShare float64
 }
 
 type workerRun struct {
@@ -126,8 +125,7 @@
 }
 
 func (worker *Worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	caller := callerOf(request)
-	if worker.world.workerCut(caller, worker.index) || worker.isDown() {
+	if worker.world.workerCut(request, worker.index) || worker.isDown() {
 		<-request.Context().Done()
 		return
 	}
@@ -140,7 +138,17 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	status, body, changed := worker.execute(request.URL.Path, order, caller)
+	if late := worker.lateAfter(); late > 0 {
+		born := worker.bornAt()
+		time.AfterFunc(late, func() {
+			if worker.bornAt().Equal(born) {
+				worker.execute(request.URL.Path, order, request)
+			}
+		})
+		<-request.Context().Done()
+		return
+	}
+	status, body, changed := worker.execute(request.URL.Path, order, request)
 	deadline := time.Now().Add(time.Duration(min(order.Wait, 2000)) * time.Millisecond)
 	for status == http.StatusOK && order.Wait > 0 && time.Now().Before(deadline) {
 		if ends, ok := body["finished-runs"].([][]any); !ok || len(ends) > 0 {
@@ -156,7 +164,7 @@
 		body, changed = worker.lists(order.LastSeen, time.Now()), worker.changed
 		worker.mutex.Unlock()
 	}
-	if worker.world.workerCut(caller, worker.index) || worker.isDown() {
+	if worker.world.workerCut(request, worker.index) || worker.isDown() || worker.loses() {
 		<-request.Context().Done()
 		return
 	}
@@ -165,13 +173,40 @@
 	_ = json.NewEncoder(writer).Encode(body)
 }
 
+func (worker *Worker) bornAt() time.Time {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	return worker.born
+}
+
+// lateAfter returns after how long an order is to be carried out without an answer, or 0.
+func (worker *Worker) lateAfter() time.Duration {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	if rand.Float64() >= worker.lateShare {
+		return 0
+	}
+	return 2*time.Second + time.Duration(rand.IntN(10_000))*time.Millisecond
+}
+
+// loses reports whether the answer to an order is to be lost.
+func (worker *Worker) loses() bool {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	return rand.Float64() < worker.lostShare
+}
+
 func (worker *Worker) isDown() bool {
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
 	return worker.down
 }
 
-func (worker *Worker) execute(path string, order orderBody, caller int) (int, map[string]any, chan struct{}) {
+func (worker *Worker) execute(path string, order orderBody, request *http.Request) (int, map[string]any, chan struct{}) {
+	caller := -1
+	if strings.HasSuffix(path, "run-start") {
+		caller = callerOf(request)
+	}
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
 	now := time.Now()
@@ -191,7 +226,7 @@
 	case strings.HasSuffix(path, "run-stop"):
 		if run, known := worker.running[order.Task]; known && run.number <= order.Run && run.stopAt.IsZero() {
 			run.stopAt = now.Add(worker.stopTime())
-			worker.world.record("%s stop of %s run %d by p%d", worker.id, order.Task, order.Run, caller)
+			worker.world.record("%s stop of %s run %d", worker.id, order.Task, order.Run)
 		}
 		worker.endedRun[order.Task] = max(worker.endedRun[order.Task], order.Run)
 	case strings.HasSuffix(path, "hold"):
