Review, case 11: tasks run twice when a worker that refuses connections is taken for ended (TWICE)

Cause: an upstream that left the list counts as ended after one refused connection; a cut may refuse connections, and the store removes the entries of workers that it does not hear. Change: review/11 with its script. In review/rig3 each process reaches the workers and the store at addresses of its own.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/platform ] && [ -x target/rig3 ] || { echo "build first"; exit 2; }
-exec timeout --signal=TERM --kill-after=5 118 target/rig3 cancel target/platform review/11/record.txt
+exec timeout --signal=TERM --kill-after=5 118 target/rig3 refused target/platform review/11/record.txt
--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -1,15 +1,19 @@
 package main
 
 import (
+	"encoding/binary"
 	"fmt"
+	"math/bits"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"time"
 )
 
 var scenarios = map[string]func(world *World, seed uint64, trouble bool) error{
-	"cancel": cancelAcrossCut,
-	"limit":  limitAfterCut,
+	"cancel":  cancelAcrossCut,
+	"refused": refusedConnection,
+	"limit":   limitAfterCut,
 }
 
 func (world *World) setZones(zones ...string) {
@@ -35,7 +39,7 @@
 	world.setZones("z-a", "z-a", "z-b", "z-b", "z-c", "z-c")
 	world.timeoutMs = 25_000
 	world.targetMs = 5000
-	for i := range 12 {
+	for i := range 24 {
 		zone := []string{"z-a", "z-b", "z-c"}[i%3]
 		if _, err := world.addWorker(zone, resources{16000, 32768, 0}, true, "a", "r1-1"); err != nil {
 			return err
@@ -162,3 +166,127 @@
 	world.cutWorkers(inside, outsideWorkers, isCut)
 	world.cutWorkers(outside, insideWorkers, isCut)
 }
+
+// xxhash64 returns the hash by which processes are ranked (shared/version/region/election.go), for
+// texts of up to 31 bytes.
+func xxhash64(text string) uint64 {
+	const p1, p2, p3, p4, p5 = 11400714785074694791, 14029467366897019727, 1609587929392839161, 9650029242287828579, 2870177450012600261
+	rotate := func(x uint64, n int) uint64 { return bits.RotateLeft64(x, n) }
+	data := []byte(text)
+	hash := uint64(p5) + uint64(len(data))
+	for ; len(data) >= 8; data = data[8:] {
+		hash ^= rotate(binary.LittleEndian.Uint64(data)*p2, 31) * p1
+		hash = rotate(hash, 27)*p1 + p4
+	}
+	if len(data) >= 4 {
+		hash ^= uint64(binary.LittleEndian.Uint32(data)) * p1
+		hash = rotate(hash, 23)*p2 + p3
+		data = data[4:]
+	}
+	for _, value := range data {
+		hash ^= uint64(value) * p5
+		hash = rotate(hash, 11) * p1
+	}
+	hash = (hash ^ hash>>33) * p2
+	hash = (hash ^ hash>>29) * p3
+	return hash ^ hash>>32
+}
+
+// successor returns the process that schedules next if another one is lost.
+func (world *World) successor(lost int) int {
+	best, bestHash := -1, uint64(0)
+	for i, proc := range world.procs {
+		hash := xxhash64(fmt.Sprintf("%s:%d/leader", proc.ip, world.callerPort+20)) >> 11
+		if i != lost && (best < 0 || hash > bestHash) {
+			best, bestHash = i, hash
+		}
+	}
+	return best
+}
+
+// refusedConnection: two workers are cut off from the store, which removes their entries while they run
+// tasks of the process that schedules. They refuse the connections of the next one. Then the first is killed.
+func refusedConnection(world *World, _ uint64, trouble bool) error {
+	world.proxied = false
+	world.setZones("z-a", "z-b", "z-c", "z-a", "z-b", "z-c", "z-a")
+	world.timeoutMs, world.targetMs = 20_000, 4000
+	for i := range 12 {
+		if _, err := world.addWorker([]string{"z-a", "z-b", "z-c"}[i%3], resources{16000, 32768, 0}, true, "a"); err != nil {
+			return err
+		}
+	}
+	if err := world.startAll(); err != nil {
+		return err
+	}
+	time.Sleep(contactTime + time.Second)
+	for wave := range 3 {
+		scheduler := world.scheduler()
+		if scheduler < 0 {
+			return fmt.Errorf("no process schedules")
+		}
+		next := world.successor(scheduler)
+		taker := world.others(scheduler)[0]
+		for taker == next || taker == scheduler {
+			taker++
+		}
+		cut := []*Worker{world.workers[wave*2], world.workers[wave*2+1]}
+		world.record("wave %d: p%d schedules, p%d is next, p%d takes the jobs; %s and %s are cut off", wave, scheduler, next, taker, cut[0].id, cut[1].id)
+		var group sync.WaitGroup
+		for range 10 {
+			job := newJob("8000", Step{Count: 2, CPU: 6800, Mem: 64, EstimateMs: 8000})
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				world.submit(job, taker, 20*time.Second, 0)
+			}()
+		}
+		time.Sleep(300 * time.Millisecond)
+		if trouble {
+			if err := world.loseScheduler(scheduler, next, cut, os.Getenv("CUTS") != "0"); err != nil {
+				return err
+			}
+		}
+		group.Wait()
+		time.Sleep(3 * time.Second)
+	}
+	return nil
+}
+
+// loseScheduler kills the process that schedules and starts it again 0.5 s later. With cuts, workers lose
+// their path to the store 4.6 s before, for 5 s, and refuse the next scheduler for the last 0.5 s of that.
+func (world *World) loseScheduler(scheduler, next int, cut []*Worker, cuts bool) error {
+	if cuts {
+		for _, worker := range cut {
+			worker.report(5000)
+			worker.setSilent(true)
+		}
+	}
+	time.Sleep(entryLifetime)
+	if cuts {
+		for _, worker := range cut {
+			worker.removeEntry()
+			worker.refuse(next)
+		}
+		world.record("the store has removed the entries; the workers refuse p%d", next)
+	}
+	time.Sleep(100 * time.Millisecond)
+	world.record("p%d is killed", scheduler)
+	world.procs[scheduler].kill()
+	time.Sleep(400 * time.Millisecond)
+	if cuts {
+		for _, worker := range cut {
+			worker.setSilent(false)
+			worker.report(6000)
+			if err := worker.accept(next); err != nil {
+				return err
+			}
+		}
+		world.record("both cuts end")
+	}
+	time.Sleep(100 * time.Millisecond)
+	return world.procs[scheduler].start()
+}
+
+// entryLifetime is three report intervals, after which the store removes the entry of a worker that
+// it does not hear.
+const entryLifetime = 4500 * time.Millisecond
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"regexp"
 	"sort"
 	"strconv"
 	"strings"
@@ -34,6 +35,16 @@
 	return store.topics[topic]
 }
 
+var addressPlaceholder = regexp.MustCompile(`@w(\d+)@`)
+
+// valueFor returns a value with the addresses at which the process that asks reaches the workers.
+func (store *Store) valueFor(request *http.Request, value string) string {
+	return addressPlaceholder.ReplaceAllStringFunc(value, func(found string) string {
+		index, _ := strconv.Atoi(found[2 : len(found)-1])
+		return store.world.workers[index].addresses[callerOf(request)]
+	})
+}
+
 // isCut reports whether the process that sent a request is cut off from the store.
 func (store *Store) isCut(request *http.Request) bool {
 	store.world.mutex.Lock()
@@ -71,7 +82,7 @@
 		sort.Strings(keys)
 		items := []map[string]any{}
 		for _, key := range keys {
-			items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString([]byte(newest[key])), "offset": offsets[key]})
+			items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString([]byte(store.valueFor(request, newest[key]))), "offset": offsets[key]})
 		}
 		_ = json.NewEncoder(writer).Encode(map[string]any{"items": items, "has-more": false, "end-offset": len(records)})
 	case strings.HasSuffix(request.URL.Path, "log-read"):
@@ -84,6 +95,7 @@
 				out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 				out = binary.BigEndian.AppendUint64(out, 0)
 				for _, record := range records[min(from, len(records)):] {
+					record.value = store.valueFor(request, record.value)
 					out = binary.BigEndian.AppendUint32(out, uint32(1+len(record.key)+len(record.value)))
 					out = append(out, byte(len(record.key)))
 					out = append(append(out, record.key...), record.value...)
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,16 +21,19 @@
 
 // Worker stands in for a worker of the platform.
 type Worker struct {
-	world   *World
-	index   int
-	id      string
-	address string
-	service string
-	zone    string
-	room    resources
-	labels  []string
-	guards  bool
-	slots   int
+	world *World
+	index int
+	id    string
+	// addresses holds, by process, the address at which it reaches the worker: that of a proxy
+	// between the two. servers holds the proxies.
+	addresses []string
+	servers   []*http.Server
+	service   string
+	zone      string
+	room      resources
+	labels    []string
+	guards    bool
+	slots     int
 	// stopTime draws how long a stop takes.
 	stopTime func() time.Duration
 
@@ -316,6 +320,33 @@
 	return map[string]any{"clock-ms": worker.clock(now), "born": worker.born.UnixMilli(), "running": running, "finished-runs": ended}
 }
 
+// placeholder stands for the address in the worker's entry, until the store passes it on.
+func (worker *Worker) placeholder() string { return fmt.Sprintf("@w%d@", worker.index) }
+
+// refuse ends the connections of a process to the worker and refuses others.
+func (worker *Worker) refuse(proc int) { _ = worker.servers[proc].Close() }
+
+// accept ends refuse.
+func (worker *Worker) accept(proc int) error {
+	listener, err := net.Listen("tcp", worker.addresses[proc])
+	if err != nil {
+		return err
+	}
+	worker.servers[proc] = worker.world.newServer(proc, worker)
+	go func() { _ = worker.servers[proc].Serve(listener) }()
+	return nil
+}
+
+// setSilent cuts the worker off from the store, or ends the cut.
+func (worker *Worker) setSilent(silent bool) {
+	worker.mutex.Lock()
+	worker.entryGone = silent
+	worker.mutex.Unlock()
+}
+
+// removeEntry removes the worker's entry from the store.
+func (worker *Worker) removeEntry() { worker.world.store.append("keyed.servers", worker.id, "") }
+
 // report writes the worker's entry.
 func (worker *Worker) report(seq int) {
 	worker.mutex.Lock()
@@ -326,7 +357,7 @@
 	labels, _ := json.Marshal(worker.labels)
 	worker.world.store.append("keyed.servers", worker.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-remaining-ms":0,`+
 		`"capacity":{"cpu":%d,"mem-mb":%d,"gpu":%d},"labels":%s,"clock-ms":%d,"born":%d,"seq":%d}`,
-		worker.service, worker.address, worker.zone, worker.slots, worker.state, worker.room.cpu, worker.room.mem, worker.room.gpu,
+		worker.service, worker.placeholder(), worker.zone, worker.slots, worker.state, worker.room.cpu, worker.room.mem, worker.room.gpu,
 		labels, worker.clock(time.Now()), worker.born.UnixMilli(), seq))
 }
 
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -237,17 +237,25 @@
 	}
 }
 
-func (world *World) serve(address string, handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", address)
+// serveFor serves requests of one process only, at an address of its own.
+func (world *World) serveFor(proc int, handler http.Handler) (string, *http.Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
-	}
-	server := &http.Server{Handler: handler}
-	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, sync.OnceValue(func() int { return world.owners.of(conn.RemoteAddr(), conn.LocalAddr()) }))
+		return "", nil, err
 	}
+	server := world.newServer(proc, handler)
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), nil
+	return listener.Addr().String(), server, nil
+}
+
+// newServer returns a server for the requests of one process.
+func (world *World) newServer(proc int, handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler,
+		BaseContext: func(net.Listener) context.Context {
+			return context.WithValue(context.Background(), connKey{}, func() int { return proc })
+		},
+	}
 }
 
 // newWorld prepares a deployment with a number of processes in zones.
@@ -273,11 +281,14 @@
 		guards: guards, slots: 8, state: "ready", changed: make(chan struct{}), clockRate: 1, stopTime: randomStop,
 	}
 	worker.reboot()
-	address, err := world.serve("127.0.0.1:0", worker)
-	if err != nil {
-		return nil, err
+	for proc := range world.procs {
+		address, server, err := world.serveFor(proc, worker)
+		if err != nil {
+			return nil, err
+		}
+		worker.addresses = append(worker.addresses, address)
+		worker.servers = append(worker.servers, server)
 	}
-	worker.address = address
 	world.workers = append(world.workers, worker)
 	go worker.loop()
 	return worker, nil
@@ -300,9 +311,13 @@
 
 // startAll starts the stand-ins and the processes, and waits until all are ready.
 func (world *World) startAll() error {
-	storeAddress, err := world.serve("127.0.0.1:0", world.store)
-	if err != nil {
-		return err
+	var storeAddresses []string
+	for proc := range world.procs {
+		address, _, err := world.serveFor(proc, world.store)
+		if err != nil {
+			return err
+		}
+		storeAddresses = append(storeAddresses, address)
 	}
 	world.publish()
 	for _, worker := range world.workers {
@@ -334,13 +349,15 @@
 			"bounds: {contact-ms: 3000, ack-ms: 4000, drain-ms: 2000, grace-s: 6, config-apply-ms: 2000, hold-max-ms: 1000, stop-grace-ms: 50, cancel_ms: 3000, resend-ms: 1300}\n"+
 			"orders: invocation\nplatform: {address: %q, form: log}\n",
 			i, proc.ip, proc.zone, proc.ip, port, proc.ip, port+1, proc.ip, port+5, port+20, port+35, strings.Join(seeds, ","),
-			world.shareCPU, world.memoryMb, world.linkMbps, storeAddress)
+			world.shareCPU, world.memoryMb, world.linkMbps, storeAddresses[i])
 		if err := os.WriteFile(proc.settings, []byte(settings), 0o600); err != nil {
 			return err
 		}
-		if proc.logFile, err = os.Create(filepath.Join(world.directory, fmt.Sprintf("p%d.log", i))); err != nil {
+		logFile, err := os.Create(filepath.Join(world.directory, fmt.Sprintf("p%d.log", i)))
+		if err != nil {
 			return err
 		}
+		proc.logFile = logFile
 		if world.proxied {
 			proxy, err := newPeerProxy(world, i, fmt.Sprintf("%s:%d", proc.ip, port+20), fmt.Sprintf("%s:%d", proc.ip, port+21))
 			if err != nil {
