--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -13,6 +13,7 @@
 var scenarios = map[string]func(world *World, seed uint64, trouble bool) error{
 	"cancel":  cancelAcrossCut,
 	"refused": refusedConnection,
+	"foreign": foreignEntry,
 	"limit":   limitAfterCut,
 }
 
@@ -290,3 +291,50 @@
 // entryLifetime is three report intervals, after which the store removes the entry of a worker that
 // it does not hear.
 const entryLifetime = 4500 * time.Millisecond
+
+// foreignEntry: entries of another writer, with fields missing, name workers that lack a label as if they
+// had it.
+func foreignEntry(world *World, _ uint64, trouble bool) error {
+	world.proxied = false
+	world.setZones("z-a", "z-b", "z-c", "z-a", "z-b", "z-c", "z-a")
+	world.timeoutMs, world.targetMs = 5000, 2000
+	for i := range 12 {
+		kind := "a"
+		if i >= 9 {
+			kind = "b"
+		}
+		if _, err := world.addWorker([]string{"z-a", "z-b", "z-c"}[i%3], resources{16000, 32768, 0}, true, kind, "r1-1"); err != nil {
+			return err
+		}
+	}
+	if err := world.startAll(); err != nil {
+		return err
+	}
+	end := time.Now().Add(20 * time.Second)
+	if trouble {
+		go func() {
+			time.Sleep(contactTime + 2*time.Second)
+			for round := range 3 {
+				world.workers[2*round].writeForeignEntry("b", "r1-1")
+				world.workers[2*round+1].writeForeignEntry("b", "r1-1")
+				time.Sleep(4 * time.Second)
+			}
+		}()
+	}
+	var group sync.WaitGroup
+	for i := 0; time.Now().Before(end); i++ {
+		time.Sleep(60 * time.Millisecond)
+		step := Step{Count: 2, CPU: 6800, Mem: 64, EstimateMs: 250}
+		if i%4 != 0 {
+			step.Requirements = "b"
+		}
+		job := newJob("250", step)
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			world.submit(job, rand.IntN(len(world.procs)), 5*time.Second, 0)
+		}()
+	}
+	group.Wait()
+	return nil
+}
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -354,11 +354,25 @@
 	if worker.down || worker.entryGone {
 		return
 	}
-	labels, _ := json.Marshal(worker.labels)
-	worker.world.store.append("keyed.servers", worker.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-remaining-ms":0,`+
+	worker.world.store.append("keyed.servers", worker.id, worker.entry(`"version":"v1","cold-remaining-ms":0,`, worker.labels, seq))
+}
+
+// entry returns an entry of the worker with the given fields before the others.
+func (worker *Worker) entry(fields string, labels []string, seq int) string {
+	encoded, _ := json.Marshal(labels)
+	return fmt.Sprintf(`{%s"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q,`+
 		`"capacity":{"cpu":%d,"mem-mb":%d,"gpu":%d},"labels":%s,"clock-ms":%d,"born":%d,"seq":%d}`,
-		worker.service, worker.placeholder(), worker.zone, worker.slots, worker.state, worker.room.cpu, worker.room.mem, worker.room.gpu,
-		labels, worker.clock(time.Now()), worker.born.UnixMilli(), seq))
+		fields, worker.service, worker.placeholder(), worker.zone, worker.slots, worker.state, worker.room.cpu, worker.room.mem, worker.room.gpu,
+		encoded, worker.clock(time.Now()), worker.born.UnixMilli(), seq)
+}
+
+// writeForeignEntry writes an entry under the worker's key as another writer: without the fields
+// version and cold-remaining-ms, and with other labels.
+func (worker *Worker) writeForeignEntry(labels ...string) {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	worker.world.store.append("keyed.servers", worker.id, worker.entry("", labels, 3))
+	worker.world.record("another writer's entry for %s, without version and cold-remaining-ms: labels %v", worker.id, labels)
 }
 
 // drain makes the worker report that it drains, and records when the store accepted it.
