--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -273,7 +273,7 @@
 	time.Sleep(100 * time.Millisecond)
 	world.record("p%d is killed", scheduler)
 	world.procs[scheduler].kill()
-	time.Sleep(400 * time.Millisecond)
+	time.Sleep(380 * time.Millisecond)
 	if cuts {
 		for _, worker := range cut {
 			worker.setSilent(false)
@@ -284,7 +284,7 @@
 		}
 		world.record("both cuts end")
 	}
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(120 * time.Millisecond)
 	return world.procs[scheduler].start()
 }
 
