--- a/shared/process/dispatcher/forgotten_upstream_test.go
+++ b/shared/process/dispatcher/forgotten_upstream_test.go
@@ -24,7 +24,7 @@
 		loop.adoptUpstreams(upstreams, 0)
 	}
 	read("u1", "u2")
-	withBoth := []uint64{loop.knownUpstreams.current}
+	withBoth := []uint64{loop.knownUpstreams.listed}
 	read("u1")
 	removedAt := loop.now
 	// The list is read every 1.5 s, as by a standby.
--- a/shared/process/dispatcher/heartbeat.go
+++ b/shared/process/dispatcher/heartbeat.go
@@ -52,6 +52,7 @@
 		loop.answerForeignHeartbeat(heartbeat)
 		return
 	}
+	loop.knownUpstreams.record(loop.now, heartbeat.UpstreamSet, heartbeat.UpstreamsOutside)
 	loop.dispatcher.links.Open(loop.ctx, address)
 	if !wasLive {
 		loop.log(logevent.MemberJoined, "member", address, "name", heartbeat.Member.Name)
@@ -243,7 +244,10 @@
 	}
 	if loop.cell != nil {
 		heartbeat.PendingJobs = loop.regionPending()
-		heartbeat.UpstreamSet = loop.reportedSet()
+		heartbeat.UpstreamSet, heartbeat.UpstreamsOutside = loop.reportedSet()
+		if heartbeat.UpstreamSet == unknownSet {
+			heartbeat.UpstreamsOutside = nil
+		}
 		heartbeat.Admission = loop.cell.AdmissionStates()
 	}
 	loop.send(address, link.Message{
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -56,7 +56,10 @@
 		GuardsCapacity: loop.guardsCapacity,
 		WarmUp:         loop.warmUp,
 		KnowsUpstreams: func(sets []uint64) bool { return loop.knownUpstreams.covers(loop.now, sets) },
-		Limits:         loop.options.Limits,
+		MayHoldRuns: func(upstream string, sets []uint64) bool {
+			return loop.knownUpstreams.mayContain(loop.now, sets, upstream)
+		},
+		Limits: loop.options.Limits,
 	})
 	loop.overloaded = make(map[string]bool)
 	loop.loadMonitor = loadMonitor{
--- a/shared/process/dispatcher/upstream_sets_test.go
+++ b/shared/process/dispatcher/upstream_sets_test.go
@@ -86,25 +86,31 @@
 	assert.Assert(t, !known.covers(now, nil) && !known.covers(now, []uint64{0}), "nothing is known yet")
 	known.update(now, list("a", "b"), removedAt)
 	other.update(now, list("b", "a"), removedAt)
-	assert.Assert(t, known.covers(now, []uint64{other.current}))
-	earlier := known.current
+	assert.Assert(t, known.covers(now, []uint64{other.listed}))
+	earlier := known.listed
 
 	known.update(now, list("a", "b", "c"), removedAt)
-	assert.Assert(t, known.covers(now.Add(time.Second), []uint64{earlier, known.current}), "c was added just now")
+	assert.Assert(t, known.covers(now.Add(time.Second), []uint64{earlier, known.listed}), "c was added just now")
 	other.update(now, list("a", "b", "d"), removedAt)
-	assert.Assert(t, !known.covers(now, []uint64{earlier, other.current}), "d is not known")
+	assert.Assert(t, !known.covers(now, []uint64{earlier, other.listed}), "d is not known")
 
+	withB := []uint64{known.listed}
 	removedAt["b"] = now
-	now = now.Add(setRetention)
 	known.update(now, list("a", "b", "c"), removedAt)
-	withRemoved := known.current
+	assert.Assert(t, known.listed != withB[0], "a scheduler without runs on b does not report it any more")
+	for _, age := range []time.Duration{0, removedRetention} {
+		assert.Assert(t, known.covers(now.Add(age), withB) && known.mayContain(now.Add(age), withB, "b"), "b is still known")
+	}
+	withoutB := []uint64{known.listed}
 	now = now.Add(time.Second)
+	removedAt["c"] = now
 	known.update(now, list("a", "b", "c"), removedAt)
-	assert.Assert(t, known.current != withRemoved, "a scheduler does not report b any more")
-	assert.Assert(t, known.covers(now, []uint64{withRemoved}), "b is still known")
-	now = now.Add(removedRetention - setRetention)
+	assert.Assert(t, known.covers(now, withoutB) && !known.mayContain(now, withoutB, "b") && known.mayContain(now, withoutB, "c"))
+	now = now.Add(removedRetention)
+	delete(removedAt, "b")
 	known.update(now, list("a", "c"), removedAt)
-	assert.Assert(t, !known.covers(now.Add(time.Second), []uint64{withRemoved}), "b was forgotten")
+	assert.Assert(t, !known.covers(now, withB) && known.mayContain(now, withB, "c"), "b was forgotten")
+	assert.Assert(t, known.covers(now, withoutB), "c is still known")
 }
 
 // Guards against a second run of a task that another scheduler has started on an upstream
@@ -112,16 +118,51 @@
 // counts as empty.
 func TestUpstreamSetsDistinguishThoseThatLeave(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	upstream := cell.Upstream{
-		ID: "a",
-	}
+	upstreams := []cell.Upstream{{ID: "a"}, {ID: "b"}}
 	var known, other upstreamSets
-	other.update(now, []cell.Upstream{upstream}, nil)
-	upstream.Leaving = true
-	known.update(now, []cell.Upstream{upstream}, nil)
-	assert.Assert(t, !known.covers(now, []uint64{other.current}))
-	other.update(now, []cell.Upstream{upstream}, nil)
-	assert.Assert(t, known.covers(now, []uint64{other.current}))
+	other.update(now, upstreams, nil)
+	reported := []uint64{other.listed}
+	upstreams[0].Leaving = true
+	known.update(now, upstreams, nil)
+	assert.Assert(t, known.covers(now, reported))
+	upstreams[0].Removed = true
+	known.update(now, upstreams, map[string]time.Time{
+		"a": now,
+	})
+	assert.Assert(t, known.covers(now, reported) && known.mayContain(now, reported, "a"))
+	reported = []uint64{known.listed}
+	assert.Assert(t, !known.mayContain(now, reported, "a"), "it has left the list of the other one as well")
+}
+
+// Guards against a second run of a task on an upstream that has left the list of its scheduler
+// and goes on: the next scheduler is to ask it, and to ask no other one that has left the list.
+func TestReportedSetNamesUpstreamsOutsideTheList(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	list := func(removed ...string) []cell.Upstream {
+		upstreams := []cell.Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+		for i := range upstreams {
+			upstreams[i].Removed = slices.Contains(removed, upstreams[i].ID)
+		}
+		return upstreams
+	}
+	removedAt := map[string]time.Time{
+		"b": now,
+		"c": now,
+	}
+	var scheduler, next upstreamSets
+	for _, sets := range []*upstreamSets{&scheduler, &next} {
+		sets.update(now, list(), nil)
+		sets.update(now, list("b", "c"), removedAt)
+	}
+	reported := []uint64{scheduler.withOutside([]string{"b"})}
+	assert.Assert(t, !next.covers(now, reported), "its members are not known yet")
+	assert.Assert(t, next.mayContain(now, reported, "c"), "any upstream may be a member of an unknown set")
+	next.record(now, reported[0], []string{"b"})
+	assert.Assert(t, next.covers(now, reported))
+	assert.Assert(t, next.mayContain(now, reported, "b") && !next.mayContain(now, reported, "c"))
+	next.update(now.Add(removedRetention), list("c")[:1], nil)
+	assert.Assert(t, !next.covers(now.Add(removedRetention), reported), "b was forgotten")
+	assert.Equal(t, scheduler.withOutside(make([]string, maxOutside+1)), unknownSet, "too many to be named")
 }
 
 // Guards against a second run of a task on an upstream that a scheduler learned of after
@@ -232,7 +273,7 @@
 			sent := make(sentMessages)
 			loop.dispatcher.links = sent
 			loop.enterDividedRegion("a")
-			loop.receiveHeartbeatFrom("b", foreignAddress, time.Second, foreign.knownUpstreams.current)
+			loop.receiveHeartbeatFrom("b", foreignAddress, time.Second, foreign.knownUpstreams.listed)
 			loop.acceptTestJob()
 			loop.declineFrom(schedulerAddress, foreignAddress)
 			heldJob := loop.heldJobs["j"]
@@ -252,18 +293,20 @@
 func TestSetsOfACellThatLosesUpstreamsAreNotKnown(t *testing.T) {
 	loop := newEntryVMLoop(t)
 	loop.adoptUpstreams(dividedUpstreams(), 0)
-	whole := loop.knownUpstreams.current
+	whole := loop.knownUpstreams.listed
 	assert.Assert(t, loop.knownUpstreams.covers(loop.now, []uint64{whole}))
 	loop.enterDividedRegion("a")
 	assert.Assert(t, !loop.knownUpstreams.covers(loop.now, []uint64{whole}), "an upstream belongs to another cell")
-	assert.Assert(t, loop.knownUpstreams.covers(loop.now, []uint64{loop.knownUpstreams.current}))
+	assert.Assert(t, loop.knownUpstreams.covers(loop.now, []uint64{loop.knownUpstreams.listed}))
 }
 
-// Guards against a second run of a task on an upstream that has left the set of its scheduler,
-// as one that drains for longer than its entry is remembered: the next scheduler knows all
-// upstreams of the set that the lost one reported.
-func TestSetIsNotReportedWhileRunsGoOnOutsideIt(t *testing.T) {
+// Guards against a second run of a task on an upstream that has left the list of its scheduler,
+// as one that drains for longer than its entry is remembered: the next scheduler takes it for one
+// without runs unless the heartbeats of the lost one name it.
+func TestHeartbeatNamesUpstreamsWithRunsOutsideTheList(t *testing.T) {
 	loop := newSchedulerLoop(t)
+	sent := make(sentMessages)
+	loop.dispatcher.links = sent
 	run := cell.RunningRun{}
 	run.Run.Task.Job = "j"
 	replied := cell.PollReplied{
@@ -274,15 +317,14 @@
 	replied.Reply.Order.Token = loop.token
 	replied.Reply.ReceivedAt = loop.now
 	loop.notifyCell(replied)
-	for _, test := range []struct {
-		waited time.Duration
-		known  bool
-	}{
-		{0, true},
-		{setRetention + time.Second, false},
-	} {
-		loop.now = loop.now.Add(test.waited)
+	for _, waited := range []time.Duration{0, removedRetention + time.Second} {
+		loop.now = loop.now.Add(waited)
 		loop.adoptUpstreams(dividedUpstreams(), 0)
-		assert.Equal(t, loop.setOf(loop.view.Self().Address) != unknownSet, test.known, "u1 left the list %v before", test.waited)
+		set, outside := loop.reportedSet()
+		assert.DeepEqual(t, outside, []string{"u1"})
+		assert.Assert(t, set != loop.knownUpstreams.listed, "u1 left the list %v before", waited)
+		loop.sendHeartbeat("peer", false)
+		heartbeat := sent["peer"][len(sent["peer"])-1].Heartbeat
+		assert.Assert(t, heartbeat.UpstreamSet == set && slices.Equal(heartbeat.UpstreamsOutside, outside))
 	}
 }
--- a/shared/request/cell/cell_test.go
+++ b/shared/request/cell/cell_test.go
@@ -28,6 +28,8 @@
 	speeds map[string]float64
 	// unknownUpstreams is set if an earlier scheduler knew upstreams that are not listed.
 	unknownUpstreams bool
+	// idleRemoved is set if earlier schedulers reported no runs on upstreams that left the list.
+	idleRemoved bool
 	// warmUp is how the upstreams start.
 	warmUp routing.WarmUp
 	// lastDecisions holds the decisions on the last immediate poll of
@@ -72,6 +74,7 @@
 		GuardsCapacity: func(string) bool { return harness.guardsCapacity },
 		WarmUp:         func(string) routing.WarmUp { return harness.warmUp },
 		KnowsUpstreams: func([]uint64) bool { return !harness.unknownUpstreams },
+		MayHoldRuns:    func(string, []uint64) bool { return !harness.idleRemoved },
 		Limits:         cell.DefaultLimits(),
 	})
 }
--- a/shared/request/cell/config.go
+++ b/shared/request/cell/config.go
@@ -40,6 +40,9 @@
 	// KnowsUpstreams reports whether this process knows all upstreams of the sets that
 	// Job.EarlierSets identifies.
 	KnowsUpstreams func(sets []uint64) bool
+	// MayHoldRuns reports whether a scheduler that reported one of the sets may have runs on an
+	// upstream that has left the list of this process.
+	MayHoldRuns func(upstream string, sets []uint64) bool
 	// Limits holds time limits and thresholds; see DefaultLimits.
 	Limits Limits
 }
--- a/shared/request/cell/entry.go
+++ b/shared/request/cell/entry.go
@@ -1,9 +1,6 @@
 package cell
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // entryState compares the entry of an upstream on the platform's list with the
 // incarnation that answered last. Labels, slots, capacity and failure domain belong to
@@ -54,9 +51,6 @@
 // runs of the earlier one have ended, because an entry may be from another writer.
 func (cell *Cell) replaceEntry(upstream *upstreamState, entry Upstream) {
 	upstream.present = !entry.Removed
-	if upstream.present {
-		upstream.refusedAt = time.Time{}
-	}
 	if entry.Incarnation < upstream.listing.Incarnation && upstream.entryState() == entryCurrent {
 		upstream.listing.Removed = entry.Removed
 		return
--- a/shared/request/cell/holders.go
+++ b/shared/request/cell/holders.go
@@ -40,6 +40,7 @@
 // awaitQuarantine polls the upstreams that may have runs of a job.
 func (cell *Cell) awaitQuarantine(job *jobState) {
 	cell.quarantinedUntil = laterOf(cell.quarantinedUntil, job.quarantineEnd)
+	cell.askRemoved(job)
 	cell.verifyService(job.submitted.Service)
 }
 
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -241,8 +241,9 @@
 	OutcomeRestarted
 	// OutcomeInvalid means that the upstream can't parse the order.
 	OutcomeInvalid
-	// OutcomeRefused means that no process listens at the upstream's address, so that the
-	// order can't have reached the upstream.
+	// OutcomeRefused means that the connection to the upstream's address was refused, so that
+	// the order can't have reached the upstream. It does not prove that the runs of the upstream
+	// have ended, because a network partition may refuse connections too.
 	OutcomeRefused
 )
 
--- a/shared/request/cell/takeover.go
+++ b/shared/request/cell/takeover.go
@@ -8,7 +8,7 @@
 // claim takes over an upstream if this process's claim allows it.
 func (cell *Cell) claim(upstream *upstreamState) {
 	claim := ClaimNone
-	if upstream.present || cell.asksRemoved(upstream) {
+	if upstream.present || (upstream.listing.Removed && cell.now.Before(upstream.askUntil)) {
 		claim = cell.config.Claims(upstream.listing)
 	}
 	switch claim {
@@ -111,8 +111,7 @@
 		return false
 	}
 	if !job.submitted.Released {
-		return cell.config.KnowsUpstreams(job.submitted.EarlierSets) &&
-			cell.serviceVerifiedSince(job.submitted.Service, job.submittedAt)
+		return cell.config.KnowsUpstreams(job.submitted.EarlierSets) && cell.serviceVerified(job, cell.mayHoldRuns)
 	}
 	for _, id := range job.submitted.RunsAt {
 		upstream, ok := cell.upstreams[id]
@@ -125,10 +124,13 @@
 
 // earliestStart returns the earliest time at which a waiting task of a job can start. If
 // another cell may have runs of the job, no poll shortens the quarantine once the upstreams of
-// this one have shown that they have none.
+// this one have shown that they have none. Those that left the list and do not answer are not
+// waited for, because most of them have ended.
 func (cell *Cell) earliestStart(job *jobState) time.Time {
-	if job.startsAllowed || !slices.Contains(job.submitted.EarlierSets, AnyUpstreams) ||
-		!cell.serviceVerifiedSince(job.submitted.Service, job.submittedAt) {
+	mayAnswer := func(upstream *upstreamState, job *jobState) bool {
+		return upstream.present || (upstream.missedPolls == 0 && cell.mayHoldRuns(upstream, job))
+	}
+	if job.startsAllowed || !slices.Contains(job.submitted.EarlierSets, AnyUpstreams) || !cell.serviceVerified(job, mayAnswer) {
 		return cell.now
 	}
 	return laterOf(cell.now, job.quarantineEnd)
@@ -143,52 +145,68 @@
 	return upstream.status == upstreamOpen && !upstream.verifiedAt.Before(since) && !upstream.verifiedAt.Before(graceEnd)
 }
 
-// serviceVerifiedSince reports whether all upstreams of a service listed their
-// runs in answer to orders that were sent after a time, so that no other
-// process can have runs there that this one does not know. An upstream that
-// left the list may be cut off from the store only and still execute runs, also
-// if it was draining.
-func (cell *Cell) serviceVerifiedSince(service string, since time.Time) bool {
-	anyListed := false
+// serviceVerified reports whether all upstreams of a job's service that isNeeded selects
+// listed their runs in answer to orders that were sent after the job was submitted, so that
+// no other process can have runs there that this one does not know.
+func (cell *Cell) serviceVerified(job *jobState, isNeeded func(*upstreamState, *jobState) bool) bool {
+	anyNeeded := false
 	for _, upstream := range cell.upstreamOrder {
-		if upstream.listing.Service != service || (!upstream.present && !upstream.listing.Removed) || upstream.hasEnded(since) {
+		if upstream.listing.Service != job.submitted.Service || !isNeeded(upstream, job) {
 			continue
 		}
-		anyListed = true
-		if !cell.runsKnownSince(upstream, since) {
+		anyNeeded = true
+		if !cell.runsKnownSince(upstream, job.submittedAt) {
 			return false
 		}
 	}
-	return anyListed
+	return anyNeeded
 }
 
-// HasRunsOutside reports whether there may be runs on upstreams that are neither listed nor
-// members of a set.
-func (cell *Cell) HasRunsOutside(isMember func(id string) bool) bool {
-	return slices.ContainsFunc(cell.upstreamOrder, func(upstream *upstreamState) bool {
-		return !upstream.present && len(upstream.runs) > 0 && !isMember(upstream.listing.ID)
-	})
+// mayHoldRuns reports whether an earlier scheduler of a job may have runs on an upstream. One
+// that left the list may be cut off from the store only and still execute runs, and it may
+// refuse the connections of this process alone, so only what that scheduler has reported shows
+// that it has none there.
+func (cell *Cell) mayHoldRuns(upstream *upstreamState, job *jobState) bool {
+	return upstream.present ||
+		(upstream.listing.Removed && cell.config.MayHoldRuns(upstream.listing.ID, job.submitted.EarlierSets))
 }
 
-// hasEnded reports whether an upstream that left the list has ended: its address refuses
-// connections or belongs to another worker. One that was not draining may start again under
-// its ID, so the refusal must be of an order that was sent after a time.
-func (upstream *upstreamState) hasEnded(since time.Time) bool {
-	return upstream.listing.Removed && !upstream.refusedAt.IsZero() &&
-		(upstream.listing.Leaving || !upstream.refusedAt.Before(since))
+// RunsOutside returns the IDs of the upstreams that left the list and may have runs.
+func (cell *Cell) RunsOutside() []string {
+	var ids []string
+	for _, upstream := range cell.upstreamOrder {
+		if !upstream.present && len(upstream.runs) > 0 {
+			ids = append(ids, upstream.listing.ID)
+		}
+	}
+	return ids
 }
 
-// asksRemoved reports whether an upstream that left the list is to be polled: a job may have
-// runs there that an earlier Cell started.
-func (cell *Cell) asksRemoved(upstream *upstreamState) bool {
-	return upstream.listing.Removed && !upstream.hasEnded(cell.now) &&
-		(cell.withinAdoptionWindow() || cell.now.Before(cell.quarantinedUntil))
+// askRemoved polls the upstreams that left the list and may have runs of a job, until its
+// quarantine ends.
+func (cell *Cell) askRemoved(job *jobState) {
+	for _, upstream := range cell.upstreamOrder {
+		if !upstream.listing.Removed || upstream.listing.Service != job.submitted.Service {
+			continue
+		}
+		isNeeded := cell.mayHoldRuns(upstream, job)
+		if job.submitted.Released {
+			isNeeded = slices.Contains(job.submitted.RunsAt, upstream.listing.ID)
+		}
+		if !isNeeded {
+			continue
+		}
+		upstream.askUntil = laterOf(upstream.askUntil, job.quarantineEnd)
+		if upstream.status == upstreamOwnedElsewhere {
+			cell.claim(upstream)
+		}
+	}
 }
 
 // leaveRemoved stops polling an upstream that left the list and has no known runs, once no
 // answer from it is needed.
 func (cell *Cell) leaveRemoved(upstream *upstreamState) bool {
-	if !upstream.listing.Removed || len(upstream.runs) > 0 || cell.asksRemoved(upstream) {
+	if !upstream.listing.Removed || len(upstream.runs) > 0 || cell.now.Before(upstream.askUntil) {
 		return false
 	}
 	cell.setStatus(upstream, upstreamOwnedElsewhere, "left the list")
--- a/shared/request/cell/upstreams.go
+++ b/shared/request/cell/upstreams.go
@@ -75,9 +75,9 @@
 	// verifiedAt is when the last order was sent that the upstream accepted and
 	// answered with its runs.
 	verifiedAt time.Time
-	// refusedAt is when the last order was sent that no process or another worker received at
-	// the address, after the upstream left the list; zero if it has answered since.
-	refusedAt time.Time
+	// askUntil is until when the upstream is polled although it left the list, because a job
+	// may have runs there that an earlier scheduler started.
+	askUntil time.Time
 
 	runs map[RunName]*runState
 	// orphanCount counts the runs of jobs that the Cell does not have. Another
@@ -132,6 +132,13 @@
 		remaining = append(remaining, upstream)
 	}
 	cell.upstreamOrder = remaining
+	if cell.now.Before(cell.quarantinedUntil) {
+		for _, id := range cell.jobIDs() {
+			if job := cell.jobs[id]; !job.startsAllowed && cell.now.Before(job.quarantineEnd) {
+				cell.askRemoved(job)
+			}
+		}
+	}
 	cell.measureSpeeds()
 	for _, upstream := range cell.upstreamOrder {
 		cell.tickUpstream(upstream)
@@ -296,13 +303,6 @@
 	case OutcomeFenced:
 		// A later order of this Cell with a higher token overtook this one.
 		cell.requestPoll(upstream)
-	case OutcomeRefused, OutcomeRestarted:
-		if upstream.listing.Removed {
-			upstream.refusedAt = event.Reply.SentAt
-			// Jobs in quarantine may have waited for this upstream.
-			cell.placementPending = true
-		}
-		cell.pollUnanswered(upstream)
 	default:
 		cell.pollUnanswered(upstream)
 	}
@@ -337,7 +337,6 @@
 		return
 	}
 	upstream.missedPolls = 0
-	upstream.refusedAt = time.Time{}
 	if event.Reply.Clock < upstream.clock {
 		// An answer that was overtaken by a later one says nothing about the
 		// present.
--- a/shared/version/region/view.go
+++ b/shared/version/region/view.go
@@ -103,9 +103,12 @@
 	ShedShare float64 `cbor:"12,keyasint,omitempty"`
 	// Division is how the sender takes the region to be divided.
 	Division Division `cbor:"13,keyasint,omitempty"`
-	// UpstreamSet identifies the set of upstreams that the sender knows, of which some
-	// may have left the list; 0 if it knows none. Only a scheduler sets it.
+	// UpstreamSet identifies the set of upstreams on which the sender may have runs: those on
+	// its list, and UpstreamsOutside. It is 0 if the set is not known. Only a scheduler sets it.
 	UpstreamSet uint64 `cbor:"14,keyasint,omitempty"`
+	// UpstreamsOutside holds the IDs of the upstreams that left the sender's list and may have
+	// runs of it.
+	UpstreamsOutside []string `cbor:"31,keyasint,omitempty"`
 	// Unheard is set if the sender does not hear the receiver. The stream from the receiver
 	// may have become silent for good without breaking.
 	Unheard bool `cbor:"15,keyasint,omitempty"`
--- a/soak/simulation/overload_troubles.go
+++ b/soak/simulation/overload_troubles.go
@@ -23,6 +23,9 @@
 	if world.hasLongTasks() {
 		troubles = append(troubles, world.breakCallersAndStream, world.restartScheduler, world.cutDrainedWorkers)
 	}
+	if world.hasRefusingCuts() {
+		troubles = append(troubles, world.refuseSchedulers, world.refuseSchedulers, world.refuseSchedulers)
+	}
 	number := int(world.options.Seed-FirstOverloadSeed) / 4
 	plan := func(trouble func()) {
 		world.after(from+world.between(0, length), trouble)
--- a/soak/simulation/process.go
+++ b/soak/simulation/process.go
@@ -387,6 +387,8 @@
 	worker := exchange.worker
 	faults := worker.faults
 	switch {
+	case world.refused(exchange.process.node, worker.node):
+		world.after(2*world.latency(), func() { exchange.finish(cell.OutcomeRefused) })
 	case world.blocked(exchange.process.node, worker.node):
 		if world.chance(0.4) {
 			// No connection could be opened.
--- a/soak/simulation/simulation_test.go
+++ b/soak/simulation/simulation_test.go
@@ -118,7 +118,7 @@
 // Guards against series that can't be repeated, because the product or the model
 // depends on something beside the seed.
 func TestEqualSeedsYieldEqualSeries(t *testing.T) {
-	for _, seed := range []uint64{1, 2, 3, simulation.FirstEvacuationSeed + 1, simulation.FirstOverloadSeed + 1, simulation.FirstLongTaskSeed} {
+	for _, seed := range []uint64{1, 2, 3, simulation.FirstEvacuationSeed + 1, simulation.FirstOverloadSeed + 1, simulation.FirstLongTaskSeed, simulation.FirstRefusingCutSeed} {
 		var first, second bytes.Buffer
 		for _, log := range []*bytes.Buffer{&first, &second} {
 			simulation.Run(simulation.Options{
@@ -148,3 +148,21 @@
 	reportFailed(t, summary)
 	checkRegressions(t, longTaskSeeds)
 }
+
+// refusingCutSeeds once failed: two runs of a task, because a worker that had left the list and
+// refused the connections of the next scheduler was taken for ended.
+var refusingCutSeeds = map[uint64]string{
+	500313: "the store did not hear the workers, and they refused the process that took over",
+	500824: "the same in a region divided by failure domains",
+	501077: "the same with four workers",
+}
+
+// Guards against two runs of a task when workers that the store does not hear refuse the
+// connections of a process that begins to schedule.
+func TestRefusedConnectionsAreNoProof(t *testing.T) {
+	summary := simulation.RunSeeds(simulation.FirstRefusingCutSeed, simulation.FirstRefusingCutSeed+19, 2, simulation.Options{})
+	assert.Assert(t, summary.Takeovers > summary.Series, "takeovers: %d", summary.Takeovers)
+	assert.Assert(t, summary.Completed > 20*summary.Series, "completed jobs: %d", summary.Completed)
+	reportFailed(t, summary)
+	checkRegressions(t, refusingCutSeeds)
+}
--- a/soak/simulation/world.go
+++ b/soak/simulation/world.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -75,6 +76,8 @@
 // cut blocks messages for a time.
 type cut struct {
 	blocks func(from, to *node) bool
+	// refuses is set if the cut refuses connections instead of losing their packets.
+	refuses bool
 }
 
 // world is the state of a series.
@@ -232,6 +235,11 @@
 	return false
 }
 
+// refused reports whether a cut refuses connections from one node to another.
+func (world *world) refused(from, to *node) bool {
+	return slices.ContainsFunc(world.cuts, func(cut *cut) bool { return cut.refuses && cut.blocks(from, to) })
+}
+
 // trace writes an event of the series to the log of the options.
 func (world *world) trace(format string, arguments ...any) {
 	if world.options.Log != nil {
