--- a/shared/process/dispatcher/dispatcher.go
+++ b/shared/process/dispatcher/dispatcher.go
@@ -288,13 +288,19 @@
 	})
 }
 
-// SetUpstreams sets the list of upstreams that was just read from the platform.
-func (dispatcher *Dispatcher) SetUpstreams(upstreams []cell.Upstream) {
+// SetUpstreams sets the list of upstreams that was read from the platform. readAt is when the
+// read began, so that the list includes all changes before.
+func (dispatcher *Dispatcher) SetUpstreams(upstreams []cell.Upstream, readAt time.Time) {
 	dispatcher.post(upstreamsRead{
 		upstreams: upstreams,
+		readAt:    readAt,
 	})
 }
 
+// ReportUnreadUpstreams reports that the platform did not answer a read of the list of
+// upstreams.
+func (dispatcher *Dispatcher) ReportUnreadUpstreams() { dispatcher.post(upstreamsUnread{}) }
+
 // SetMembers adds processes that announced themselves on the platform.
 func (dispatcher *Dispatcher) SetMembers(members []region.Member) {
 	dispatcher.post(membersRead{
--- a/shared/process/dispatcher/events.go
+++ b/shared/process/dispatcher/events.go
@@ -48,7 +48,11 @@
 	// upstreamsRead holds the list of upstreams read from the platform.
 	upstreamsRead struct {
 		upstreams []cell.Upstream
+		// readAt is when the read began.
+		readAt time.Time
 	}
+	// upstreamsUnread reports that the platform did not answer a read of the list.
+	upstreamsUnread struct{}
 	// membersRead holds the processes that announced themselves on the platform.
 	membersRead struct {
 		members []region.Member
@@ -86,6 +90,7 @@
 func (routesRead) isEvent()       {}
 func (evacuationsRead) isEvent()  {}
 func (upstreamsRead) isEvent()    {}
+func (upstreamsUnread) isEvent()  {}
 func (membersRead) isEvent()      {}
 func (orderReplied) isEvent()     {}
 func (relayedOrderDone) isEvent() {}
--- a/shared/process/dispatcher/faults_test.go
+++ b/shared/process/dispatcher/faults_test.go
@@ -45,6 +45,7 @@
 			},
 			Incarnation: 1,
 		}},
+		readAt: loop.now,
 	})
 	for range 20 {
 		loop.advance(tickInterval)
--- a/shared/process/dispatcher/loop.go
+++ b/shared/process/dispatcher/loop.go
@@ -96,6 +96,7 @@
 	formerSets []formerSet
 	// listReadAt is when the list of upstreams was read; zero before the first.
 	listReadAt time.Time
+	listWait   listWait
 	// shedding holds, by service, the planner that ranks the jobs of this VM's callers.
 	shedding map[string]*admission.Planner
 	// overloaded holds the services whose overload was logged last.
@@ -179,7 +180,10 @@
 	case evacuationsRead:
 		loop.adoptEvacuations(loop.evacuations.AdoptRead(event.snapshot), "platform")
 	case upstreamsRead:
-		loop.adoptUpstreams(event.upstreams, 0)
+		loop.listWait.unread = 0
+		loop.adoptUpstreams(event.upstreams, loop.now.Sub(event.readAt))
+	case upstreamsUnread:
+		loop.recordUnreadList()
 	case membersRead:
 		loop.addMembers(event.members)
 	case orderReplied:
@@ -238,6 +242,7 @@
 		loop.removeLostEntryVMs()
 		loop.updateRelays()
 		loop.updateEvacuations()
+		loop.updateListWait()
 		loop.executeDecisions(loop.cell.Handle(loop.now, cell.Tick{}))
 		loop.reportOverload()
 		loop.spillJobs()
@@ -364,7 +369,7 @@
 	case message.Evacuations != nil:
 		loop.adoptEvacuations(loop.evacuations.AdoptReceived(*message.Evacuations), message.From)
 	case message.Upstreams != nil:
-		loop.adoptUpstreams(message.Upstreams.Upstreams, message.Upstreams.Age)
+		loop.adoptUpstreams(message.Upstreams.Upstreams, message.Upstreams.Age+delay)
 	case message.Released != nil:
 		for _, release := range message.Released.Jobs {
 			loop.handleRelease(message.From, release)
--- a/shared/process/dispatcher/platform_lists.go
+++ b/shared/process/dispatcher/platform_lists.go
@@ -36,6 +36,7 @@
 		return
 	}
 	loop.listReadAt = readAt
+	loop.endListWait()
 	loop.upstreams = loop.markLeaving(loop.retainRemoved(setColdUntil(readAt, upstreams)))
 	loop.passUpstreams()
 }
@@ -83,6 +84,7 @@
 	loop.relays.SetUpstreams(cellUpstreams)
 	loop.notifyCell(cell.UpstreamsListed{
 		Upstreams: cellUpstreams,
+		Outdated:  loop.listWait.active,
 	})
 }
 
--- a/shared/process/dispatcher/region_test.go
+++ b/shared/process/dispatcher/region_test.go
@@ -86,7 +86,12 @@
 	counting := &countingFleet{
 		fakeFleet: fleet,
 	}
-	processDispatcher := dispatcher.New(dispatcher.Options{
+	var processDispatcher *dispatcher.Dispatcher
+	// A process that may schedule reads the list, as from the platform.
+	readList := func(dispatcher.Role) {
+		go processDispatcher.SetUpstreams(fleet.upstreamList(), time.Now())
+	}
+	processDispatcher = dispatcher.New(dispatcher.Options{
 		Self: region.Member{
 			Address:     listener.Addr().String(),
 			Name:        fmt.Sprintf("vm-%d", number),
@@ -99,6 +104,8 @@
 		Logger:    logevent.New(io.Discard, log.ErrorLevel, "test"),
 		Limits:    cell.DefaultLimits(),
 		RelayFrom: fleet.relayFrom,
+
+		OnRoleChange: readList,
 	})
 	process := &regionProcess{
 		fleet:      counting,
@@ -120,7 +127,7 @@
 	processDispatcher.SetRoutes((&routing.Table{
 		Version: 1,
 	}).Index())
-	processDispatcher.SetUpstreams(fleet.upstreamList())
+	processDispatcher.SetUpstreams(fleet.upstreamList(), time.Now())
 	return process
 }
 
--- a/shared/process/dispatcher/schedule.go
+++ b/shared/process/dispatcher/schedule.go
@@ -70,6 +70,7 @@
 	loop.log(logevent.SchedulerStarted, "token", loop.token, "live", loop.view.LiveCount(),
 		"upstreams", len(loop.upstreams), "list-age", loop.listAge())
 	loop.updateRole()
+	loop.beginListWait()
 	loop.passUpstreams()
 	loop.follow(loop.view.Self().Address, "this process schedules")
 	loop.sendHeartbeats(false)
--- a/shared/process/dispatcher/upstream_sets_test.go
+++ b/shared/process/dispatcher/upstream_sets_test.go
@@ -174,6 +174,7 @@
 			ID:      "u2",
 			Service: "orders",
 		}),
+		readAt: scheduler.now,
 	})
 	assert.Assert(t, scheduler.upstreams[0].UsableAt.IsZero(), "the first list is announced before any job arrives")
 	// An entry VM leaves after one timeout without a heartbeat, and its jobs may start
@@ -183,6 +184,7 @@
 	usableAt := scheduler.upstreams[1].UsableAt
 	scheduler.handle(scheduler.now, upstreamsRead{
 		upstreams: scheduler.upstreams,
+		readAt:    scheduler.now,
 	})
 	assert.Equal(t, scheduler.upstreams[1].UsableAt, usableAt, "the next list changes nothing")
 }
--- a/shared/process/logevent/event.go
+++ b/shared/process/logevent/event.go
@@ -370,6 +370,12 @@
 		Level:  log.InfoLevel,
 		Text:   "reply about a job is not from its last submission and is ignored",
 	}
+	ListAwaited = Event{
+		Number: 735,
+		Name:   "list-awaited",
+		Level:  log.InfoLevel,
+		Text:   "scheduler waited for a recent list of upstreams before its first starts",
+	}
 	WithdrawalsRepeated = Event{
 		Number: 734,
 		Name:   "withdrawals-repeated",
@@ -476,7 +482,7 @@
 		SchedulerStarted, SchedulerStopped, SchedulerFollowed, UpstreamState, SchedulerSlow, RelaysSuspected, MessageStale, RegionDivided, JobHandedOver, MessageInvalid,
 		JobAccepted, JobAnswered, JobGivenUp, JobWithdrawn, RequestRefused, JobLate, EarlierJobReceived, CancelApplied, CancelledSubmission,
 		RunPlaced, RunStopped, RunLost, OrderFailed, StartsAllowed, LeaseExpired, RunSettled, StreamReset, JobResubmitted, ReplyIgnored,
-		StoreUnreachable, StoreReachable, RecordInvalid, WithdrawalsRepeated, SettingsReloaded, SettingsRejected, LinesSuppressed,
+		StoreUnreachable, StoreReachable, RecordInvalid, WithdrawalsRepeated, ListAwaited, SettingsReloaded, SettingsRejected, LinesSuppressed,
 		JobRefusedEarly, OverloadBegan, OverloadEnded, EstimatesInherited, EstimatesIgnored, EvacuationsChanged, IntakeRefused,
 	}
 }
--- a/shared/request/cell/cell.go
+++ b/shared/request/cell/cell.go
@@ -66,6 +66,8 @@
 	orderedBuffer []*jobState
 	blockedBuffer []*jobState
 	chosenBuffer  []reservation
+	// listOutdated is set while no task may start by the list of upstreams.
+	listOutdated bool
 	// placementPending is set when a change may allow a task to be placed.
 	placementPending bool
 	// completed holds the jobs that were completed lately: one that is submitted again because
@@ -171,6 +173,7 @@
 	case PollReplied:
 		cell.pollReplied(event)
 	case UpstreamsListed:
+		cell.listOutdated = event.Outdated
 		cell.applyListing(event.Upstreams)
 	case DomainsEvacuated:
 		cell.evacuate(event)
--- a/shared/request/cell/messages.go
+++ b/shared/request/cell/messages.go
@@ -346,6 +346,9 @@
 	// UpstreamsListed carries all upstreams on the platform's list.
 	UpstreamsListed struct {
 		Upstreams []Upstream
+		// Outdated is set if upstreams may have begun to leave since the list was read. No
+		// task starts before the next list.
+		Outdated bool
 	}
 	// Tick lets the Cell act on the passage of time.
 	Tick struct{}
--- a/shared/request/cell/placement.go
+++ b/shared/request/cell/placement.go
@@ -57,7 +57,7 @@
 
 // placeTasks starts waiting tasks as far as capacity allows.
 func (cell *Cell) placeTasks() {
-	if !cell.placementPending {
+	if !cell.placementPending || cell.listOutdated {
 		return
 	}
 	cell.placementPending = false
--- a/soak/simulation/process.go
+++ b/soak/simulation/process.go
@@ -264,6 +264,7 @@
 		return
 	}
 	list := world.log.list()
+	readAt := world.time()
 	delay := world.between(time.Millisecond, 6*time.Millisecond)
 	if world.log.slow {
 		delay = world.between(100*time.Millisecond, time.Second)
@@ -272,7 +273,7 @@
 		process.later(delay, func() { world.evacuations.read(process) })
 	}
 	process.later(delay, func() {
-		process.receive(func() { process.dispatcher.SetUpstreams(process.directory.apply(world.now, list)) })
+		process.receive(func() { process.dispatcher.SetUpstreams(process.directory.apply(world.now, list), readAt) })
 	})
 }
 
